Add the agreement, the fold of the log and the client of the log service

State splits into a fold that any reader derives in the same way (publications, workers, entries) and what only a reader of the log has (bindings, cursor).

Bindings are kept in layers that merge like a log-structured tree. Copying one map for each batch was ruled out: 100,000 bindings would be copied 20 times/s.

--- /dev/null
+++ b/weir/connection/logservice/client.go
@@ -0,0 +1,203 @@
+// Package logservice talks to the platform's log service and keeps a copy of its records up to date.
+package logservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const (
+	// maxAnswer bounds the memory that one answer of the log takes.
+	maxAnswer = 64 << 20
+	// maxErrorText bounds the part of an error answer that is repeated.
+	maxErrorText = 200
+	// readMargin is how long an answer may take beyond the time that the log was asked to wait.
+	readMargin = 2 * time.Second
+)
+
+// errRefused marks answers that say that nothing was appended.
+var errRefused = errors.New("refused by the log")
+
+// Client calls the log service. It is safe for concurrent use.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+// NewClient returns a client of the log service at address, a host and port or a URL.
+func NewClient(address string) *Client {
+	if u, err := url.Parse(address); err != nil || u.Host == "" {
+		address = "http://" + address
+	}
+
+	return &Client{address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxFlying + 1}}}
+}
+
+type appendBody struct {
+	Records [][]byte `json:"records"`
+}
+
+type appendAnswer struct {
+	First *int64 `json:"first"`
+}
+
+// Append adds records at consecutive offsets and returns the first. After an error the records may have been appended,
+// unless Refused says otherwise.
+func (c *Client) Append(ctx context.Context, records ...[]byte) (first int64, err error) {
+	body, err := json.Marshal(appendBody{records})
+	if err != nil {
+		return 0, fault.Wrap(fault.Internal, err, "encode append")
+	}
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.address+"/v1/append", bytes.NewReader(body))
+	if err != nil {
+		return 0, fault.Wrap(fault.Internal, err, "append to the log")
+	}
+
+	r.Header.Set("Content-Type", "application/json")
+
+	a := appendAnswer{}
+	if err := c.do(r, &a); err != nil {
+		return 0, err
+	}
+
+	if a.First == nil || *a.First < 0 {
+		return 0, fault.New(fault.LogUnavailable, "append to the log: answer without an offset")
+	}
+
+	return *a.First, nil
+}
+
+// Refused tells whether the log answered that it appended nothing.
+func Refused(err error) bool { return errors.Is(err, errRefused) }
+
+// Page is a run of consecutive records of the log.
+type Page struct {
+	first, next int64
+	records     []ledger.Record
+}
+
+// First returns the first offset that the log still holds.
+func (p Page) First() int64 { return p.first }
+
+// Next returns the offset after the last record of the page.
+func (p Page) Next() int64 { return p.next }
+
+// Records returns the records.
+func (p Page) Records() []ledger.Record { return p.records }
+
+type readAnswer struct {
+	First   int64        `json:"first"`
+	Next    int64        `json:"next"`
+	Records []readRecord `json:"records"`
+}
+
+type readRecord struct {
+	Offset int64  `json:"offset"`
+	TimeMS int64  `json:"time_ms"`
+	Data   []byte `json:"data"`
+}
+
+// TruncatedError is returned by Read if the log has dropped the offset.
+type TruncatedError struct{ first int64 }
+
+// First returns the first offset that the log still holds.
+func (e *TruncatedError) First() int64 { return e.first }
+
+// Error returns the text.
+func (e *TruncatedError) Error() string {
+	return fmt.Sprintf("the log holds no records below offset %d", e.first)
+}
+
+// Read returns up to limit records from the offset on. If there are none, the log waits for one for up to that time.
+func (c *Client) Read(ctx context.Context, from int64, wait time.Duration, limit int) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readMargin)
+	defer cancel()
+
+	query := url.Values{}
+	query.Set("from", strconv.FormatInt(from, 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	query.Set("limit", strconv.Itoa(limit))
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.address+"/v1/read?"+query.Encode(), http.NoBody)
+	if err != nil {
+		return Page{}, fault.Wrap(fault.Internal, err, "read the log")
+	}
+
+	a := readAnswer{}
+	if err := c.do(r, &a); err != nil {
+		return Page{}, err
+	}
+
+	return a.page(from, limit)
+}
+
+// page checks the answer, since a wrong one would be folded into the state for good.
+func (a readAnswer) page(from int64, limit int) (Page, error) {
+	if a.Next != from+int64(len(a.Records)) || len(a.Records) > limit || a.First > from {
+		return Page{}, fault.New(fault.LogUnavailable, "read the log: answer to another question")
+	}
+
+	p := Page{first: a.First, next: a.Next, records: make([]ledger.Record, 0, len(a.Records))}
+
+	for i, r := range a.Records {
+		if r.Offset != from+int64(i) {
+			return Page{}, fault.New(fault.LogUnavailable, "read the log: offset %d in place of %d", r.Offset, from+int64(i))
+		}
+
+		p.records = append(p.records, ledger.NewRecord(r.Offset, time.UnixMilli(r.TimeMS), r.Data))
+	}
+
+	return p, nil
+}
+
+func (c *Client) do(r *http.Request, into any) error {
+	w, err := c.http.Do(r)
+	if err != nil {
+		return fault.Wrap(fault.LogUnavailable, err, "call the log")
+	}
+	defer w.Body.Close()
+
+	body, err := io.ReadAll(io.LimitReader(w.Body, maxAnswer))
+
+	switch {
+	case err != nil:
+		return fault.Wrap(fault.LogUnavailable, err, "read the log's answer")
+	case w.StatusCode == http.StatusGone:
+		return gone(body)
+	case w.StatusCode >= http.StatusBadRequest && w.StatusCode < http.StatusInternalServerError:
+		return fault.Wrap(fault.LogUnavailable, errRefused, "status %d: %s", w.StatusCode, excerpt(body))
+	case w.StatusCode != http.StatusOK:
+		return fault.New(fault.LogUnavailable, "the log answered status %d: %s", w.StatusCode, excerpt(body))
+	}
+
+	if err := json.Unmarshal(body, into); err != nil {
+		return fault.Wrap(fault.LogUnavailable, err, "decode the log's answer")
+	}
+
+	return nil
+}
+
+func gone(body []byte) error {
+	a := appendAnswer{}
+	if err := json.Unmarshal(body, &a); err != nil || a.First == nil {
+		return fault.New(fault.LogUnavailable, "the log dropped the offset and does not say which it holds")
+	}
+
+	return fault.Wrap(fault.LogUnavailable, &TruncatedError{*a.First}, "read the log")
+}
+
+func excerpt(body []byte) string {
+	return string(bytes.ToValidUTF8(body[:min(len(body), maxErrorText)], nil))
+}
--- /dev/null
+++ b/weir/connection/logservice/follower.go
@@ -0,0 +1,206 @@
+package logservice
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// DefaultRetention is used if the log's retention is not set.
+const DefaultRetention = time.Hour
+
+const (
+	// pollWait is how long the log holds a read open. Healthy notices a silent log after pollWait and readMargin.
+	pollWait = 2 * time.Second
+	// pageLimit bounds the records of one read.
+	pageLimit = 1000
+
+	minBackOff = 50 * time.Millisecond
+	maxBackOff = 2 * time.Second
+
+	snapshotTimeout = 5 * time.Second
+)
+
+// Follower keeps a book at the end of the log by long polling. Run is called once.
+type Follower struct {
+	client *Client
+	book   *ledger.Book
+	// retention is how long the log keeps records.
+	retention time.Duration
+	log       zerolog.Logger
+
+	// good is the time of the latest answer of the log, in ns since start; zero means none.
+	good  atomic.Int64
+	start time.Time
+	// from is the offset to read next if the log has dropped those before it.
+	from int64
+	// complete is set once the log was read to its end.
+	complete bool
+	failures int
+	skipped  int64
+	snapshot snapshotTimer
+}
+
+// NewFollower returns a follower that fills book. A retention of zero means DefaultRetention.
+func NewFollower(client *Client, book *ledger.Book, retention time.Duration, log zerolog.Logger) *Follower {
+	if retention <= 0 {
+		retention = DefaultRetention
+	}
+
+	return &Follower{client: client, book: book, retention: retention, log: log, start: time.Now()}
+}
+
+// Healthy tells whether the log has answered lately.
+func (f *Follower) Healthy() bool {
+	good := f.good.Load()
+
+	return good > 0 && time.Since(f.start)-time.Duration(good) < pollWait+readMargin
+}
+
+// Run reads the log until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.book.BeginLoad()
+
+	for ctx.Err() == nil {
+		err := f.read(ctx)
+
+		switch {
+		case err == nil:
+			f.failures = 0
+			f.keepSnapshot(ctx)
+		case ctx.Err() == nil:
+			f.failed(ctx, err)
+		}
+	}
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	wait := pollWait
+	if !f.complete {
+		wait = 0
+	}
+
+	f.from = max(f.from, f.book.State().LogPosition())
+
+	p, err := f.client.Read(ctx, f.from, wait, pageLimit)
+
+	var truncated *TruncatedError
+	if errors.As(err, &truncated) && truncated.First() > f.from {
+		f.log.Warn().Int64("position", f.from).Int64("first", truncated.First()).
+			Msg("the log dropped records before they were read")
+
+		f.from = truncated.First()
+		f.answered()
+
+		return nil
+	}
+
+	if err != nil {
+		return err
+	}
+
+	f.answered()
+	f.book.Advance(p.Records(), p.Next())
+	f.report()
+
+	if len(p.Records()) < pageLimit && !f.complete {
+		f.complete = true
+		f.book.EndLoad()
+	}
+
+	return nil
+}
+
+func (f *Follower) answered() {
+	f.good.Store(int64(time.Since(f.start)) + 1)
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if f.failures == 0 {
+		f.log.Warn().Err(err).Msg("the log does not answer")
+	}
+
+	f.good.Store(0)
+	pause(ctx, backOff(f.failures))
+	f.failures++
+}
+
+func (f *Follower) report() {
+	s := f.book.State()
+	if s.Skipped() > f.skipped {
+		f.log.Error().Int64("skipped", s.Skipped()-f.skipped).Int64("position", s.LogPosition()).
+			Msg("skipped records that cannot be decoded")
+
+		f.skipped = s.Skipped()
+	}
+}
+
+// keepSnapshot appends a snapshot if the newest one is too old.
+func (f *Follower) keepSnapshot(ctx context.Context) {
+	s := f.book.State()
+	if !f.complete || !s.Complete() || s.Position() == 0 || !f.snapshot.due(s, f.retention) {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+
+	// After a lost answer the snapshot is either read back, which resets the timer, or appended once more later.
+	if _, err := f.client.Append(ctx, ledger.SnapshotRecord(s)); err != nil {
+		f.log.Warn().Err(err).Msg("no answer to the append of a snapshot")
+	}
+
+	f.snapshot.restart(f.retention)
+}
+
+// snapshotTimer decides when a snapshot is due. The age of the newest one is taken from the log's time stamps and from
+// the process's monotonic clock, because the log's time stands still without records, and wall clocks differ.
+type snapshotTimer struct {
+	newest time.Time
+	// noticed is when the newest snapshot, or the attempt to append one, was noticed.
+	noticed time.Time
+	// allowed is a quarter of the retention, less a random part so that few of the entries append at the same time.
+	allowed time.Duration
+}
+
+func (t *snapshotTimer) due(s *ledger.State, retention time.Duration) bool {
+	newest, ok := s.SnapshotTime()
+	if !ok {
+		return false
+	}
+
+	if !newest.Equal(t.newest) || t.allowed == 0 {
+		t.newest = newest
+		t.restart(retention)
+	}
+
+	return max(s.LogTime().Sub(newest), time.Since(t.noticed)) > t.allowed && time.Since(t.noticed) > t.allowed/8
+}
+
+func (t *snapshotTimer) restart(retention time.Duration) {
+	quarter := retention / 4
+	t.noticed = time.Now()
+	t.allowed = quarter - rand.N(quarter/4+1)
+}
+
+func backOff(failures int) time.Duration {
+	d := min(minBackOff<<min(failures, 10), maxBackOff)
+
+	return d/2 + rand.N(d/2+1)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/weir/version/agreement/object.go
@@ -0,0 +1,277 @@
+package agreement
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+)
+
+// maxProblems bounds the length of an error text.
+const maxProblems = 20
+
+// maxQuoted bounds the part of a wrong value that an error text repeats.
+const maxQuoted = 60
+
+var namePattern = regexp.MustCompile(`^[a-z0-9-]{1,40}$`)
+
+// problems collects what is wrong with all files, so that an operator sees it in one run.
+type problems struct {
+	lines []string
+	more  int
+}
+
+func (p *problems) add(line string) {
+	if len(p.lines) == maxProblems {
+		p.more++
+
+		return
+	}
+
+	p.lines = append(p.lines, line)
+}
+
+func (p *problems) err() error {
+	if len(p.lines) == 0 {
+		return nil
+	}
+
+	text := strings.Join(p.lines, "\n")
+	if p.more > 0 {
+		text += fmt.Sprintf("\nand %d more", p.more)
+	}
+
+	return fault.New(fault.InvalidRequest, "%s", text)
+}
+
+// source is one file; its values know their lines.
+type source struct {
+	file     string
+	text     []byte
+	problems *problems
+}
+
+func (s *source) wrong(at hujson.Value, key, value, allowed string) {
+	if len(value) > maxQuoted {
+		value = strings.ToValidUTF8(value[:maxQuoted], "") + "..."
+	}
+
+	s.problems.add(fmt.Sprintf("%s:%d: %s: %s is not allowed; allowed: %s", s.file, s.line(at), key, value, allowed))
+}
+
+func (s *source) line(at hujson.Value) int {
+	return 1 + bytes.Count(s.text[:min(at.StartOffset, len(s.text))], []byte("\n"))
+}
+
+// parse returns the top-level object; ok is false if the text is not one.
+func (s *source) parse(comments bool) (object, bool) {
+	v, err := hujson.Parse(s.text)
+	if err != nil {
+		// The text of the error names line and column.
+		s.problems.add(fmt.Sprintf("%s: %s", s.file, strings.TrimPrefix(err.Error(), "hujson: ")))
+
+		return object{}, false
+	}
+
+	if !comments && !v.IsStandard() {
+		s.problems.add(fmt.Sprintf("%s: comments and trailing commas are not allowed in the collected form", s.file))
+
+		return object{}, false
+	}
+
+	return s.object(v, "")
+}
+
+// object is a JSON object whose keys are taken one by one; end rejects what is left.
+type object struct {
+	source *source
+	at     hujson.Value
+	path   string
+	fields map[string]hujson.Value
+	keys   []string
+	taken  []string
+}
+
+func (s *source) object(v hujson.Value, path string) (object, bool) {
+	o := object{source: s, at: v, path: path, fields: map[string]hujson.Value{}}
+
+	members, ok := v.Value.(*hujson.Object)
+	if !ok {
+		s.wrong(v, o.key("(whole)"), shown(v), "an object")
+
+		return o, false
+	}
+
+	for _, m := range members.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		if _, twice := o.fields[name]; twice {
+			s.wrong(m.Name, o.key(name), strconv.Quote(name), "each key once")
+
+			continue
+		}
+
+		o.fields[name] = m.Value
+		o.keys = append(o.keys, name)
+	}
+
+	return o, true
+}
+
+func (o *object) key(name string) string {
+	if o.path == "" {
+		return name
+	}
+
+	return o.path + "." + name
+}
+
+func (o *object) wrong(name, allowed string) {
+	v, ok := o.fields[name]
+	if !ok {
+		o.source.wrong(o.at, o.key(name), "(missing)", allowed)
+
+		return
+	}
+
+	o.source.wrong(v, o.key(name), shown(v), allowed)
+}
+
+// has marks the key as known and tells whether it is set.
+func (o *object) has(name string) bool {
+	o.taken = append(o.taken, name)
+	_, ok := o.fields[name]
+
+	return ok
+}
+
+func (o *object) literal(name string, kind hujson.Kind) (hujson.Literal, bool) {
+	if !o.has(name) {
+		return nil, false
+	}
+
+	l, ok := o.fields[name].Value.(hujson.Literal)
+
+	return l, ok && l.Kind() == kind
+}
+
+// name reads a name of a member, kind, service or agreement.
+func (o *object) name(key string) string {
+	l, ok := o.literal(key, '"')
+	if !ok || !namePattern.MatchString(l.String()) {
+		o.wrong(key, "a name of 1 to 40 characters out of a-z, 0-9 and -")
+
+		return ""
+	}
+
+	return l.String()
+}
+
+func (o *object) text(key, allowed string) string {
+	l, ok := o.literal(key, '"')
+	if !ok {
+		o.wrong(key, allowed)
+
+		return ""
+	}
+
+	return l.String()
+}
+
+// whole reads a whole number in [low, high].
+func (o *object) whole(key string, low, high int) int {
+	l, ok := o.literal(key, '0')
+	n, err := strconv.Atoi(string(l))
+
+	if !ok || err != nil || n < low || n > high {
+		o.wrong(key, fmt.Sprintf("whole numbers from %d to %d", low, high))
+
+		return 0
+	}
+
+	return n
+}
+
+// hundredths reads a number in [0.01, 100] with at most two decimals and returns it times 100.
+func (o *object) hundredths(key string) int {
+	l, ok := o.literal(key, '0')
+	f, err := strconv.ParseFloat(string(l), 64)
+	n := math.Round(f * 100)
+
+	if !ok || err != nil || n < 1 || n > wholeFleet || math.Abs(n-f*100) > 1e-6 {
+		o.wrong(key, "numbers from 0.01 to 100 with at most two decimals")
+
+		return 0
+	}
+
+	return int(n)
+}
+
+func (o *object) boolean(key string) bool {
+	if !o.has(key) {
+		return false
+	}
+
+	l, ok := o.fields[key].Value.(hujson.Literal)
+	if !ok || (l.Kind() != 't' && l.Kind() != 'f') {
+		o.wrong(key, "true or false")
+
+		return false
+	}
+
+	return l.Bool()
+}
+
+// objects reads a list of objects.
+func (o *object) objects(key string) []object {
+	if !o.has(key) {
+		o.wrong(key, "a list of objects")
+
+		return nil
+	}
+
+	list, ok := o.fields[key].Value.(*hujson.Array)
+	if !ok {
+		o.wrong(key, "a list of objects")
+
+		return nil
+	}
+
+	all := make([]object, 0, len(list.Elements))
+
+	for i, e := range list.Elements {
+		if m, ok := o.source.object(e, fmt.Sprintf("%s[%d]", o.key(key), i)); ok {
+			all = append(all, m)
+		}
+	}
+
+	return all
+}
+
+// end rejects keys that were not taken.
+func (o *object) end() {
+	for _, k := range o.keys {
+		if !slices.Contains(o.taken, k) {
+			o.source.wrong(o.fields[k], o.key(k), "this key", strings.Join(o.taken, ", "))
+		}
+	}
+}
+
+func shown(v hujson.Value) string {
+	switch x := v.Value.(type) {
+	case hujson.Literal:
+		return string(x)
+	case *hujson.Array:
+		return "a list"
+	case *hujson.Object:
+		return "an object"
+	default:
+		return "this value"
+	}
+}
--- /dev/null
+++ b/weir/version/ledger/body.go
@@ -0,0 +1,169 @@
+package ledger
+
+import (
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger/record"
+)
+
+// Body is the decoded content of a record: Publication, WorkerJoined, WorkerLeft, EntryJoined, EntryLeft, Binding or
+// Snapshot.
+type Body interface{ body() }
+
+// Publication asks for a new version of the agreement.
+type Publication struct {
+	base, version int64
+	nonce         string
+	operator      string
+	agreement     *agreement.Agreement
+}
+
+// Base returns the version that has to be in force for the publication to take effect.
+func (p Publication) Base() int64 { return p.base }
+
+// Version returns base plus one.
+func (p Publication) Version() int64 { return p.version }
+
+// Operator returns the name of the operator.
+func (p Publication) Operator() string { return p.operator }
+
+// Agreement returns what was published.
+func (p Publication) Agreement() *agreement.Agreement { return p.agreement }
+
+// WorkerJoined registers an incarnation of a worker.
+type WorkerJoined struct{ worker *wire.Worker }
+
+// WorkerLeft ends an incarnation of a worker.
+type WorkerLeft struct {
+	name        string
+	incarnation uint64
+	lost        bool
+}
+
+// EntryJoined registers an incarnation of an entry.
+type EntryJoined struct{ entry *wire.Entry }
+
+// EntryLeft ends an incarnation of an entry; successor may be nil.
+type EntryLeft struct {
+	entry, successor *wire.Entry
+	lost             bool
+}
+
+// Binding ties a key to a ticket.
+type Binding struct{ member, key, ticket string }
+
+// Snapshot is a whole state without bindings.
+type Snapshot struct{ fold *fold }
+
+func (Publication) body()  {}
+func (WorkerJoined) body() {}
+func (WorkerLeft) body()   {}
+func (EntryJoined) body()  {}
+func (EntryLeft) body()    {}
+func (Binding) body()      {}
+func (Snapshot) body()     {}
+
+// Decode returns the content of a record's data. An error means that every reader skips the record.
+func Decode(data []byte) (Body, error) {
+	r := &record.Record{}
+	if err := proto.Unmarshal(data, r); err != nil {
+		return nil, merry.Prepend(err, "decode record", merry.NoCaptureStack())
+	}
+
+	switch r.WhichBody() {
+	case record.Record_Publication_case:
+		return decodePublication(r.GetPublication())
+	case record.Record_WorkerJoined_case:
+		w := r.GetWorkerJoined().GetWorker()
+		if w.GetName() == "" || w.GetIncarnation() == 0 {
+			return nil, invalid("worker without name or incarnation")
+		}
+
+		return WorkerJoined{w}, nil
+	case record.Record_WorkerLeft_case:
+		m := r.GetWorkerLeft()
+
+		return WorkerLeft{m.GetName(), m.GetIncarnation(), m.GetLost()}, nil
+	case record.Record_EntryJoined_case:
+		e := r.GetEntryJoined().GetEntry()
+		if e.GetName() == "" || e.GetIncarnation() == 0 {
+			return nil, invalid("entry without name or incarnation")
+		}
+
+		return EntryJoined{e}, nil
+	case record.Record_EntryLeft_case:
+		return decodeEntryLeft(r.GetEntryLeft())
+	case record.Record_Binding_case:
+		m := r.GetBinding()
+		if m.GetMember() == "" || m.GetKey() == "" || m.GetTicket() == "" {
+			return nil, invalid("binding without member, key or ticket")
+		}
+
+		return Binding{m.GetMember(), m.GetKey(), m.GetTicket()}, nil
+	case record.Record_Snapshot_case:
+		f, err := foldOf(r.GetSnapshot())
+		if err != nil {
+			return nil, err
+		}
+
+		return Snapshot{f}, nil
+	default:
+		return nil, invalid("unknown type")
+	}
+}
+
+func decodePublication(m *record.Publication) (Body, error) {
+	if m.GetVersion() != m.GetBase()+1 || m.GetBase() < 0 {
+		return nil, invalid("publication whose version does not follow its base")
+	}
+
+	a, err := agreement.Parse(m.GetAgreement())
+	if err != nil {
+		return nil, merry.Prepend(err, "decode publication", merry.NoCaptureStack())
+	}
+
+	return Publication{m.GetBase(), m.GetVersion(), string(m.GetNonce()), m.GetOperator(), a}, nil
+}
+
+func decodeEntryLeft(m *record.EntryLeft) (Body, error) {
+	if m.GetEntry().GetName() == "" || m.GetEntry().GetIncarnation() == 0 {
+		return nil, invalid("entry without name or incarnation")
+	}
+
+	b := EntryLeft{entry: m.GetEntry(), lost: m.GetLost()}
+	if m.GetSuccessor().GetIncarnation() != 0 {
+		b.successor = m.GetSuccessor()
+	}
+
+	return b, nil
+}
+
+func invalid(what string) error {
+	return merry.New("decode record: "+what, merry.NoCaptureStack())
+}
+
+// Repeatable tells whether appending the record twice has the effect of appending it once. Snapshots are left out
+// because a newer one replaces them, and records that do not decode because nothing is known about them.
+func Repeatable(data []byte) bool {
+	b, err := Decode(data)
+	if err != nil {
+		return false
+	}
+
+	switch b.(type) {
+	case Publication:
+		// Versions only increase, so the base of the second copy is not in force any more.
+		return true
+	case WorkerJoined, EntryJoined, Binding:
+		// The first record of an incarnation or of a key counts.
+		return true
+	case WorkerLeft, EntryLeft:
+		// An incarnation that left does not join again.
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/weir/version/ledger/book.go
@@ -0,0 +1,178 @@
+package ledger
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// The recent records that Since passes on are bounded by number and by size; a receiver further behind gets a snapshot.
+const (
+	maxRecent      = 4096
+	maxRecentBytes = 2 << 20
+)
+
+// Book is the process's copy of the log: read-copy-update, any number of readers. The zero value works.
+type Book struct {
+	// mutex is held by writers only.
+	mutex sync.Mutex
+	view  atomic.Pointer[view]
+	// watches holds the records that are waited for, by their data.
+	watches map[string][]*Watch
+}
+
+// view is what readers see at once. It is immutable.
+type view struct {
+	state *State
+	// recent holds the records from recentFrom up to the state's position, without bindings and snapshots. Later views
+	// may share the array behind it, which only grows beyond the end of this slice.
+	recent      []Record
+	recentFrom  int64
+	recentBytes int
+	// snapshot is encoded at most once for each view.
+	snapshot func() []byte
+	changed  chan struct{}
+}
+
+func (b *Book) load() *view {
+	if v := b.view.Load(); v != nil {
+		return v
+	}
+
+	b.view.CompareAndSwap(nil, newView(&State{}))
+
+	return b.view.Load()
+}
+
+func newView(s *State) *view {
+	return &view{
+		state: s, recentFrom: s.Position(), changed: make(chan struct{}),
+		snapshot: sync.OnceValue(func() []byte { return SnapshotRecord(s) }),
+	}
+}
+
+// State returns the present state.
+func (b *Book) State() *State { return b.load().state }
+
+// Changed returns a channel that is closed at the next change.
+func (b *Book) Changed() <-chan struct{} { return b.load().changed }
+
+// Advance applies records that were read from the log and notes that the log was read up to through. The records are
+// consecutive; if they do not follow on the state's LogPosition, the log has dropped those between.
+func (b *Book) Advance(records []Record, through int64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	old := b.load()
+	if s, d := old.state.read(records, through); s.cursor != old.state.cursor {
+		b.publish(old, s, d)
+	}
+
+	b.notify(records)
+}
+
+// Receive applies what another process passed on. Older records than the state's are left out.
+func (b *Book) Receive(r *wire.Records) error {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	old := b.load()
+
+	s, d, err := old.state.receive(r)
+	if err != nil {
+		return err
+	}
+
+	if s.Position() != old.state.Position() || s.loading != old.state.loading {
+		b.publish(old, s, d)
+		b.notify(d.applied)
+	}
+
+	return nil
+}
+
+// BeginLoad makes the state not ready until EndLoad is called or another process passes on its state, so that a new
+// process uses no old version while it reads the log. The follower of the log calls it before its first read.
+func (b *Book) BeginLoad() { b.setLoading(true) }
+
+// EndLoad tells that the log was read to its end.
+func (b *Book) EndLoad() { b.setLoading(false) }
+
+func (b *Book) setLoading(loading bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	old := b.load()
+	if old.state.loading == loading {
+		return
+	}
+
+	s := *old.state
+	s.loading = loading
+	b.publish(old, &s, newDraft(s.fold()))
+}
+
+func (b *Book) publish(old *view, s *State, d *draft) {
+	v := newView(s)
+
+	// A draft that adopted a fold starts at another position than the old view ended.
+	v.recentFrom = d.from
+	if d.from == old.state.Position() {
+		v.recent, v.recentFrom, v.recentBytes = old.recent, old.recentFrom, old.recentBytes
+	}
+
+	for _, r := range d.applied {
+		v.recent = append(v.recent, r)
+		v.recentBytes += len(r.data)
+	}
+
+	for len(v.recent) > maxRecent || v.recentBytes > maxRecentBytes {
+		v.recentFrom = v.recent[0].offset + 1
+		v.recentBytes -= len(v.recent[0].data)
+		v.recent = v.recent[1:]
+	}
+
+	b.view.Store(v)
+	close(old.changed)
+}
+
+// Since returns what a process at the position lacks: the records since then, or a snapshot if they are not at hand.
+// It returns nil if nothing is newer or if this state may itself be old. Bindings are left out.
+func (b *Book) Since(position int64) *wire.Records {
+	v := b.load()
+	if position >= v.state.Position() || !v.state.Complete() {
+		return nil
+	}
+
+	m := &wire.Records{}
+	m.SetThrough(v.state.Position())
+
+	if position < v.recentFrom {
+		m.SetSnapshot(v.snapshot())
+		m.SetSnapshotPosition(v.state.Position())
+
+		return m
+	}
+
+	// Without a snapshot, the field says which position the records follow.
+	m.SetSnapshotPosition(position)
+
+	var records []*wire.LogRecord
+
+	for _, r := range v.recent {
+		if r.offset < position {
+			continue
+		}
+
+		x := &wire.LogRecord{}
+		x.SetOffset(r.offset)
+		x.SetTimeMs(r.timeMS)
+		x.SetData(r.data)
+		records = append(records, x)
+	}
+
+	m.SetRecords(records)
+
+	return m
+}
--- /dev/null
+++ b/weir/version/ledger/state.go
@@ -0,0 +1,433 @@
+package ledger
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+)
+
+// maxPending bounds the records that a reader of a truncated log keeps until it finds a snapshot.
+const maxPending = 1 << 16
+
+var (
+	emptyFold      = &fold{}
+	emptyAgreement = &agreement.Agreement{}
+)
+
+// State is what the log's records say up to a position. It is immutable. The zero value has position 0 and no version.
+//
+// The records of the log have to be applied without a gap. After a gap (records were dropped from the log before they
+// were read), the fold stays where it was and the state is not ready, until a snapshot or another process supplies a
+// fold that reaches the first record after the gap.
+type State struct {
+	// folded is nil in the zero value.
+	folded *fold
+	// cursor is the next offset to read from the log. It is at most the fold's position unless there is a gap.
+	cursor int64
+	// gap is the first offset after the gap; there is a gap while it is above the fold's position.
+	gap int64
+	// pending holds the records from gap to cursor that the fold needs once the gap is closed.
+	pending  []Record
+	bindings bindings
+	// loading is true while a new process has not yet read the log to its end.
+	loading bool
+	skipped int64
+	// snapshotMS is the time of the newest snapshot record in the log, and zero if none was read.
+	snapshotMS int64
+	firstMS    int64
+}
+
+func (s *State) fold() *fold {
+	if s.folded == nil {
+		return emptyFold
+	}
+
+	return s.folded
+}
+
+// Position returns the next offset to apply: the state has applied all offsets below it.
+func (s *State) Position() int64 { return s.fold().position }
+
+// Version returns the version of the agreement in force, and zero if there is none.
+func (s *State) Version() int64 { return s.fold().version }
+
+// Ready tells whether an agreement is in force that is known to be the newest one below the position, so that work may
+// be accepted. It is false while a new process reads the log, and after a gap.
+func (s *State) Ready() bool { return s.Version() > 0 && s.Complete() }
+
+// Complete tells whether the state misses no record below its position and has been read to the end of the log once.
+// In contrast to Ready it does not ask for an agreement.
+func (s *State) Complete() bool { return !s.loading && !s.gapped() }
+
+func (s *State) gapped() bool { return s.gap > s.Position() }
+
+// Agreement returns the agreement in force; it is empty if there is none.
+func (s *State) Agreement() *agreement.Agreement {
+	if a := s.fold().agreement; a != nil {
+		return a
+	}
+
+	return emptyAgreement
+}
+
+// Published returns who published the version in force, and when by the log's time.
+func (s *State) Published() (operator string, at time.Time) {
+	return s.fold().operator, time.UnixMilli(s.fold().publishedMS)
+}
+
+// Outcome tells what became of the publication with the nonce: whether it came into force. It is not known before the
+// record was read, and after many later publications.
+func (s *State) Outcome(nonce []byte) (inForce, known bool) {
+	for _, o := range s.fold().outcomes {
+		if o.nonce == string(nonce) {
+			known = true
+			inForce = inForce || o.inForce
+		}
+	}
+
+	return inForce, known
+}
+
+// Workers returns the workers that are registered now, in the order of their names.
+func (s *State) Workers() []Worker {
+	all := make([]Worker, 0, len(s.fold().workers.all()))
+
+	for _, x := range s.fold().workers.all() {
+		if x.left == present {
+			all = append(all, Worker{x})
+		}
+	}
+
+	slices.SortFunc(all, func(a, b Worker) int { return strings.Compare(a.Name(), b.Name()) })
+
+	return all
+}
+
+// WorkersAt returns the workers that were registered at the position: their registration has an offset below it, and
+// their departure has not. It returns false if this state cannot tell.
+func (s *State) WorkersAt(position int64) ([]Worker, bool) {
+	f := s.fold()
+	if position > f.position || position < f.completeFrom {
+		return nil, false
+	}
+
+	var all []Worker
+
+	for _, x := range f.workers.all() {
+		if x.holds(position) {
+			all = append(all, Worker{x})
+		}
+	}
+
+	return all, true
+}
+
+// Registered returns the offset of the first record of the worker's incarnation, and whether it is registered now.
+func (s *State) Registered(name string, incarnation uint64) (offset int64, registered bool) {
+	w := s.fold().workers.current(name)
+	if w == nil || w.who.GetIncarnation() != incarnation {
+		return 0, false
+	}
+
+	return w.joined, true
+}
+
+// Departed tells whether the worker's incarnation was registered and has left or was declared lost.
+func (s *State) Departed(name string, incarnation uint64) bool {
+	i := s.fold().workers.find(name, incarnation)
+
+	return i >= 0 && s.fold().workers.spans[i].left != present
+}
+
+// Entries returns the entries that are registered now, in the order of their names.
+func (s *State) Entries() []Entry {
+	var all []Entry
+
+	for _, x := range s.fold().entries.all() {
+		if x.left == present {
+			all = append(all, Entry{x.who})
+		}
+	}
+
+	slices.SortFunc(all, func(a, b Entry) int { return strings.Compare(a.Name(), b.Name()) })
+
+	return all
+}
+
+// Successor returns the entry that holds the submissions of an incarnation that left. If the successor left too, its
+// own successor is returned.
+func (s *State) Successor(incarnation uint64) (Entry, bool) {
+	found := Entry{}
+	spans := s.fold().entries.all()
+
+	// A chain is no longer than the list; the bound ends a chain that leads back to its start.
+	for range spans {
+		i := slices.IndexFunc(spans, func(x *span[*wire.Entry]) bool { return x.who.GetIncarnation() == incarnation })
+		if i < 0 || spans[i].left == present || spans[i].successor == nil {
+			break
+		}
+
+		found = Entry{spans[i].successor}
+		incarnation = found.Incarnation()
+	}
+
+	return found, found.wire != nil
+}
+
+// Binding returns the ticket that the member's key is bound to.
+func (s *State) Binding(member, key string) (ticketText string, bound bool) {
+	return s.bindings.find(bindingKey{member, key})
+}
+
+// BindingsSince returns the log's time from which on every binding is known; the zero time means that none is missing.
+// It returns false if the log was not read yet.
+func (s *State) BindingsSince() (time.Time, bool) {
+	switch {
+	case s.loading || s.cursor == 0 || s.bindings.sinceMS == math.MaxInt64:
+		return time.Time{}, false
+	case s.bindings.sinceMS == 0:
+		return time.Time{}, true
+	default:
+		return time.UnixMilli(s.bindings.sinceMS), true
+	}
+}
+
+// LogPosition returns the next offset to read from the log. It is below Position if other processes were ahead.
+// Bindings are known up to it.
+func (s *State) LogPosition() int64 { return s.cursor }
+
+// LogTime returns the largest time stamp read from the log.
+func (s *State) LogTime() time.Time { return time.UnixMilli(s.bindings.timeMS) }
+
+// SnapshotTime returns the time stamp of the newest snapshot record that was read from the log, or that of the first
+// record if there is none; false if nothing was read.
+func (s *State) SnapshotTime() (time.Time, bool) {
+	if s.snapshotMS > 0 {
+		return time.UnixMilli(s.snapshotMS), true
+	}
+
+	return time.UnixMilli(s.firstMS), s.firstMS > 0
+}
+
+// Skipped returns the number of records that could not be decoded.
+func (s *State) Skipped() int64 { return s.skipped }
+
+// Bindings returns the number of bindings held, including expired ones that were not dropped yet.
+func (s *State) Bindings() int { return s.bindings.count() }
+
+// Apply returns the state after consecutive records of the log. Records that were read before are left out. A first
+// record above LogPosition means that the records between them were dropped from the log.
+func (s *State) Apply(records ...Record) *State {
+	n, _ := s.read(records, 0)
+
+	return n
+}
+
+// read applies records of the log and notes that it was read up to through, if that is higher. The draft tells what was
+// applied.
+func (s *State) read(records []Record, through int64) (*State, *draft) {
+	n := *s
+	d := newDraft(s.fold())
+	fresh := map[bindingKey]bound{}
+	n.pending = slices.Clip(n.pending)
+
+	for _, r := range records {
+		if r.offset < n.cursor {
+			continue
+		}
+
+		if r.offset > n.cursor {
+			n.open(d, r.offset)
+		}
+
+		n.cursor = r.offset + 1
+		n.bindings = n.bindings.seen(r.timeMS)
+
+		if n.firstMS == 0 {
+			n.firstMS = r.timeMS
+		}
+
+		n.readOne(d, r, fresh)
+	}
+
+	if through > n.cursor {
+		n.open(d, through)
+		n.cursor = through
+	}
+
+	n.close(d)
+
+	if len(fresh) > 0 {
+		n.bindings = n.bindings.push(fresh)
+	}
+
+	n.folded = &d.fold
+
+	return &n, d
+}
+
+func (s *State) readOne(d *draft, r Record, fresh map[bindingKey]bound) {
+	b, err := Decode(r.data)
+	if err != nil {
+		s.skipped++
+	}
+
+	switch x := b.(type) {
+	case nil:
+	case Binding:
+		k := bindingKey{x.member, x.key}
+		if v, ok := fresh[k]; ok && !s.bindings.expired(v) {
+			break
+		}
+
+		if _, ok := s.bindings.find(k); !ok {
+			fresh[k] = bound{x.ticket, r.timeMS}
+		}
+	case Snapshot:
+		s.snapshotMS = max(s.snapshotMS, r.timeMS)
+
+		// A snapshot holds only records below its own offset.
+		if x.fold.position > r.offset {
+			s.skipped++
+
+			break
+		}
+
+		if x.fold.position > d.position {
+			d.adopt(x.fold)
+			s.close(d)
+		}
+	default:
+		if s.gap > d.position {
+			s.keep(r)
+
+			break
+		}
+
+		if r.offset >= d.position {
+			d.apply(r, b)
+		}
+	}
+
+	if s.gap <= d.position {
+		d.position = max(d.position, s.cursor)
+	}
+}
+
+// open notes that the records from the cursor up to first were dropped from the log before they were read.
+func (s *State) open(d *draft, first int64) {
+	s.bindings = s.bindings.restart()
+
+	// What was kept after an earlier gap is of no use, since the new gap follows it.
+	s.pending = nil
+
+	if d.position < first {
+		s.gap = first
+	}
+}
+
+// keep holds a record until the gap is closed. If there are too many, the gap grows.
+func (s *State) keep(r Record) {
+	s.pending = append(s.pending, r)
+	if len(s.pending) > maxPending {
+		s.gap = s.pending[0].offset + 1
+		s.pending = s.pending[1:]
+	}
+}
+
+// close applies the kept records once the fold reaches the first of them.
+func (s *State) close(d *draft) {
+	if s.gap == 0 || s.gap > d.position {
+		return
+	}
+
+	for _, r := range s.pending {
+		if r.offset < d.position {
+			continue
+		}
+
+		if b, err := Decode(r.data); err == nil {
+			d.apply(r, b)
+		}
+	}
+
+	d.position = max(d.position, s.cursor)
+	s.gap = 0
+	s.pending = nil
+}
+
+// receive applies what another process passed on.
+func (s *State) receive(m *wire.Records) (*State, *draft, error) {
+	n := *s
+	n.pending = slices.Clip(n.pending)
+	d := newDraft(s.fold())
+
+	if len(m.GetSnapshot()) > 0 {
+		b, err := Decode(m.GetSnapshot())
+		if err != nil {
+			return nil, nil, err
+		}
+
+		x, ok := b.(Snapshot)
+		if !ok || x.fold.position != m.GetSnapshotPosition() {
+			return nil, nil, merry.New("receive records: snapshot of another position", merry.NoCaptureStack())
+		}
+
+		if x.fold.position > d.position {
+			d.adopt(x.fold)
+		}
+	}
+
+	if m.GetSnapshotPosition() > d.position {
+		return nil, nil, merry.Errorf("receive records: they follow position %d, this state is at %d", m.GetSnapshotPosition(), d.position)
+	}
+
+	last := int64(-1)
+
+	for _, x := range m.GetRecords() {
+		if x.GetOffset() <= last || x.GetOffset() >= m.GetThrough() {
+			return nil, nil, merry.Errorf("receive records: offset %d is out of order", x.GetOffset())
+		}
+
+		last = x.GetOffset()
+		if last < d.position {
+			continue
+		}
+
+		r := Record{last, x.GetTimeMs(), x.GetData()}
+
+		switch b, err := Decode(r.data); {
+		case err != nil:
+			n.skipped++
+		default:
+			n.receiveOne(d, r, b)
+		}
+	}
+
+	d.position = max(d.position, m.GetThrough())
+	n.close(d)
+
+	if m.GetThrough() >= d.position {
+		n.loading = false
+	}
+
+	n.folded = &d.fold
+
+	return &n, d, nil
+}
+
+func (s *State) receiveOne(d *draft, r Record, b Body) {
+	switch b.(type) {
+	case Binding, Snapshot:
+		// Senders leave these out; a receiver that applied them would differ from readers of the log.
+		s.skipped++
+	default:
+		d.apply(r, b)
+	}
+}
--- /dev/null
+++ b/weir/version/ledger/watch.go
@@ -0,0 +1,65 @@
+package ledger
+
+import "slices"
+
+// Watch waits for a record to be read back.
+type Watch struct {
+	book *Book
+	data string
+	seen chan struct{}
+	// offset is set before seen is closed.
+	offset int64
+}
+
+// Watch starts to wait for a record with exactly this data; a random nonce makes it unique. Stop ends the wait.
+func (b *Book) Watch(data []byte) *Watch {
+	w := &Watch{book: b, data: string(data), seen: make(chan struct{})}
+
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	if b.watches == nil {
+		b.watches = map[string][]*Watch{}
+	}
+
+	b.watches[w.data] = append(b.watches[w.data], w)
+
+	return w
+}
+
+// Seen is closed once the record was applied.
+func (w *Watch) Seen() <-chan struct{} { return w.seen }
+
+// Offset returns the offset of the record; it is valid once Seen is closed.
+func (w *Watch) Offset() int64 { return w.offset }
+
+// Stop ends the wait.
+func (w *Watch) Stop() {
+	w.book.mutex.Lock()
+	defer w.book.mutex.Unlock()
+
+	left := slices.DeleteFunc(w.book.watches[w.data], func(x *Watch) bool { return x == w })
+	if len(left) == 0 {
+		delete(w.book.watches, w.data)
+
+		return
+	}
+
+	w.book.watches[w.data] = left
+}
+
+// notify is called with the mutex held, after the view was published.
+func (b *Book) notify(records []Record) {
+	if len(b.watches) == 0 {
+		return
+	}
+
+	for _, r := range records {
+		for _, w := range b.watches[string(r.data)] {
+			w.offset = r.offset
+			close(w.seen)
+		}
+
+		delete(b.watches, string(r.data))
+	}
+}
