--- a/weir/connection/logservice/appender.go
+++ b/weir/connection/logservice/appender.go
@@ -102,8 +102,6 @@
 
 	for {
 		first := carried
-		carried = nil
-
 		if first == nil {
 			select {
 			case <-ctx.Done():
