Test the agreement and the fold of the log

The property test compares readers that start at any record, read any pages and receive from each other with a reader of the whole log, at every position. The seed is fixed and printed.

Fault found and fixed: 1 MB of opening brackets in a publication overflowed the stack of every reader, since the JSON parser recurses without a limit.

--- a/standin/logservice/admin.go
+++ b/standin/logservice/admin.go
@@ -23,7 +23,7 @@
 	}
 
 	l.mutex.Lock()
-	l.faults = Faults{b.Down, b.Silent, b.LoseAnswers, b.RejectAppends, time.Duration(max(b.DelayMS, 0)) * time.Millisecond}
+	l.faults = faults{b.Down, b.Silent, b.LoseAnswers, b.RejectAppends, time.Duration(max(b.DelayMS, 0)) * time.Millisecond}
 	l.wake()
 	l.mutex.Unlock()
 
--- a/standin/logservice/log.go
+++ b/standin/logservice/log.go
@@ -27,7 +27,7 @@
 	// records holds the retained ones; the offset of the first is first.
 	records []entry
 	first   int64
-	faults  Faults
+	faults  faults
 	// keepFor drops older records; zero keeps all.
 	keepFor time.Duration
 	counts  counts
@@ -46,8 +46,8 @@
 	types                                   map[string]int64
 }
 
-// Faults are the faults that are switched on.
-type Faults struct {
+// faults are the ones that are switched on.
+type faults struct {
 	down, silent, loseAnswers, rejectAppends bool
 	delay                                    time.Duration
 }
@@ -233,7 +233,7 @@
 }
 
 // admit applies the faults that concern every call, and returns all.
-func (l *Log) admit(w http.ResponseWriter, r *http.Request) (Faults, bool) {
+func (l *Log) admit(w http.ResponseWriter, r *http.Request) (faults, bool) {
 	l.mutex.Lock()
 	f := l.faults
 	l.mutex.Unlock()
--- a/weir/version/agreement/object.go
+++ b/weir/version/agreement/object.go
@@ -17,6 +17,13 @@
 // maxProblems bounds the length of an error text.
 const maxProblems = 20
 
+// 190 members take about 30 KB.
+const maxText = 1 << 20
+
+// maxBrackets bounds the depth of nesting: the parser recurses without a limit, and 1 MB of opening brackets overflows
+// the stack, which ends the process.
+const maxBrackets = 50_000
+
 // maxQuoted bounds the part of a wrong value that an error text repeats.
 const maxQuoted = 60
 
@@ -72,6 +79,18 @@
 
 // parse returns the top-level object; ok is false if the text is not one.
 func (s *source) parse(comments bool) (object, bool) {
+	if len(s.text) > maxText {
+		s.problems.add(fmt.Sprintf("%s: %d bytes are not allowed; allowed: up to %d", s.file, len(s.text), maxText))
+
+		return object{}, false
+	}
+
+	if n := bytes.Count(s.text, []byte("[")) + bytes.Count(s.text, []byte("{")); n > maxBrackets {
+		s.problems.add(fmt.Sprintf("%s: %d opening brackets are not allowed; allowed: up to %d", s.file, n, maxBrackets))
+
+		return object{}, false
+	}
+
 	v, err := hujson.Parse(s.text)
 	if err != nil {
 		// The text of the error names line and column.
@@ -145,7 +164,10 @@
 
 // has marks the key as known and tells whether it is set.
 func (o *object) has(name string) bool {
-	o.taken = append(o.taken, name)
+	if !slices.Contains(o.taken, name) {
+		o.taken = append(o.taken, name)
+	}
+
 	_, ok := o.fields[name]
 
 	return ok
--- /dev/null
+++ b/weir/version/ledger/converge_test.go
@@ -0,0 +1,171 @@
+package ledger_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const seed = "20261204"
+
+// fixSeed makes rapid repeat the same cases in each run unless the command line asks for others.
+func fixSeed(t *testing.T) {
+	t.Helper()
+
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set(seed); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	t.Logf("rapid seed %s", flag.Lookup("rapid.seed").Value)
+}
+
+// Guards against readers of the same log that disagree: whatever record they start at, in whatever pages they read, and
+// whichever peers feed them, two states of one position are equal, no state moves back, and a state that is ready is
+// one that a reader of the whole log had at that position.
+func TestConvergence(t *testing.T) {
+	fixSeed(t)
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+
+		var a, b ledger.Book
+
+		b.BeginLoad()
+
+		for i, book := range []*ledger.Book{&a, &b} {
+			other := []*ledger.Book{&b, &a}[i]
+			m.read(t, book, other)
+		}
+
+		m.exchange(t, &a, &b)
+		m.exchange(t, &b, &a)
+
+		if a.State().Complete() && b.State().Complete() && a.State().Position() != b.State().Position() {
+			t.Fatalf("complete readers ended at %d and %d", a.State().Position(), b.State().Position())
+		}
+	})
+}
+
+// model is a log and what a reader of the whole log had at each position.
+type model struct {
+	journal
+	// states has one for each position.
+	states [][]byte
+	// positions has the position of the snapshot at each offset, or -1.
+	positions []int64
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{}
+	s := &ledger.State{}
+	prefixes := []*ledger.State{s}
+	m.states = append(m.states, ledger.SnapshotRecord(s))
+
+	for range rapid.IntRange(1, 60).Draw(t, "records") {
+		m.now = m.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "minutes")) * time.Minute)
+		position := int64(-1)
+
+		if rapid.IntRange(0, 5).Draw(t, "snapshot") == 0 {
+			// A lagging process may append the state of any earlier position.
+			old := prefixes[rapid.IntRange(0, len(prefixes)-1).Draw(t, "of")]
+			position = old.Position()
+			m.add(ledger.SnapshotRecord(old))
+		} else {
+			m.add(draw(t, s, len(m.records)))
+		}
+
+		m.positions = append(m.positions, position)
+		s = s.Apply(m.records[len(m.records)-1])
+		prefixes = append(prefixes, s)
+		m.states = append(m.states, ledger.SnapshotRecord(s))
+	}
+
+	return m
+}
+
+func draw(t *rapid.T, s *ledger.State, i int) []byte {
+	name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))
+	incarnation := uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))
+
+	switch rapid.IntRange(0, 6).Draw(t, "type") {
+	case 0:
+		return ledger.WorkerJoinedRecord(worker(name, incarnation))
+	case 1:
+		return ledger.WorkerLeftRecord(name, incarnation, true)
+	case 2:
+		return ledger.EntryJoinedRecord(entry(name, incarnation))
+	case 3:
+		return ledger.EntryLeftRecord(entry(name, incarnation), entry(name, incarnation+1), false)
+	case 4:
+		return ledger.BindingRecord("m", name, fmt.Sprint(i), nil)
+	case 5:
+		return []byte("not a record")
+	default:
+		base := max(0, s.Version()+int64(rapid.IntRange(-1, 1).Draw(t, "base")))
+
+		return publication(t, base, fmt.Sprintf("m%d", i))
+	}
+}
+
+// read reads the log from some offset on, and receives from another reader in between.
+func (m *model) read(t *rapid.T, book, other *ledger.Book) {
+	first := rapid.IntRange(0, len(m.records)).Draw(t, "first")
+
+	for i := first; i < len(m.records); {
+		end := min(len(m.records), i+rapid.IntRange(1, 20).Draw(t, "page"))
+		m.step(t, book, func() { book.Advance(m.records[i:end], int64(end)) })
+		i = end
+
+		if rapid.Bool().Draw(t, "peer") {
+			m.exchange(t, other, book)
+		}
+	}
+
+	if first == len(m.records) {
+		m.step(t, book, func() { book.Advance(nil, m.end()) })
+	}
+
+	m.step(t, book, book.EndLoad)
+
+	// A usable snapshot is one whose position the log still holds.
+	usable := first == 0
+	for o := first; o < len(m.records); o++ {
+		usable = usable || m.positions[o] >= int64(first)
+	}
+
+	if usable && !book.State().Complete() {
+		t.Fatalf("the log from %d on holds a usable snapshot, but the state is not complete", first)
+	}
+}
+
+func (m *model) exchange(t *rapid.T, from, to *ledger.Book) {
+	if r := from.Since(to.State().Position()); r != nil {
+		m.step(t, to, func() {
+			if err := to.Receive(r); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+func (m *model) step(t *rapid.T, b *ledger.Book, change func()) {
+	before := b.State()
+
+	change()
+
+	after := b.State()
+	if after.Position() < before.Position() || after.Version() < before.Version() {
+		t.Fatalf("state moved back from position %d to %d", before.Position(), after.Position())
+	}
+
+	if got := ledger.SnapshotRecord(after); !bytes.Equal(got, m.states[after.Position()]) {
+		t.Fatalf("state of position %d is not the one of a reader of the whole log", after.Position())
+	}
+}
