Test the client of the log against the stand-in

The tests are in module standin, because weir cannot depend on it. A slow append takes effect in the stand-in even if the client has given up, which is the case in which a blind second append would double the record. An in-flight read stays silent when the log becomes silent.

--- a/standin/logservice/admin.go
+++ b/standin/logservice/admin.go
@@ -66,16 +66,17 @@
 }
 
 type showAnswer struct {
-	First    int64            `json:"first"`
-	Next     int64            `json:"next"`
-	Held     int              `json:"held"`
-	Bytes    int              `json:"bytes"`
-	Appends  int64            `json:"appends"`
-	Reads    int64            `json:"reads"`
-	Rejected int64            `json:"rejected"`
-	Lost     int64            `json:"lost"`
-	Refused  int64            `json:"refused"`
-	Types    map[string]int64 `json:"types"`
+	First          int64            `json:"first"`
+	Next           int64            `json:"next"`
+	Held           int              `json:"held"`
+	Bytes          int              `json:"bytes"`
+	Appends        int64            `json:"appends"`
+	Reads          int64            `json:"reads"`
+	Rejected       int64            `json:"rejected"`
+	Lost           int64            `json:"lost"`
+	Refused        int64            `json:"refused"`
+	RefusedAppends int64            `json:"refused_appends"`
+	Types          map[string]int64 `json:"types"`
 }
 
 func (l *Log) show(w http.ResponseWriter, _ *http.Request) {
@@ -84,7 +85,7 @@
 	a := showAnswer{
 		First: l.first, Next: l.first + int64(len(l.records)), Held: len(l.records),
 		Appends: c.appends, Reads: c.reads, Rejected: c.rejected, Lost: c.lost, Refused: c.refused,
-		Types: make(map[string]int64, len(c.types)),
+		RefusedAppends: c.refusedAppends, Types: make(map[string]int64, len(c.types)),
 	}
 
 	for _, e := range l.records {
--- a/standin/logservice/log.go
+++ b/standin/logservice/log.go
@@ -42,8 +42,10 @@
 
 // counts are since the start, and include what was dropped.
 type counts struct {
-	appends, reads, rejected, lost, refused int64
-	types                                   map[string]int64
+	appends, reads, rejected, lost int64
+	// refused is the number of all calls that met an outage; refusedAppends is the part of it that were appends.
+	refused, refusedAppends int64
+	types                   map[string]int64
 }
 
 // faults are the ones that are switched on.
@@ -97,6 +99,8 @@
 
 	f, ok := l.admit(w, r)
 	if !ok {
+		l.count(func(c *counts) { c.refusedAppends++ })
+
 		return
 	}
 
@@ -178,10 +182,12 @@
 
 	l.await(ctx, from)
 
-	a, down := l.page(from, int(min(limit, maxLimit)))
+	a, f := l.page(from, int(min(limit, maxLimit)))
 
 	switch {
-	case down:
+	case f.silent:
+		<-r.Context().Done()
+	case f.down:
 		http.Error(w, "the log is down", http.StatusServiceUnavailable)
 	case from < a.First:
 		answer(w, http.StatusGone, firstBody{a.First})
@@ -213,7 +219,7 @@
 }
 
 // page returns the records from the offset on; its Next is below from if the offset is beyond the end.
-func (l *Log) page(from int64, limit int) (a readAnswer, down bool) {
+func (l *Log) page(from int64, limit int) (readAnswer, faults) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
@@ -221,7 +227,7 @@
 	l.expire(time.Now())
 
 	end := l.first + int64(len(l.records))
-	a = readAnswer{First: l.first, Next: min(max(from, l.first), end), Records: []readRecord{}}
+	a := readAnswer{First: l.first, Next: min(max(from, l.first), end), Records: []readRecord{}}
 
 	for a.Next < end && len(a.Records) < limit {
 		e := l.records[a.Next-l.first]
@@ -229,7 +235,7 @@
 		a.Next++
 	}
 
-	return a, l.faults.down || l.faults.silent
+	return a, l.faults
 }
 
 // admit applies the faults that concern every call, and returns all.
@@ -238,16 +244,8 @@
 	f := l.faults
 	l.mutex.Unlock()
 
-	if f.delay > 0 {
-		t := time.NewTimer(f.delay)
-		defer t.Stop()
-
-		select {
-		case <-t.C:
-		case <-r.Context().Done():
-			return f, false
-		}
-	}
+	// A slow append takes effect even if the client has given up by then.
+	time.Sleep(f.delay)
 
 	switch {
 	case f.silent:
--- /dev/null
+++ b/standin/logservice/logservice_test.go
@@ -0,0 +1,431 @@
+package logservice_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	standin "github.com/skylarkweir/skylarkweir/standin/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// rig is a log service and the processes that use it.
+type rig struct {
+	t      *testing.T
+	server *httptest.Server
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+
+	r := &rig{t, httptest.NewServer(&standin.Log{})}
+	t.Cleanup(func() {
+		r.server.CloseClientConnections()
+		r.server.Close()
+	})
+
+	return r
+}
+
+func (r *rig) post(path, body string) {
+	r.t.Helper()
+
+	a, err := http.Post(r.server.URL+path, "application/json", bytes.NewReader([]byte(body)))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer a.Body.Close()
+
+	if a.StatusCode != http.StatusOK {
+		r.t.Fatalf("status %d", a.StatusCode)
+	}
+}
+
+func (r *rig) faults(body string) { r.post("/admin/faults", body) }
+
+type shown struct {
+	First, Next, Appends, Lost int64
+	RefusedAppends             int64 `json:"refused_appends"`
+	Types                      map[string]int64
+}
+
+func (r *rig) show() shown {
+	r.t.Helper()
+
+	a, err := http.Get(r.server.URL + "/admin/records")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer a.Body.Close()
+
+	s := shown{}
+	if err := json.NewDecoder(a.Body).Decode(&s); err != nil {
+		r.t.Fatal(err)
+	}
+
+	return s
+}
+
+// process is what an entry has of the log.
+type process struct {
+	client   *logservice.Client
+	book     ledger.Book
+	follower *logservice.Follower
+	appender *logservice.Appender
+}
+
+func (r *rig) start(retention time.Duration) *process {
+	p := &process{client: logservice.NewClient(r.server.URL)}
+	p.follower = logservice.NewFollower(p.client, &p.book, retention, zerolog.Nop())
+	p.appender = logservice.NewAppender(p.client, &p.book, 0)
+	ctx, cancel := context.WithCancel(r.t.Context())
+	r.t.Cleanup(cancel)
+
+	go p.follower.Run(ctx)
+	go p.appender.Run(ctx)
+
+	return p
+}
+
+// await waits until the condition holds.
+func (p *process) await(t *testing.T, what string, holds func(*ledger.State) bool) {
+	t.Helper()
+
+	late := time.After(10 * time.Second)
+
+	for {
+		changed := p.book.Changed()
+		if holds(p.book.State()) {
+			return
+		}
+
+		select {
+		case <-changed:
+		case <-late:
+			t.Fatalf("%s: not within 10 s", what)
+		}
+	}
+}
+
+func publication(t *testing.T, base int64, nonce string) []byte {
+	t.Helper()
+
+	a, err := agreement.Parse([]byte(`{"agreement":"a","members":[],"kinds":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return ledger.PublicationRecord(base, []byte(nonce), "operator", a)
+}
+
+func joined(i int) []byte {
+	w := &wire.Worker{}
+	w.SetName(strconv.Itoa(i))
+	w.SetIncarnation(1)
+
+	return ledger.WorkerJoinedRecord(w)
+}
+
+// appendAll appends the records at the same time and returns their errors.
+func (p *process) appendAll(ctx context.Context, records ...[]byte) []error {
+	var group sync.WaitGroup
+
+	errs := make([]error, len(records))
+
+	for i, r := range records {
+		group.Go(func() { errs[i] = p.appender.Append(ctx, r) })
+	}
+
+	group.Wait()
+
+	return errs
+}
+
+// Guards against a stand-in that behaves otherwise than the design says, and a client that misreads it.
+func TestContract(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	c := logservice.NewClient(r.server.URL)
+	ctx := t.Context()
+
+	first, err := c.Append(ctx, []byte("a"), []byte("b"))
+	is.NoErr(err)
+	is.Equal(first, int64(0))
+
+	p, err := c.Read(ctx, 0, 0, 1)
+	is.NoErr(err)
+	is.Equal(p.Next(), int64(1))
+	is.Equal(string(p.Records()[0].Data()), "a")
+
+	woken := make(chan logservice.Page, 1)
+
+	go func() {
+		p, _ := c.Read(ctx, 2, 5*time.Second, 10)
+		woken <- p
+	}()
+
+	time.Sleep(50 * time.Millisecond)
+
+	began := time.Now()
+	_, err = c.Append(ctx, []byte("c"))
+	is.NoErr(err)
+	is.Equal((<-woken).Next(), int64(3))
+	is.True(time.Since(began) < time.Second) // a long poll ends with the record
+
+	r.post("/admin/trim", `{"keep":1}`)
+
+	_, err = c.Read(ctx, 0, 0, 10)
+	is.True(err != nil)
+	is.Equal(r.show().First, int64(2))
+
+	_, err = c.Append(ctx)
+	is.True(logservice.Refused(err))
+
+	r.post("/admin/trim", `{"max_age_ms":0}`)
+	is.Equal(r.show().First, int64(3))
+}
+
+// Guards against a record that is appended twice or reported as failed because the answer to its append was lost.
+func TestLostAnswers(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	p := r.start(0)
+
+	r.faults(`{"lose_answers":true}`)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+
+	for _, err := range p.appendAll(ctx, publication(t, 0, "a"), joined(1), ledger.BindingRecord("m", "k", "t", []byte("n"))) {
+		is.NoErr(err)
+	}
+
+	s := r.show()
+	is.True(s.Lost > 0)
+	is.Equal(s.Types, map[string]int64{"publication": 1, "worker_joined": 1, "binding": 1})
+
+	inForce, known := p.book.State().Outcome([]byte("a"))
+	is.True(inForce && known)
+}
+
+// Guards against two operators who are both told that their publication is in force, or both that it is not, while the
+// log loses its answers and applies slow appends after the publisher has given up waiting for them.
+func TestRacingPublishers(t *testing.T) {
+	const delay = 1200 * time.Millisecond
+
+	for name, faults := range map[string]string{
+		"lost": `{"lose_answers":true}`, "slow": fmt.Sprintf(`{"delay_ms":%d}`, delay.Milliseconds()), "none": `{}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			processes := []*process{r.start(0), r.start(0)}
+
+			r.faults(faults)
+
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+
+			var group sync.WaitGroup
+
+			wins := make([]bool, len(processes))
+
+			for i, p := range processes {
+				group.Go(func() {
+					nonce := strconv.Itoa(i)
+					if err := p.appender.Append(ctx, publication(t, 0, nonce)); err != nil {
+						t.Error(err)
+					}
+
+					inForce, known := p.book.State().Outcome([]byte(nonce))
+					wins[i] = inForce && known
+				})
+			}
+
+			group.Wait()
+			is.True(wins[0] != wins[1]) // exactly one is in force
+			is.Equal(processes[0].book.State().Version(), int64(1))
+
+			// Nothing is appended again before the log was read past; a second append takes effect after the delay.
+			time.Sleep(delay + 100*time.Millisecond)
+			is.Equal(r.show().Types["publication"], int64(2))
+		})
+	}
+}
+
+// Guards against callers that wait for a log which is down beyond their time, a process that takes such a log for
+// healthy, and a record that is never appended after the outage.
+func TestOutage(t *testing.T) {
+	for name, faults := range map[string]string{"down": `{"down":true}`, "silent": `{"silent":true}`} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			p := r.start(0)
+
+			is.NoErr(p.appender.Append(t.Context(), publication(t, 0, "a")))
+			is.True(p.follower.Healthy())
+
+			r.faults(faults)
+
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+
+			began := time.Now()
+			err := p.appender.Append(ctx, joined(1))
+			is.Equal(fault.KindOf(err), fault.LogUnavailable)
+			is.True(!logservice.Refused(err))
+			is.True(time.Since(began) < time.Second)
+
+			for limit := time.Now().Add(5 * time.Second); p.follower.Healthy(); {
+				is.True(time.Now().Before(limit)) // the follower notices within 4 s
+				time.Sleep(10 * time.Millisecond)
+			}
+
+			is.True(p.book.State().Ready()) // the version stays in force
+
+			// A record whose caller still waits is appended once after the outage.
+			done := make(chan []error, 1)
+			wait, stop := context.WithTimeout(t.Context(), 9*time.Second)
+
+			defer stop()
+
+			go func() { done <- p.appendAll(wait, joined(2), joined(3)) }()
+
+			time.Sleep(time.Second)
+			r.faults(`{}`)
+
+			for _, err := range <-done {
+				is.NoErr(err)
+			}
+
+			is.True(p.follower.Healthy())
+			is.Equal(r.show().Types["worker_joined"], int64(2))
+		})
+	}
+}
+
+// Guards against a refusal that reads as unknown, and against an unknown outcome that reads as a refusal.
+func TestRejectedAppends(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	p := r.start(0)
+
+	r.faults(`{"reject_appends":true}`)
+
+	err := p.appender.Append(t.Context(), joined(1))
+	is.True(logservice.Refused(err))
+	is.Equal(fault.KindOf(err), fault.LogUnavailable)
+	is.Equal(r.show().Next, int64(0))
+
+	// A refusal that follows a lost answer says nothing about the first append.
+	r.faults(`{"down":true}`)
+
+	failed := make(chan error, 1)
+
+	go func() { failed <- p.appender.Append(t.Context(), joined(2)) }()
+
+	for r.show().RefusedAppends == 0 {
+		time.Sleep(time.Millisecond)
+	}
+
+	r.faults(`{"reject_appends":true}`)
+	is.True(!logservice.Refused(<-failed))
+}
+
+// Guards against a flood of bindings that uses more appends than the budget of 20/s.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	p := r.start(0)
+
+	const count = 2000
+
+	records := make([][]byte, 0, count)
+	for i := range count {
+		records = append(records, ledger.BindingRecord("m", strconv.Itoa(i), "t", nil))
+	}
+
+	began := time.Now()
+
+	for _, err := range p.appendAll(t.Context(), records...) {
+		is.NoErr(err)
+	}
+
+	budget := int64(time.Since(began).Seconds()*logservice.DefaultBudget) + 1
+	s := r.show()
+	is.Equal(s.Types["binding"], int64(count))
+	is.True(s.Appends <= budget)
+	t.Logf("%d appends for %d bindings in %s", s.Appends, count, time.Since(began))
+}
+
+// Guards against a new process that starts work without a base on a truncated log, and against a log that is truncated
+// before any process has appended a snapshot.
+func TestSnapshotsOutliveTruncation(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	// Without a process that appends snapshots in time, the base is lost.
+	old := r.start(time.Hour)
+	is.NoErr(old.appender.Append(t.Context(), publication(t, 0, "a")))
+	is.NoErr(old.appender.Append(t.Context(), publication(t, 1, "b")))
+	r.post("/admin/trim", `{"keep":1}`)
+
+	fresh := r.start(time.Hour)
+	fresh.await(t, "reads to the end", func(s *ledger.State) bool { return s.LogPosition() == 2 })
+	time.Sleep(50 * time.Millisecond)
+	is.True(!fresh.book.State().Ready())
+	is.Equal(fresh.book.State().Version(), int64(0))
+
+	// A peer closes the gap, and a process with a short retention appends a snapshot soon.
+	keeper := r.start(400 * time.Millisecond)
+	is.NoErr(keeper.book.Receive(old.book.Since(0)))
+	fresh.await(t, "ready by the snapshot", func(s *ledger.State) bool { return s.Ready() && s.Version() == 2 })
+	is.True(r.show().Types["snapshot"] >= 1)
+
+	time.Sleep(time.Second)
+
+	// One is due every 75 to 100 ms, and a read may take pollWait; more would be a loop of snapshots.
+	n := r.show().Types["snapshot"]
+	is.True(n <= 20)
+	t.Logf("%d snapshots", n)
+}
+
+// Guards against a new process that uses an old version while it reads the log.
+func TestNoOldVersionWhileLoading(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	c := logservice.NewClient(r.server.URL)
+
+	const versions = 2500
+
+	records := make([][]byte, 0, versions)
+	for i := range versions {
+		records = append(records, publication(t, int64(i), fmt.Sprint(i)))
+	}
+
+	_, err := c.Append(t.Context(), records...)
+	is.NoErr(err)
+	r.faults(`{"delay_ms":50}`)
+
+	p := r.start(0)
+	p.await(t, "ready", func(s *ledger.State) bool {
+		if s.Ready() && s.Version() < versions {
+			t.Errorf("ready with version %d", s.Version())
+		}
+
+		return s.Ready()
+	})
+}
--- a/weir/version/ledger/ledger_test.go
+++ b/weir/version/ledger/ledger_test.go
@@ -250,8 +250,17 @@
 	_, bound := fresh.State().Binding("m", "k")
 	is.True(!bound)
 
-	is.NoErr(fresh.Receive(fromOlder))
-	is.Equal(fresh.State().Version(), int64(3))
+	whole := &wire.Records{}
+	whole.SetSnapshot(ledger.SnapshotRecord(older.State()))
+	whole.SetSnapshotPosition(older.State().Position())
+	whole.SetThrough(older.State().Position())
+
+	for _, m := range []*wire.Records{fromOlder, whole} {
+		is.NoErr(fresh.Receive(m))
+		is.Equal(fresh.State().Version(), int64(3))
+		is.Equal(fresh.State().Position(), int64(4))
+	}
+
 	is.True(older.Since(fresh.State().Position()) == nil)
 
 	// The log comes back: bindings that the peers left out are read, and nothing is applied twice.
@@ -345,7 +354,8 @@
 		j.add(ledger.BindingRecord("m", fmt.Sprint(i), "winner", []byte{1}))
 		j.add(ledger.BindingRecord("m", fmt.Sprint(i), "loser", []byte{2}))
 		j.add(ledger.BindingRecord("other", fmt.Sprint(i), "loser", []byte{3}))
-		s = s.Apply(j.records[3*i:]...)
+		// The same key is read once in one page and once in two.
+		s = s.Apply(j.records[3*i : 3*i+1+i%2]...).Apply(j.records[3*i:]...)
 	}
 
 	for i := range keys {
