--- a/weir/connection/logservice/follower.go
+++ b/weir/connection/logservice/follower.go
@@ -112,6 +112,11 @@
 	if len(p.Records()) < pageLimit && !f.complete {
 		f.complete = true
 		f.book.EndLoad()
+
+		if s := f.book.State(); !s.Complete() {
+			f.log.Error().Int64("first", p.First()).Int64("position", s.Position()).
+				Msg("the log holds no snapshot to start from; the state has to come from other processes")
+		}
 	}
 
 	return nil
--- a/weir/version/agreement/parse.go
+++ b/weir/version/agreement/parse.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/tailscale/hujson"
 )
 
 // Names of the operators' files.
@@ -82,7 +83,7 @@
 	kinds         []Kind
 	shares        int
 	// seen maps kind of name and name to the place where it was first used.
-	seen map[string]string
+	seen map[string]place
 }
 
 func (c *collector) agreement() (*Agreement, error) {
@@ -202,21 +203,31 @@
 	c.kinds = append(c.kinds, k)
 }
 
+// place is a value in a file. Its line is only looked up for an error.
+type place struct {
+	source *source
+	value  hujson.Value
+}
+
+// String returns file and line.
+func (p place) String() string {
+	return fmt.Sprintf("%s:%d", p.source.file, p.source.line(p.value))
+}
+
 // unique rejects a value that was used before for the same key in an object of the same type.
 func (c *collector) unique(o *object, key, value string) {
 	if c.seen == nil {
-		c.seen = map[string]string{}
+		c.seen = map[string]place{}
 	}
 
 	list, _, _ := strings.Cut(o.path, "[")
 	id := list + "." + key + "=" + value
-	at := o.fields[key]
 
 	if first, twice := c.seen[id]; twice {
-		o.wrong(key, "values used once; this one is used at "+first)
+		o.wrong(key, "values used once; this one is used at "+first.String())
 
 		return
 	}
 
-	c.seen[id] = fmt.Sprintf("%s:%d", o.source.file, o.source.line(at))
+	c.seen[id] = place{o.source, o.fields[key]}
 }
--- a/weir/version/ledger/book.go
+++ b/weir/version/ledger/book.go
@@ -93,8 +93,13 @@
 }
 
 // BeginLoad makes the state not ready until EndLoad is called or another process passes on its state, so that a new
-// process uses no old version while it reads the log. The follower of the log calls it before its first read.
-func (b *Book) BeginLoad() { b.setLoading(true) }
+// process uses no old version while it reads the log. The follower of the log calls it before its first read. It does
+// nothing if another process has passed on its state already.
+func (b *Book) BeginLoad() {
+	if b.State().Position() == 0 {
+		b.setLoading(true)
+	}
+}
 
 // EndLoad tells that the log was read to its end.
 func (b *Book) EndLoad() { b.setLoading(false) }
--- a/weir/version/ledger/ledger_test.go
+++ b/weir/version/ledger/ledger_test.go
@@ -340,6 +340,12 @@
 	is.Equal(s.Skipped(), int64(4))
 	is.Equal(s.Version(), int64(1))
 	is.Equal(s.Position(), int64(5))
+
+	// A receiver of a newer version may know the type of a record that this reader skips.
+	var book ledger.Book
+
+	book.Advance(j.records, j.end())
+	is.Equal(len(book.Since(0).GetRecords()), 5)
 }
 
 // Guards against two tickets for one key, lost bindings when layers merge, and bindings taken as complete after a gap.
--- a/weir/version/ledger/state.go
+++ b/weir/version/ledger/state.go
@@ -12,8 +12,11 @@
 	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
 )
 
-// maxPending bounds the records that a reader of a truncated log keeps until it finds a snapshot.
-const maxPending = 1 << 16
+// The records that a reader of a truncated log keeps until it finds a snapshot are bounded by number and by size.
+const (
+	maxPending      = 1 << 16
+	maxPendingBytes = 32 << 20
+)
 
 var (
 	emptyFold      = &fold{}
@@ -33,8 +36,9 @@
 	// gap is the first offset after the gap; there is a gap while it is above the fold's position.
 	gap int64
 	// pending holds the records from gap to cursor that the fold needs once the gap is closed.
-	pending  []Record
-	bindings bindings
+	pending      []Record
+	pendingBytes int
+	bindings     bindings
 	// loading is true while a new process has not yet read the log to its end.
 	loading bool
 	skipped int64
@@ -274,12 +278,9 @@
 
 func (s *State) readOne(d *draft, r Record, fresh map[bindingKey]bound) {
 	b, err := Decode(r.data)
-	if err != nil {
-		s.skipped++
-	}
-
 	switch x := b.(type) {
 	case nil:
+		s.skip(d, r, err)
 	case Binding:
 		k := bindingKey{x.member, x.key}
 		if v, ok := fresh[k]; ok && !s.bindings.expired(v) {
@@ -320,12 +321,26 @@
 	}
 }
 
+// skip counts a record that cannot be decoded. It is passed on all the same, since a receiver of a newer version of the
+// program may know its type.
+func (s *State) skip(d *draft, r Record, err error) {
+	if err == nil {
+		return
+	}
+
+	s.skipped++
+
+	if s.gap <= d.position && r.offset >= d.position {
+		d.applied = append(d.applied, r)
+	}
+}
+
 // open notes that the records from the cursor up to first were dropped from the log before they were read.
 func (s *State) open(d *draft, first int64) {
 	s.bindings = s.bindings.restart()
 
 	// What was kept after an earlier gap is of no use, since the new gap follows it.
-	s.pending = nil
+	s.pending, s.pendingBytes = nil, 0
 
 	if d.position < first {
 		s.gap = first
@@ -335,8 +350,11 @@
 // keep holds a record until the gap is closed. If there are too many, the gap grows.
 func (s *State) keep(r Record) {
 	s.pending = append(s.pending, r)
-	if len(s.pending) > maxPending {
+	s.pendingBytes += len(r.data)
+
+	for len(s.pending) > maxPending || s.pendingBytes > maxPendingBytes {
 		s.gap = s.pending[0].offset + 1
+		s.pendingBytes -= len(s.pending[0].data)
 		s.pending = s.pending[1:]
 	}
 }
@@ -358,8 +376,7 @@
 	}
 
 	d.position = max(d.position, s.cursor)
-	s.gap = 0
-	s.pending = nil
+	s.gap, s.pending, s.pendingBytes = 0, nil, 0
 }
 
 // receive applies what another process passed on.
@@ -402,12 +419,8 @@
 
 		r := Record{last, x.GetTimeMs(), x.GetData()}
 
-		switch b, err := Decode(r.data); {
-		case err != nil:
-			n.skipped++
-		default:
-			n.receiveOne(d, r, b)
-		}
+		b, err := Decode(r.data)
+		n.receiveOne(d, r, b, err)
 	}
 
 	d.position = max(d.position, m.GetThrough())
@@ -422,8 +435,10 @@
 	return &n, d, nil
 }
 
-func (s *State) receiveOne(d *draft, r Record, b Body) {
+func (s *State) receiveOne(d *draft, r Record, b Body, err error) {
 	switch b.(type) {
+	case nil:
+		s.skip(d, r, err)
 	case Binding, Snapshot:
 		// Senders leave these out; a receiver that applied them would differ from readers of the log.
 		s.skipped++
