--- /dev/null
+++ b/sidecar/backend/client.go
@@ -0,0 +1,156 @@
+// Package backend runs tasks at the backend server over HTTP.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+)
+
+// Headers of a call.
+const (
+	HeaderSubmission = "Weir-Submission"
+	HeaderTask       = "Weir-Task"
+	HeaderAttempt    = "Weir-Attempt"
+	HeaderDeadline   = "Weir-Deadline-Ms"
+)
+
+const (
+	dialTimeout   = time.Second
+	healthTimeout = 2 * time.Second
+	// idleTimeout is below the keep-alive time of common HTTP servers. A connection that the server closes while a
+	// task is being sent counts as a failed task, since the task may have run.
+	idleTimeout = 20 * time.Second
+	// maxMessage bounds the part of an error answer that is passed on, in bytes.
+	maxMessage = 512
+)
+
+// Client talks to one backend server.
+type Client struct {
+	address   string
+	maxOutput int64
+	http      http.Client
+}
+
+// NewClient returns a client of the backend server at an address such as http://127.0.0.1:8080. It keeps at most
+// idle connections open without use and takes outputs of at most maxOutput bytes.
+func NewClient(address string, idle int, maxOutput int64) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+
+	return &Client{
+		address:   strings.TrimRight(address, "/"),
+		maxOutput: maxOutput,
+		http: http.Client{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxIdleConns:        idle,
+				MaxIdleConnsPerHost: idle,
+				IdleConnTimeout:     idleTimeout,
+				DisableCompression:  true,
+			},
+			// A redirect would start the task a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Run executes a call until its deadline or until ctx ends. The request is a POST without an idempotency key, which
+// net/http never sends twice once a byte of it was written.
+func (c *Client) Run(ctx context.Context, call Call) Result {
+	ctx, cancel := context.WithDeadline(ctx, call.deadline)
+	defer cancel()
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.address+"/run/"+url.PathEscape(call.kind), bytes.NewReader(call.input))
+	if err != nil {
+		return NewNotStarted(err.Error())
+	}
+
+	r.Header.Set("Content-Type", "application/octet-stream")
+	r.Header.Set(HeaderSubmission, call.submission)
+	r.Header.Set(HeaderTask, strconv.FormatUint(uint64(call.index), 10))
+	r.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(call.attempt), 10))
+	r.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(call.deadline).Milliseconds(), 10))
+
+	answer, err := c.http.Do(r)
+	if err != nil {
+		return failure(ctx, err)
+	}
+	defer answer.Body.Close()
+
+	body, err := io.ReadAll(io.LimitReader(answer.Body, c.maxOutput+1))
+
+	switch status := answer.StatusCode; {
+	case err != nil:
+		return failure(ctx, err)
+	case status >= 200 && status < 300 && int64(len(body)) > c.maxOutput:
+		return NewFailed(fault.TaskFailed, fmt.Sprintf("output is larger than %d bytes", c.maxOutput))
+	case status >= 200 && status < 300:
+		return NewCompleted(body)
+	case status >= 400 && status < 500:
+		return NewFailed(fault.TaskFailed, describe(status, body))
+	default:
+		return NewFailed(fault.BackendFailed, describe(status, body))
+	}
+}
+
+// Check asks the backend server for its health.
+func (c *Client) Check(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.address+"/healthz", http.NoBody)
+	if err != nil {
+		return merry.Prepend(err, "check backend server")
+	}
+
+	answer, err := c.http.Do(r)
+	if err != nil {
+		return merry.Prepend(err, "check backend server")
+	}
+	defer answer.Body.Close()
+
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxMessage))
+
+	if answer.StatusCode < 200 || answer.StatusCode >= 300 {
+		return merry.Errorf("check backend server: status %d", answer.StatusCode)
+	}
+
+	return nil
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// failure tells a call that was never sent from one that may have run.
+func failure(ctx context.Context, err error) Result {
+	var op *net.OpError
+
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return NewNotStarted(err.Error())
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return NewFailed(fault.DeadlineExceeded, "deadline passed while the task ran")
+	case ctx.Err() != nil:
+		return NewFailed(fault.Cancelled, "cancelled while the task ran")
+	default:
+		return NewFailed(fault.BackendFailed, err.Error())
+	}
+}
+
+func describe(status int, body []byte) string {
+	body = body[:min(len(body), maxMessage)]
+
+	return fmt.Sprintf("backend server answered %d: %s", status, strings.ToValidUTF8(strings.TrimSpace(string(body)), "?"))
+}
--- /dev/null
+++ b/sidecar/entry/lease.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// LeaseTime is the time for which an acknowledged heartbeat lets an entry start tasks, from its sending on.
+const LeaseTime = 3 * time.Second
+
+// unanswered bounds the heartbeats whose acknowledgement is awaited. Older ones would grant a lease that has passed.
+const unanswered = 8
+
+// epochs numbers the lease epochs of all connections of the process, so that an epoch of one connection is never valid
+// on another one.
+var epochs atomic.Uint64
+
+// Lease is the lease of one connection. Times are compared by the monotonic clock, which goes on while the process is
+// stopped: after a stop the first check sees the lapse, whatever frames were buffered. The zero value grants nothing.
+type Lease struct {
+	mu sync.Mutex
+	// epoch is zero before the first heartbeat.
+	epoch uint64
+	// until is the end of the lease; zero if none was granted in this epoch.
+	until time.Time
+	sent  [unanswered]sending
+}
+
+type sending struct {
+	sequence, epoch uint64
+	at              time.Time
+}
+
+// Send records that a heartbeat is about to be sent and returns the epoch that it carries.
+func (l *Lease) Send(sequence uint64, now time.Time) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.lapse(now)
+	l.sent[sequence%unanswered] = sending{sequence, l.epoch, now}
+
+	return l.epoch
+}
+
+// Acknowledge extends the lease if the acknowledged heartbeat was sent in the present epoch.
+func (l *Lease) Acknowledge(sequence, epoch uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.lapse(now)
+
+	s := l.sent[sequence%unanswered]
+	if s.sequence != sequence || s.epoch != epoch || epoch != l.epoch {
+		return
+	}
+
+	if until := s.at.Add(LeaseTime); until.After(l.until) && now.Before(until) {
+		l.until = until
+	}
+}
+
+// Valid tells whether a start that carries an epoch may run.
+func (l *Lease) Valid(epoch uint64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.lapse(now)
+
+	return epoch == l.epoch && !l.until.IsZero()
+}
+
+// Epoch returns the present epoch and whether the lease is granted.
+func (l *Lease) Epoch(now time.Time) (epoch uint64, granted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.lapse(now)
+
+	return l.epoch, !l.until.IsZero()
+}
+
+// lapse begins the next epoch if the lease has ended.
+func (l *Lease) lapse(now time.Time) {
+	if l.epoch == 0 || !l.until.IsZero() && !now.Before(l.until) {
+		l.epoch = epochs.Add(1)
+		l.until = time.Time{}
+	}
+}
--- /dev/null
+++ b/sidecar/entry/links.go
@@ -0,0 +1,136 @@
+// Package entry holds the sidecar's connections to the entries.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/tasks"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Links keeps a connection to every entry that is known from the settings or from the log state.
+type Links struct {
+	node      *quic.Node
+	identity  *Identity
+	book      *ledger.Book
+	table     *tasks.Table
+	log       zerolog.Logger
+	addresses []string
+	connected metrics.Gauge
+
+	mu sync.Mutex
+	// links is by address.
+	links map[string]*link
+	group sync.WaitGroup
+}
+
+// NewLinks returns links to the entries at the addresses and those in the book, once its loop runs.
+func NewLinks(n *quic.Node, i *Identity, b *ledger.Book, t *tasks.Table, addresses []string, r metrics.Registry, log zerolog.Logger) *Links {
+	return &Links{
+		node: n, identity: i, book: b, table: t, addresses: addresses, log: log,
+		connected: metrics.GetOrRegisterGauge("entries.connected", r), links: map[string]*link{},
+	}
+}
+
+// Loop follows the known entries until ctx ends, and returns once all connections have ended.
+func (l *Links) Loop(ctx context.Context) {
+	defer l.group.Wait()
+
+	for {
+		changed := l.book.Changed()
+		l.follow(ctx)
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// follow starts the links that lack and ends those to entries that have left.
+func (l *Links) follow(ctx context.Context) {
+	known := map[string]bool{}
+
+	for _, a := range l.addresses {
+		known[a] = true
+	}
+
+	for _, e := range l.book.State().Entries() {
+		known[e.Address()] = true
+	}
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for a := range known {
+		if l.links[a] != nil {
+			continue
+		}
+
+		k := &link{links: l, address: a}
+		l.links[a] = k
+
+		var running context.Context
+		running, k.stop = context.WithCancel(ctx)
+
+		l.group.Go(func() { k.run(running) })
+	}
+
+	for a, k := range l.links {
+		if !known[a] {
+			k.stop()
+			delete(l.links, a)
+		}
+	}
+}
+
+// Sessions returns the established connections.
+func (l *Links) Sessions() []*Session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	var out []*Session
+
+	for _, k := range l.links {
+		if s := k.session.Load(); s != nil {
+			out = append(out, s)
+		}
+	}
+
+	return out
+}
+
+// Reconnect ends all connections, so that they begin again with the present incarnation.
+func (l *Links) Reconnect(reason string) {
+	for _, s := range l.Sessions() {
+		s.connection.Close(reason)
+	}
+}
+
+// Leave tells all entries that the sidecar leaves.
+func (l *Links) Leave() {
+	for _, s := range l.Sessions() {
+		s.leave()
+	}
+}
+
+// pick returns a random established connection, or nil.
+func (l *Links) pick() *Session {
+	s := l.Sessions()
+	if len(s) == 0 {
+		return nil
+	}
+
+	return s[rand.IntN(len(s))]
+}
+
+// jitter returns a time between half of d and d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
--- /dev/null
+++ b/sidecar/entry/registrar.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const (
+	// registerTimeout bounds one attempt, in which the entry appends a record and reads it back.
+	registerTimeout = 10 * time.Second
+	// registerWait is the time for which the record is awaited here after an entry has confirmed it.
+	registerWait = 5 * time.Second
+
+	firstRegisterBackOff = 200 * time.Millisecond
+	lastRegisterBackOff  = 5 * time.Second
+	// maxConfirmed is the number of confirmed registrations that never show in the state, after which the incarnation
+	// is taken for one that was declared lost before the state was read.
+	maxConfirmed = 3
+)
+
+// Registrar keeps the sidecar registered in the log, through one entry at a time.
+type Registrar struct {
+	links    *Links
+	identity *Identity
+	book     *ledger.Book
+	log      zerolog.Logger
+	// registered is true once this incarnation was seen in the state.
+	registered bool
+	// confirmed counts the confirmed attempts of this incarnation that do not show in the state.
+	confirmed int
+	backOff   time.Duration
+}
+
+// NewRegistrar returns a registrar.
+func NewRegistrar(l *Links, i *Identity, b *ledger.Book, log zerolog.Logger) *Registrar {
+	return &Registrar{links: l, identity: i, book: b, log: log, backOff: firstRegisterBackOff}
+}
+
+// Loop registers the sidecar, and again as a new incarnation when it was declared lost or replaced, until ctx ends.
+func (r *Registrar) Loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := r.book.Changed()
+		offset, registered := r.book.State().Registered(r.identity.Name(), r.identity.Incarnation())
+
+		switch {
+		case registered && !r.registered:
+			r.registered = true
+			r.backOff = firstRegisterBackOff
+			r.event("registered").Int64("offset", offset).Msg("")
+		case registered:
+			wait(ctx, changed, time.Hour)
+		case r.registered || r.confirmed >= maxConfirmed:
+			r.renew(ctx)
+		default:
+			r.register(ctx, changed)
+		}
+	}
+}
+
+// renew takes a new incarnation. The wait keeps two sidecars of the same name from replacing each other quickly.
+func (r *Registrar) renew(ctx context.Context) {
+	r.event("incarnation_lost").Msg("")
+	r.registered, r.confirmed = false, 0
+	r.identity.Renew()
+	r.links.Reconnect("new incarnation")
+	r.rest(ctx)
+}
+
+func (r *Registrar) register(ctx context.Context, changed <-chan struct{}) {
+	s := r.links.pick()
+	if s == nil || s.incarnation != r.identity.Incarnation() {
+		wait(ctx, changed, firstRegisterBackOff)
+		return
+	}
+
+	if err := r.ask(ctx, s); err != nil {
+		r.log.Warn().Err(err).Str("event", "register_failed").Str("entry", s.entry.GetName()).Msg("")
+		r.rest(ctx)
+
+		return
+	}
+
+	r.confirmed++
+
+	// The record arrives with the next exchange of positions.
+	for until := time.Now().Add(registerWait); time.Now().Before(until) && ctx.Err() == nil; {
+		changed := r.book.Changed()
+		if _, registered := r.book.State().Registered(r.identity.Name(), r.identity.Incarnation()); registered {
+			return
+		}
+
+		wait(ctx, changed, time.Until(until))
+	}
+}
+
+func (r *Registrar) ask(ctx context.Context, s *Session) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+
+	w := &wire.Register{}
+	w.SetWorker(r.identity.Worker())
+
+	f := &wire.Frame{}
+	f.SetRegister(w)
+
+	f, err := s.connection.RoundTrip(ctx, f)
+	if err != nil {
+		return merry.Prepend(err, "register")
+	}
+
+	if !f.GetRegisterReply().GetOk() {
+		return merry.Errorf("register: entry refused: %s", f.GetRegisterReply().GetMessage())
+	}
+
+	return nil
+}
+
+func (r *Registrar) rest(ctx context.Context) {
+	wait(ctx, nil, jitter(r.backOff))
+	r.backOff = min(2*r.backOff, lastRegisterBackOff)
+}
+
+func (r *Registrar) event(name string) *zerolog.Event {
+	return r.log.Info().Str("event", name).Str("worker", r.identity.Name()).Uint64("incarnation", r.identity.Incarnation())
+}
+
+func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/sidecar/entry/session.go
@@ -0,0 +1,274 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+const (
+	heartbeatInterval = time.Second
+	// silence is the time without an acknowledgement after which the connection is given up. It is longer than a
+	// lease, so that a short pause of the entry costs an epoch and no connection.
+	silence = 6 * time.Second
+	// firstFrame bounds the wait for the frame that decides an exchange.
+	firstFrame = 10 * time.Second
+	// ackTimeout bounds the wait for the acknowledgement of an outcome; without it the outcome stays held.
+	ackTimeout = 10 * time.Second
+)
+
+// Session is an established connection to an entry.
+type Session struct {
+	links      *Links
+	connection *quic.Conn
+	// control is written by heartbeats and read by listen.
+	control *quic.Stream
+	entry   *wire.Entry
+	// incarnation is the one of the Hello.
+	incarnation uint64
+	lease       Lease
+	// position is that of the entry, as far as it is known.
+	position atomic.Int64
+	// heard is the time of the latest frame on the control stream, in ns of the wall clock.
+	heard atomic.Int64
+	// leaving asks for a Leaving frame. It has room for one element.
+	leaving chan struct{}
+	// wake asks for a look at the positions. It has room for one element.
+	wake chan struct{}
+}
+
+func newSession(l *Links, c *quic.Conn, control *quic.Stream, incarnation uint64, w *wire.Welcome) *Session {
+	s := &Session{
+		links: l, connection: c, control: control, entry: w.GetEntry(), incarnation: incarnation,
+		leaving: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+	}
+	s.position.Store(w.GetPosition())
+
+	return s
+}
+
+// Entry returns the entry's name and address.
+func (s *Session) Entry() (name, address string) { return s.entry.GetName(), s.entry.GetAddress() }
+
+// Lease returns the lease epoch and whether it is granted.
+func (s *Session) Lease() (epoch uint64, granted bool) { return s.lease.Epoch(time.Now()) }
+
+func (s *Session) leave() {
+	select {
+	case s.leaving <- struct{}{}:
+	default:
+	}
+}
+
+// run serves the connection until it ends. Tasks that were started on it go on.
+func (s *Session) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+
+	go func() { cancel(s.listen()) }()
+	go func() { cancel(s.accept(ctx)) }()
+
+	err := s.heartbeats(ctx)
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+
+	return err
+}
+
+// heartbeats writes to the control stream: heartbeats and the records that the entry lacks.
+func (s *Session) heartbeats(ctx context.Context) error {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+
+	last := time.Now()
+	acknowledged := s.heard.Load()
+	sequence := uint64(0)
+	through := int64(0)
+
+	for {
+		sequence++
+
+		if err := s.beat(sequence); err != nil {
+			return err
+		}
+
+		if err := s.pass(&through); err != nil {
+			return err
+		}
+
+		if h := s.heard.Load(); h != acknowledged {
+			acknowledged, last = h, time.Now()
+		} else if time.Since(last) > silence {
+			return merry.Errorf("entry is silent for %s", silence)
+		}
+
+		if err := s.pause(ctx, ticker.C, &through); err != nil {
+			return err
+		}
+	}
+}
+
+// pause waits for the next heartbeat and passes records on in the meantime.
+func (s *Session) pause(ctx context.Context, tick <-chan time.Time, through *int64) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick:
+			return nil
+		case <-s.wake:
+			if err := s.pass(through); err != nil {
+				return err
+			}
+		case <-s.leaving:
+			f := &wire.Frame{}
+			f.SetLeaving(&wire.Leaving{})
+
+			if err := s.control.Send(f); err != nil {
+				return err
+			}
+
+			// The next heartbeat reports the leaving at once.
+			return nil
+		}
+	}
+}
+
+func (s *Session) beat(sequence uint64) error {
+	h := &wire.Heartbeat{}
+	h.SetSequence(sequence)
+	h.SetLoad(s.links.table.Load())
+
+	state := s.links.book.State()
+	h.SetPosition(state.Position())
+
+	if offset, registered := state.Registered(s.links.identity.Name(), s.incarnation); registered {
+		h.SetRegisteredPlusOne(offset + 1)
+	}
+
+	// The lease counts from before the sending, so that it never outlasts what the entry may assume.
+	h.SetLeaseEpoch(s.lease.Send(sequence, time.Now()))
+
+	f := &wire.Frame{}
+	f.SetHeartbeat(h)
+
+	return s.control.Send(f)
+}
+
+// pass sends the records that the entry lacks and that were not sent to it yet.
+func (s *Session) pass(through *int64) error {
+	position := s.links.book.State().Position()
+	if position <= s.position.Load() || position <= *through {
+		return nil
+	}
+
+	records := s.links.book.Since(s.position.Load())
+	if records == nil {
+		return nil
+	}
+
+	*through = records.GetThrough()
+
+	f := &wire.Frame{}
+	f.SetRecords(records)
+
+	return s.control.Send(f)
+}
+
+// listen reads the control stream.
+func (s *Session) listen() error {
+	for {
+		f, err := s.control.Receive()
+		if err != nil {
+			return err
+		}
+
+		now := time.Now()
+		s.heard.Store(now.UnixNano())
+
+		switch f.WhichBody() {
+		case wire.Frame_HeartbeatAck_case:
+			a := f.GetHeartbeatAck()
+			s.lease.Acknowledge(a.GetSequence(), a.GetLeaseEpoch(), now)
+			s.position.Store(a.GetPosition())
+
+			select {
+			case s.wake <- struct{}{}:
+			default:
+			}
+		case wire.Frame_Records_case:
+			if err := s.links.book.Receive(f.GetRecords()); err != nil {
+				s.links.log.Warn().Err(err).Str("event", "records_refused").Str("entry", s.entry.GetName()).Msg("")
+			}
+		default:
+			return merry.New("entry sent a frame that the control stream does not carry")
+		}
+	}
+}
+
+// accept takes the exchanges that the entry starts.
+func (s *Session) accept(ctx context.Context) error {
+	for {
+		stream, err := s.connection.Accept(ctx)
+		if err != nil {
+			return err
+		}
+
+		go s.serve(ctx, stream)
+	}
+}
+
+// serve answers one exchange.
+func (s *Session) serve(ctx context.Context, stream *quic.Stream) {
+	stream.SetDeadline(time.Now().Add(firstFrame))
+
+	f, err := stream.Receive()
+	if err != nil {
+		stream.Reset()
+		return
+	}
+
+	stream.SetDeadline(time.Time{})
+
+	switch f.WhichBody() {
+	case wire.Frame_Start_case:
+		err = s.start(ctx, stream, f.GetStart())
+	case wire.Frame_Close_case:
+		err = s.close(stream, f.GetClose())
+	default:
+		err = merry.New("entry started an exchange that sidecars do not answer")
+	}
+
+	if err != nil {
+		s.links.log.Debug().Err(err).Str("event", "exchange_ended").Str("entry", s.entry.GetName()).Msg("")
+		stream.Reset()
+
+		return
+	}
+
+	stream.Close()
+}
+
+func (s *Session) close(stream *quic.Stream, c *wire.Close) error {
+	// The incarnation is read before the table: a table that has tasks of an older one reports them as well.
+	r := &wire.CloseReply{}
+	r.SetIncarnation(s.links.identity.Incarnation())
+
+	closed, err := s.links.table.Close(c.GetSubmissions(), c.GetCancel(), time.Duration(c.GetKeepMs())*time.Millisecond)
+	if err != nil {
+		return err
+	}
+
+	r.SetClosed(closed)
+
+	f := &wire.Frame{}
+	f.SetCloseReply(r)
+
+	return stream.Send(f)
+}
--- /dev/null
+++ b/sidecar/entry/start.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/tasks"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// start answers a Start with the outcome of its task. If the connection ends first, the task goes on and its outcome is
+// held for a repeated start.
+func (s *Session) start(ctx context.Context, stream *quic.Stream, w *wire.Start) error {
+	run := s.links.table.Start(s.request(w))
+
+	select {
+	case <-run.Done():
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+
+	f := &wire.Frame{}
+	f.SetStartReply(tasks.Reply(run.ID(), run.Outcome(), s.links.table.Load()))
+
+	if err := stream.Send(f); err != nil {
+		return err
+	}
+
+	if _, rejected := run.Outcome().(tasks.Rejected); rejected {
+		return nil
+	}
+
+	stream.SetDeadline(time.Now().Add(ackTimeout))
+
+	f, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+
+	if !f.HasStartAck() {
+		return merry.New("entry answered an outcome with something else than StartAck")
+	}
+
+	s.links.table.Acknowledge(run.ID())
+
+	return nil
+}
+
+// request translates a Start and refuses it for the reasons that this package knows.
+func (s *Session) request(w *wire.Start) tasks.Request {
+	id := w.GetId()
+	deadline := time.Now().Add(time.Duration(w.GetRemainingMs()) * time.Millisecond)
+
+	r := tasks.NewRequest(
+		tasks.NewID(id.GetSubmission(), id.GetIndex(), id.GetAttempt()), w.GetMember(), w.GetKind(),
+		int(w.GetCores()), int(w.GetMemoryMb()), deadline, time.Duration(w.GetKeepMs())*time.Millisecond,
+		w.GetProbe(), w.GetInput(), &s.lease, w.GetLeaseEpoch(),
+	)
+
+	incarnation := s.links.identity.Incarnation()
+	offset, registered := s.links.book.State().Registered(s.links.identity.Name(), incarnation)
+
+	switch {
+	case id.GetSubmission() == "":
+		return r.Refused(wire.Rejection_REJECTION_INVALID, "the start names no submission")
+	case w.GetIncarnation() != incarnation:
+		return r.Refused(wire.Rejection_REJECTION_WRONG_INCARNATION, "the start is meant for another incarnation")
+	case !registered:
+		return r.Refused(wire.Rejection_REJECTION_NOT_REGISTERED, "this incarnation is not registered")
+	case w.GetPosition() <= offset:
+		// A state of position P has applied the offsets below P.
+		return r.Refused(wire.Rejection_REJECTION_NOT_REGISTERED, "the ticket is older than the registration")
+	default:
+		return r
+	}
+}
--- /dev/null
+++ b/sidecar/tasks/counts.go
@@ -0,0 +1,52 @@
+package tasks
+
+import (
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// counts are the counters of a table.
+type counts struct {
+	accepted, queued, started, repeated, closed, completed, failed metrics.Counter
+	rejected                                                       map[wire.Rejection]metrics.Counter
+}
+
+func newCounts(r metrics.Registry) counts {
+	c := counts{rejected: map[wire.Rejection]metrics.Counter{}}
+
+	for _, p := range []struct {
+		name    string
+		counter *metrics.Counter
+	}{
+		{"tasks.accepted", &c.accepted},
+		{"tasks.queued", &c.queued},
+		{"tasks.started", &c.started},
+		{"tasks.repeated", &c.repeated},
+		{"tasks.completed", &c.completed},
+		{"tasks.failed", &c.failed},
+		{"submissions.closed", &c.closed},
+	} {
+		*p.counter = metrics.GetOrRegisterCounter(p.name, r)
+	}
+
+	for number, name := range wire.Rejection_name {
+		reason := strings.ToLower(strings.TrimPrefix(name, "REJECTION_"))
+		c.rejected[wire.Rejection(number)] = metrics.GetOrRegisterCounter("tasks.rejected."+reason, r)
+	}
+
+	return c
+}
+
+func (c *counts) end(o Outcome) {
+	if _, ok := o.(Completed); ok {
+		c.completed.Inc(1)
+		return
+	}
+
+	c.failed.Inc(1)
+}
+
+func (c *counts) reject(reason wire.Rejection) { c.rejected[reason].Inc(1) }
--- /dev/null
+++ b/sidecar/tasks/outcome.go
@@ -0,0 +1,80 @@
+package tasks
+
+import (
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+)
+
+// Outcome is what became of a start: Completed, Failed or Rejected.
+type Outcome interface{ outcome() }
+
+// Completed is a task that gave an output.
+type Completed struct {
+	output      []byte
+	digest      [32]byte
+	run, queued time.Duration
+}
+
+// Failed is a task that was started and gave no output.
+type Failed struct {
+	kind    fault.Kind
+	message string
+	run     time.Duration
+}
+
+// Rejected is a start that did not run and will not.
+type Rejected struct {
+	reason  wire.Rejection
+	message string
+}
+
+// Output returns the task's output.
+func (c Completed) Output() []byte { return c.output }
+
+// Kind returns the kind of failure.
+func (f Failed) Kind() fault.Kind { return f.kind }
+
+// Message describes the failure.
+func (f Failed) Message() string { return f.message }
+
+// Reason returns the reason of the rejection.
+func (r Rejected) Reason() wire.Rejection { return r.reason }
+
+// Message describes the rejection.
+func (r Rejected) Message() string { return r.message }
+
+func (Completed) outcome() {}
+func (Failed) outcome()    {}
+func (Rejected) outcome()  {}
+
+// Reply returns the message form of an outcome.
+func Reply(id ID, o Outcome, load *wire.Load) *wire.StartReply {
+	w := &wire.StartReply{}
+	w.SetId(id.Wire())
+	w.SetLoad(load)
+
+	switch o := o.(type) {
+	case Completed:
+		c := &wire.Completed{}
+		c.SetOutput(o.output)
+		c.SetDigest(o.digest[:])
+		c.SetRunUs(o.run.Microseconds())
+		c.SetQueuedUs(o.queued.Microseconds())
+		w.SetCompleted(c)
+	case Failed:
+		f := &wire.Failed{}
+		f.SetCode(o.kind.Code())
+		f.SetMessage(o.message)
+		f.SetRunUs(o.run.Microseconds())
+		w.SetFailed(f)
+	case Rejected:
+		r := &wire.Rejected{}
+		r.SetReason(o.reason)
+		r.SetMessage(o.message)
+		w.SetRejected(r)
+	}
+
+	return w
+}
--- /dev/null
+++ b/weir/process/ejection/statistics.go
@@ -0,0 +1,191 @@
+// Package ejection judges a backend server by the results of its tasks.
+package ejection
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// window is the number of latest results that count.
+	window = 20
+	// enough is the number of results from which on a judgement is made.
+	enough = 5
+	// fast is the factor by which a failure has to be shorter than the average success to count double. A backend
+	// server that fails at once draws more work than the others, because it always looks idle.
+	fast = 4
+	// readmission is the number of successful probes that ends the suspicion.
+	readmission = 3
+	// unhealthyChecks is the number of failed health checks in sequence that makes a backend server suspect.
+	unhealthyChecks = 2
+
+	firstBackOff = time.Second
+	lastBackOff  = 30 * time.Second
+)
+
+// Statistics keeps the latest results of one backend server and whether it is suspect. The zero value has no results
+// and is ready for use from any number of goroutines.
+type Statistics struct {
+	mu      sync.Mutex
+	results [window]result
+	// count is the number of valid results, next the place of the next one.
+	count, next int
+
+	suspect bool
+	// successes counts the successful probes since the last failed one.
+	successes int
+	backOff   time.Duration
+	// nextProbe is the earliest time of the next probe.
+	nextProbe time.Time
+	// probing is the number of probes that run.
+	probing int
+	// missed counts the failed health checks since the last good one.
+	missed int
+}
+
+type result struct {
+	failed bool
+	run    time.Duration
+}
+
+// Record counts the result of a task. A failure is one of the backend server, not of the task itself.
+func (s *Statistics) Record(now time.Time, failed bool, run time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.results[s.next] = result{failed, run}
+	s.next = (s.next + 1) % window
+	s.count = min(s.count+1, window)
+
+	if !s.suspect && s.count >= enough {
+		if failures, total := s.weigh(); 2*failures > total {
+			s.eject(now)
+		}
+	}
+}
+
+// BeginProbe counts a probe that was started.
+func (s *Statistics) BeginProbe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.probing++
+}
+
+// EndProbe counts the end of a probe. An undecided probe, such as a cancelled one, changes nothing else.
+func (s *Statistics) EndProbe(now time.Time, failed, decided bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.probing = max(0, s.probing-1)
+
+	switch {
+	case !s.suspect || !decided:
+	case failed:
+		s.successes = 0
+		// Probes that fail together are one sign of failure and lengthen the back-off once.
+		if !now.Before(s.nextProbe) {
+			s.backOff = min(2*s.backOff, lastBackOff)
+			s.nextProbe = now.Add(s.backOff)
+		}
+	default:
+		s.successes++
+		if s.successes >= readmission && s.missed < unhealthyChecks {
+			s.readmit()
+		}
+	}
+}
+
+// Check counts the result of a health check.
+func (s *Statistics) Check(now time.Time, healthy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if healthy {
+		s.missed = 0
+		return
+	}
+
+	s.missed++
+	if s.missed >= unhealthyChecks && !s.suspect {
+		s.eject(now)
+	}
+}
+
+// Suspect tells whether the backend server gets probes only.
+func (s *Statistics) Suspect() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.suspect
+}
+
+// Probe tells whether a suspect backend server takes a probe at this time.
+func (s *Statistics) Probe(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.suspect && s.probing == 0 && s.missed < unhealthyChecks && !now.Before(s.nextProbe)
+}
+
+// FailurePermille returns the share of failures in the latest results, in 1/1000. Failures count once here.
+func (s *Statistics) FailurePermille() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.count == 0 {
+		return 0
+	}
+
+	failures := 0
+
+	for _, r := range s.results[:s.count] {
+		if r.failed {
+			failures++
+		}
+	}
+
+	return failures * 1000 / s.count
+}
+
+// weigh returns the weight of the failures and of all results.
+func (s *Statistics) weigh() (failures, total int) {
+	var sum time.Duration
+
+	successes := 0
+
+	for _, r := range s.results[:s.count] {
+		if !r.failed {
+			sum += r.run
+			successes++
+		}
+	}
+
+	for _, r := range s.results[:s.count] {
+		weight := 1
+		if r.failed && successes > 0 && r.run*fast < sum/time.Duration(successes) {
+			weight = 2
+		}
+
+		if r.failed {
+			failures += weight
+		}
+
+		total += weight
+	}
+
+	return failures, total
+}
+
+func (s *Statistics) eject(now time.Time) {
+	s.suspect = true
+	s.successes = 0
+	s.backOff = firstBackOff
+	s.nextProbe = now.Add(s.backOff)
+}
+
+// readmit also clears the results, since those from before the suspicion would end it the other way again.
+func (s *Statistics) readmit() {
+	s.suspect = false
+	s.count, s.next = 0, 0
+}
