Add settings: strict reading of JSON with comments

Entry, sidecar and stand-ins need the same strict settings files, and operators need to be led to the place of a mistake. encoding/json alone was ruled out: it ignores the case of keys, accepts duplicates, stops at the first mistake and reports byte offsets. Load walks the hujson syntax tree instead, applies defaults and ranges from struct tags, and lists every finding with file, line and key. A key without a default tag is required. Check on a settings struct refuses combinations; settings.At lets it name the key.

--- /dev/null
+++ b/weir/process/settings/decode.go
@@ -0,0 +1,213 @@
+package settings
+
+import (
+	"encoding"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+func (d *decoder) root(v hujson.Value, into any) {
+	target := reflect.ValueOf(into)
+	if target.Kind() != reflect.Pointer || target.Elem().Kind() != reflect.Struct {
+		d.report(1, "", "settings are read into a pointer to a struct, not into %T", into)
+
+		return
+	}
+
+	d.object("", v, target.Elem())
+}
+
+// object reads an object into a struct; findings about missing keys name the object's first line.
+func (d *decoder) object(path string, v hujson.Value, target reflect.Value) {
+	line := d.line(v.StartOffset)
+
+	o, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.report(line, path, "expected an object, found %s", kindName(v))
+
+		return
+	}
+
+	before := len(d.findings)
+	fields := fieldsOf(target.Type())
+	seen := map[string]bool{}
+
+	for _, m := range o.Members {
+		name := literal(m.Name).String()
+		key := join(path, name)
+		at := d.line(m.Name.StartOffset)
+		f, known := fields[name]
+
+		switch {
+		case !known:
+			d.report(at, key, "unknown key%s", suggestion(name, fields))
+		case seen[name]:
+			d.report(at, key, "the key is given twice")
+		default:
+			seen[name] = true
+			d.lines[key] = at
+			d.value(key, f.tags, m.Value, target.Field(f.index))
+		}
+	}
+
+	d.absent(path, line, seen, target)
+
+	// A check of values that did not decode would only repeat the findings.
+	if len(d.findings) == before {
+		d.check(path, line, target)
+	}
+}
+
+// absent applies defaults to the keys of a struct that were not given.
+func (d *decoder) absent(path string, line int, seen map[string]bool, target reflect.Value) {
+	for _, f := range orderedFields(target.Type()) {
+		if seen[f.name] {
+			continue
+		}
+
+		key, value := join(path, f.name), target.Field(f.index)
+		text, given := f.tags.Lookup("default")
+
+		switch {
+		case isObject(value.Type()):
+			d.absent(key, line, nil, value)
+		case !given:
+			d.report(line, key, "the key is required")
+		default:
+			if err := setDefault(value, text); err != nil {
+				d.report(line, key, "default: %v", err)
+			}
+		}
+	}
+}
+
+func (d *decoder) check(path string, line int, target reflect.Value) {
+	c, ok := target.Addr().Interface().(Checker)
+	if !ok {
+		return
+	}
+
+	err := c.Check()
+	if err == nil {
+		return
+	}
+
+	var e *keyError
+	if !errors.As(err, &e) {
+		d.report(line, path, "%v", err)
+
+		return
+	}
+
+	key := join(path, e.key)
+	if at, given := d.lines[key]; given {
+		line = at
+	}
+
+	d.report(line, key, "%s", e.message)
+}
+
+func (d *decoder) value(key string, tags reflect.StructTag, v hujson.Value, target reflect.Value) {
+	switch {
+	case isObject(target.Type()):
+		d.object(key, v, target)
+	case isList(target.Type()):
+		d.list(key, tags, v, target)
+	default:
+		d.scalar(key, tags, v, target)
+	}
+}
+
+func (d *decoder) list(key string, tags reflect.StructTag, v hujson.Value, target reflect.Value) {
+	a, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.report(d.line(v.StartOffset), key, "expected a list, found %s", kindName(v))
+
+		return
+	}
+
+	list := reflect.MakeSlice(target.Type(), len(a.Elements), len(a.Elements))
+	for i, e := range a.Elements {
+		d.value(element(key, i), tags, e, list.Index(i))
+	}
+
+	target.Set(list)
+}
+
+func (d *decoder) scalar(key string, tags reflect.StructTag, v hujson.Value, target reflect.Value) {
+	line := d.line(v.StartOffset)
+	want, kind := typeName(target.Type()), v.Value.Kind()
+
+	if kind != jsonKind(target.Type()) && (kind != 'f' || jsonKind(target.Type()) != 't') {
+		d.report(line, key, "expected %s, found %s", want, kindName(v))
+
+		return
+	}
+
+	l := literal(v)
+	if u, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		if err := u.UnmarshalText([]byte(l.String())); err != nil {
+			d.report(line, key, "%v", err)
+
+			return
+		}
+	} else if err := json.Unmarshal(l, target.Addr().Interface()); err != nil {
+		d.report(line, key, "expected %s, found %s", want, l)
+
+		return
+	}
+
+	if err := checkRange(target, tags.Get("range")); err != nil {
+		d.report(line, key, "%v", err)
+	}
+}
+
+func setDefault(target reflect.Value, text string) error {
+	if isList(target.Type()) {
+		if text == "" {
+			text = "[]"
+		}
+
+		return json.Unmarshal([]byte(text), target.Addr().Interface())
+	}
+
+	return setText(target, text)
+}
+
+// setText reads a default or the end of a range.
+func setText(target reflect.Value, text string) error {
+	if u, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		// An empty default leaves the zero value, for types whose zero value has no text.
+		if text == "" {
+			return nil
+		}
+
+		return u.UnmarshalText([]byte(text))
+	}
+
+	if target.Kind() == reflect.String {
+		target.SetString(text)
+
+		return nil
+	}
+
+	return json.Unmarshal([]byte(text), target.Addr().Interface())
+}
+
+func literal(v hujson.Value) hujson.Literal {
+	l, _ := v.Value.(hujson.Literal)
+
+	return l
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+
+	return strings.Join([]string{path, name}, ".")
+}
--- /dev/null
+++ b/weir/process/settings/field.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"encoding"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// field is one key of a settings struct.
+type field struct {
+	name  string
+	index int
+	tags  reflect.StructTag
+}
+
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func isText(t reflect.Type) bool { return reflect.PointerTo(t).Implements(textType) }
+
+func isObject(t reflect.Type) bool { return t.Kind() == reflect.Struct && !isText(t) }
+
+func isList(t reflect.Type) bool { return t.Kind() == reflect.Slice && !isText(t) }
+
+func orderedFields(t reflect.Type) []field {
+	var all []field
+
+	for i := range t.NumField() {
+		f := t.Field(i)
+
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if !f.IsExported() || name == "" || name == "-" {
+			continue
+		}
+
+		all = append(all, field{name, i, f.Tag})
+	}
+
+	return all
+}
+
+func fieldsOf(t reflect.Type) map[string]field {
+	all := map[string]field{}
+	for _, f := range orderedFields(t) {
+		all[f.name] = f
+	}
+
+	return all
+}
+
+// suggestion names a known key that differs only in letter case and separators.
+func suggestion(name string, fields map[string]field) string {
+	plain := func(s string) string {
+		return strings.ToLower(strings.NewReplacer("_", "", "-", "").Replace(s))
+	}
+
+	for known := range fields {
+		if plain(known) == plain(name) {
+			return ", did you mean " + known + "?"
+		}
+	}
+
+	return ""
+}
+
+func element(key string, i int) string { return key + "[" + strconv.Itoa(i) + "]" }
+
+// jsonKind returns the kind of JSON value that t is read from.
+func jsonKind(t reflect.Type) hujson.Kind {
+	switch {
+	case isText(t), t.Kind() == reflect.String:
+		return '"'
+	case t.Kind() == reflect.Bool:
+		return 't'
+	default:
+		return '0'
+	}
+}
+
+func typeName(t reflect.Type) string {
+	switch {
+	case t == reflect.TypeFor[Duration]():
+		return `a duration such as "250ms"`
+	case t == reflect.TypeFor[Bytes]():
+		return `a size such as "96MB"`
+	case isObject(t):
+		return "an object"
+	case isList(t):
+		return "a list of " + strings.TrimPrefix(strings.TrimPrefix(typeName(t.Elem()), "a "), "an ")
+	case jsonKind(t) == '"':
+		return "a text"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.Float32, t.Kind() == reflect.Float64:
+		return "a number"
+	case t.Kind() >= reflect.Uint && t.Kind() <= reflect.Uint64:
+		return "a whole number without sign"
+	default:
+		return "a whole number"
+	}
+}
+
+func kindName(v hujson.Value) string {
+	switch v.Value.Kind() {
+	case 'n':
+		return "null"
+	case '{':
+		return "an object"
+	case '[':
+		return "a list"
+	case '"':
+		return "the text " + string(literal(v))
+	case '0':
+		return "the number " + string(literal(v))
+	default:
+		return string(literal(v))
+	}
+}
