Add the fault relay for TCP and UDP

Tests of the failure table need faults on the paths between processes that the programs know nothing of. Packet filters and network namespaces were ruled out: they need privileges and are not available everywhere. A cut holds TCP data back and loses datagrams, as a network does.

--- /dev/null
+++ b/standin/relay/admin.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+)
+
+// maxBody bounds the body of a request to the admin endpoint.
+const maxBody = 4096
+
+// countsBody is the JSON form of the counters.
+type countsBody struct {
+	Up   int64 `json:"up"`
+	Down int64 `json:"down"`
+	Lost int64 `json:"lost"`
+}
+
+// Handler returns the admin endpoint: GET and PUT /v1/faults, with ?client= for a single client;
+// DELETE /v1/faults removes all faults, POST /v1/break closes connections, GET /v1/counts counts.
+func (r *Relay) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/v1/faults", r.getFaults).Methods(http.MethodGet)
+	m.HandleFunc("/v1/faults", r.putFaults).Methods(http.MethodPut)
+	m.HandleFunc("/v1/faults", r.deleteFaults).Methods(http.MethodDelete)
+	m.HandleFunc("/v1/break", r.postBreak).Methods(http.MethodPost)
+	m.HandleFunc("/v1/counts", r.getCounts).Methods(http.MethodGet)
+
+	return m
+}
+
+func (r *Relay) getFaults(w http.ResponseWriter, q *http.Request) {
+	f, _ := r.faultsOf(q.URL.Query().Get("client"))
+	write(w, f.body())
+}
+
+func (r *Relay) putFaults(w http.ResponseWriter, q *http.Request) {
+	d := json.NewDecoder(http.MaxBytesReader(w, q.Body, maxBody))
+	d.DisallowUnknownFields()
+
+	var b faultsBody
+	if err := d.Decode(&b); err != nil {
+		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	if client := q.URL.Query().Get("client"); client != "" {
+		r.SetFor(client, b.faults())
+	} else {
+		r.Set(b.faults())
+	}
+
+	write(w, b)
+}
+
+func (r *Relay) deleteFaults(w http.ResponseWriter, _ *http.Request) {
+	r.Heal()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Relay) postBreak(w http.ResponseWriter, _ *http.Request) {
+	r.Break()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Relay) getCounts(w http.ResponseWriter, _ *http.Request) {
+	up, down, lost := r.Counts()
+	write(w, countsBody{up, down, lost})
+}
+
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/relay/relay_test.go
@@ -0,0 +1,223 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/relay"
+)
+
+func open(t *testing.T, network, target string) *relay.Relay {
+	t.Helper()
+
+	r := &relay.Relay{}
+	if err := r.Open(network, "127.0.0.1:0", target); err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { r.Close() })
+
+	return r
+}
+
+// echoUDP answers each datagram with itself.
+func echoUDP(t *testing.T) string {
+	t.Helper()
+
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { c.Close() })
+
+	go func() {
+		b := make([]byte, 2048)
+		for {
+			n, from, err := c.ReadFrom(b)
+			if err != nil {
+				return
+			}
+			c.WriteTo(b[:n], from)
+		}
+	}()
+
+	return c.LocalAddr().String()
+}
+
+func receive(c net.Conn, within time.Duration) (string, bool) {
+	b := make([]byte, 2048)
+	c.SetReadDeadline(time.Now().Add(within))
+
+	n, err := c.Read(b)
+
+	return string(b[:n]), err == nil
+}
+
+// Guards against faults that are not injected or do not end, which would make every test that uses them pass for nothing.
+func TestUDPFaults(t *testing.T) {
+	is := is.New(t)
+	r := open(t, relay.UDP, echoUDP(t))
+
+	c, err := net.Dial("udp", r.Address())
+	is.NoErr(err)
+	defer c.Close()
+
+	exchange := func(within time.Duration) (string, bool) {
+		c.Write([]byte("x"))
+
+		return receive(c, within)
+	}
+
+	_, ok := exchange(time.Second)
+	is.True(ok)
+
+	for _, f := range []relay.Faults{
+		relay.Faults{}.WithCut(), relay.Faults{}.WithCutUp(), relay.Faults{}.WithCutDown(),
+		relay.Faults{}.WithLoss(1), relay.Faults{}.WithDropAnswers(1),
+	} {
+		r.Set(f)
+		_, ok := exchange(50 * time.Millisecond)
+		is.True(!ok)
+		r.Heal()
+		_, ok = exchange(time.Second)
+		is.True(ok)
+	}
+
+	r.Set(relay.Faults{}.WithDropAnswers(1))
+	_, ok = exchange(50 * time.Millisecond)
+	is.True(!ok)
+	_, ok = exchange(time.Second) // one answer only
+	is.True(ok)
+
+	r.Set(relay.Faults{}.WithDelay(40 * time.Millisecond))
+	start := time.Now()
+	_, ok = exchange(time.Second)
+	is.True(ok)
+	is.True(time.Since(start) >= 80*time.Millisecond)
+
+	// Four copies: each of the two directions sends twice.
+	r.Set(relay.Faults{}.WithDuplicate(1))
+	c.Write([]byte("y"))
+	for range 4 {
+		text, ok := receive(c, time.Second)
+		is.True(ok)
+		is.Equal(text, "y")
+	}
+
+	r.Heal()
+	r.SetFor(c.LocalAddr().String(), relay.Faults{}.WithCut())
+	other, err := net.Dial("udp", r.Address())
+	is.NoErr(err)
+	defer other.Close()
+	_, ok = exchange(50 * time.Millisecond)
+	is.True(!ok)
+	other.Write([]byte("z"))
+	_, ok = receive(other, time.Second)
+	is.True(ok)
+}
+
+// Guards against an answer that is lost before the request took effect.
+func TestTCPDropAnswerAfterRequest(t *testing.T) {
+	is := is.New(t)
+
+	var served atomic.Int64
+
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		io.WriteString(w, "done")
+	}))
+	defer s.Close()
+
+	r := open(t, relay.TCP, s.Listener.Addr().String())
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+
+	post := func() error {
+		a, err := client.Post("http://"+r.Address(), "text/plain", strings.NewReader("x"))
+		if err == nil {
+			_, err = io.ReadAll(a.Body)
+			a.Body.Close()
+		}
+
+		return err
+	}
+
+	is.NoErr(post())
+	r.Set(relay.Faults{}.WithDropAnswers(1))
+	is.True(post() != nil)
+	is.Equal(served.Load(), int64(2))
+	is.NoErr(post())
+
+	r.Set(relay.Faults{}.WithRefuse())
+	r.Break()
+	is.True(post() != nil)
+	is.Equal(served.Load(), int64(3))
+}
+
+// Guards against a cut that loses TCP data, which a network never does while the connection lives.
+func TestTCPCutKeepsData(t *testing.T) {
+	is := is.New(t)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); io.Copy(c, c) }()
+		}
+	}()
+
+	r := open(t, relay.TCP, l.Addr().String())
+	c, err := net.Dial("tcp", r.Address())
+	is.NoErr(err)
+	defer c.Close()
+
+	r.Set(relay.Faults{}.WithCutDown())
+	c.Write([]byte("one\ntwo\n"))
+	_, ok := receive(c, 50*time.Millisecond)
+	is.True(!ok)
+
+	r.Heal()
+	c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	line, err := bufio.NewReader(c).ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "one\n")
+}
+
+func TestAdmin(t *testing.T) {
+	is := is.New(t)
+	r := open(t, relay.UDP, echoUDP(t))
+	s := httptest.NewServer(r.Handler())
+	defer s.Close()
+
+	put := func(body string) int {
+		q, err := http.NewRequestWithContext(context.Background(), http.MethodPut, s.URL+"/v1/faults", strings.NewReader(body))
+		is.NoErr(err)
+		a, err := s.Client().Do(q)
+		is.NoErr(err)
+		defer a.Body.Close()
+
+		return a.StatusCode
+	}
+
+	is.Equal(put(`{"cut_up": true, "delay_ms": 1.5}`), http.StatusOK)
+	is.Equal(r.Faults(), relay.Faults{}.WithCutUp().WithDelay(1500*time.Microsecond))
+	is.Equal(put(`{"cut": true}`), http.StatusBadRequest)
+	is.Equal(r.Faults(), relay.Faults{}.WithCutUp().WithDelay(1500*time.Microsecond))
+}
--- /dev/null
+++ b/standin/relay/tcp.go
@@ -0,0 +1,180 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	chunkSize = 64 << 10
+	// queueLength bounds what waits for its delay in one direction; TCP then stops reading, UDP loses datagrams.
+	queueLength = 4096
+	dialTimeout = 2 * time.Second
+)
+
+// chunk is data that is passed on at its due time.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// pipe is one direction of a TCP connection.
+type pipe struct {
+	relay    *Relay
+	link     *link
+	from, to net.Conn
+	down     bool
+	// asked is set while a request has passed that has not been answered yet.
+	asked *atomic.Bool
+}
+
+func (r *Relay) openTCP(ctx context.Context, listen string) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", listen)
+	if err != nil {
+		return merry.Prependf(err, "listen on %s", listen)
+	}
+
+	r.listener, r.address = l, l.Addr()
+
+	r.running.Go(func() { r.acceptLoop(ctx, l) })
+
+	return nil
+}
+
+func (r *Relay) acceptLoop(ctx context.Context, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+
+		if f, _ := r.faultsOf(c.RemoteAddr().String()); f.refuse {
+			closeAll(c)
+			r.lost.Add(1)
+
+			continue
+		}
+
+		r.running.Go(func() { r.serveTCP(ctx, c) })
+	}
+}
+
+func (r *Relay) serveTCP(ctx context.Context, client net.Conn) {
+	defer closeAll(client)
+
+	target, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer closeAll(target)
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	l := &link{client: client.RemoteAddr().String(), close: func() { cancel(); closeAll(client, target) }}
+
+	r.add(l)
+	defer r.remove(l)
+
+	var asked atomic.Bool
+
+	done := make(chan struct{}, 2)
+	for _, p := range []pipe{
+		{r, l, client, target, false, &asked},
+		{r, l, target, client, true, &asked},
+	} {
+		r.running.Go(func() {
+			p.run(ctx)
+			done <- struct{}{}
+		})
+	}
+
+	// The second direction may still have to deliver what it holds after the first has ended.
+	for range 2 {
+		<-done
+	}
+}
+
+func (p pipe) run(ctx context.Context) {
+	queue := make(chan chunk, queueLength)
+
+	p.relay.running.Go(func() { p.readLoop(ctx, queue) })
+
+	for c := range queue {
+		if !p.pass(ctx, c) {
+			p.link.close()
+		}
+	}
+
+	// Half-close passes on the end of one direction.
+	if t, ok := p.to.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+}
+
+func (p pipe) readLoop(ctx context.Context, queue chan<- chunk) {
+	defer close(queue)
+
+	for {
+		data := make([]byte, chunkSize)
+
+		n, err := p.from.Read(data)
+		if n > 0 {
+			f, _ := p.relay.faultsOf(p.link.client)
+
+			select {
+			case queue <- chunk{data[:n], time.Now().Add(f.delay)}:
+			case <-ctx.Done():
+				return
+			}
+		}
+
+		if err != nil {
+			return
+		}
+	}
+}
+
+// pass returns false if the connection has to end.
+func (p pipe) pass(ctx context.Context, c chunk) bool {
+	if !wait(ctx, time.Until(c.due)) || !p.awaitOpen(ctx) {
+		return false
+	}
+
+	if p.down && p.asked.Swap(false) && p.relay.takeAnswer(p.link.client) {
+		return false
+	}
+
+	if _, err := p.to.Write(c.data); err != nil {
+		return false
+	}
+
+	if p.down {
+		p.relay.down.Add(1)
+	} else {
+		p.asked.Store(true)
+		p.relay.up.Add(1)
+	}
+
+	return true
+}
+
+// awaitOpen waits for the end of a cut.
+func (p pipe) awaitOpen(ctx context.Context) bool {
+	for {
+		f, changed := p.relay.faultsOf(p.link.client)
+		if p.down && !f.cutDown || !p.down && !f.cutUp {
+			return ctx.Err() == nil
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/standin/relay/udp.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// sessionIdle is longer than QUIC's idle timeout, so that a session does not end before its connection.
+const sessionIdle = time.Minute
+
+// session is one UDP client with its own socket to the target, so that answers find their way back.
+type session struct {
+	relay  *Relay
+	link   *link
+	client net.Addr
+	front  net.PacketConn
+	target net.Conn
+	up     chan chunk
+	asked  atomic.Bool
+}
+
+func (r *Relay) openUDP(ctx context.Context, listen string) error {
+	front, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp", listen)
+	if err != nil {
+		return merry.Prependf(err, "listen on %s", listen)
+	}
+
+	r.listener, r.address = front, front.LocalAddr()
+
+	r.running.Go(func() { r.datagramLoop(ctx, front) })
+
+	return nil
+}
+
+func (r *Relay) datagramLoop(ctx context.Context, front net.PacketConn) {
+	sessions := map[string]*session{}
+	buffer := make([]byte, chunkSize)
+
+	for {
+		n, client, err := front.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+
+		s := sessions[client.String()]
+		if s == nil || !s.alive() {
+			if s, err = r.openSession(ctx, front, client); err != nil {
+				continue
+			}
+
+			sessions[client.String()] = s
+		}
+
+		f, _ := r.faultsOf(s.link.client)
+		s.enqueue(s.up, append([]byte(nil), buffer[:n]...), f)
+	}
+}
+
+func (r *Relay) openSession(ctx context.Context, front net.PacketConn, client net.Addr) (*session, error) {
+	target, err := (&net.Dialer{}).DialContext(ctx, "udp", r.target)
+	if err != nil {
+		return nil, merry.Prependf(err, "dial %s", r.target)
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	s := &session{relay: r, client: client, front: front, target: target, up: make(chan chunk, queueLength)}
+	s.link = &link{client: client.String(), close: func() { cancel(); closeAll(target) }}
+	r.add(s.link)
+
+	down := make(chan chunk, queueLength)
+
+	r.running.Go(func() { s.passLoop(ctx, s.up, false) })
+	r.running.Go(func() { s.passLoop(ctx, down, true) })
+	r.running.Go(func() { s.readLoop(down) })
+
+	return s, nil
+}
+
+func (s *session) alive() bool {
+	s.relay.mutex.Lock()
+	defer s.relay.mutex.Unlock()
+
+	_, ok := s.relay.links[s.link]
+
+	return ok
+}
+
+func (s *session) readLoop(down chan<- chunk) {
+	defer s.relay.remove(s.link)
+	defer s.link.close()
+
+	buffer := make([]byte, chunkSize)
+
+	for {
+		_ = s.target.SetReadDeadline(time.Now().Add(sessionIdle))
+
+		n, err := s.target.Read(buffer)
+		// The target is not there at present; it may come back.
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			continue
+		}
+
+		if err != nil {
+			return
+		}
+
+		f, _ := s.relay.faultsOf(s.link.client)
+		s.enqueue(down, append([]byte(nil), buffer[:n]...), f)
+	}
+}
+
+// enqueue drops what a full queue does not take, as a network does.
+func (s *session) enqueue(queue chan<- chunk, data []byte, f Faults) {
+	copies := 1
+	if s.relay.chance(f.duplicate) {
+		copies = 2
+	}
+
+	if s.relay.chance(f.loss) {
+		copies = 0
+		s.relay.lost.Add(1)
+	}
+
+	for range copies {
+		select {
+		case queue <- chunk{data, time.Now().Add(f.delay)}:
+		default:
+			s.relay.lost.Add(1)
+		}
+	}
+}
+
+func (s *session) passLoop(ctx context.Context, queue <-chan chunk, down bool) {
+	for {
+		select {
+		case c := <-queue:
+			if !wait(ctx, time.Until(c.due)) {
+				return
+			}
+
+			s.pass(c, down)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *session) pass(c chunk, down bool) {
+	f, _ := s.relay.faultsOf(s.link.client)
+
+	switch {
+	case down && f.cutDown, !down && f.cutUp:
+		s.relay.lost.Add(1)
+	case down && s.asked.Swap(false) && s.relay.takeAnswer(s.link.client):
+		// Lost, and counted.
+	case down:
+		_, _ = s.front.WriteTo(c.data, s.client)
+		s.relay.down.Add(1)
+	default:
+		_, _ = s.target.Write(c.data)
+		s.asked.Store(true)
+		s.relay.up.Add(1)
+	}
+}
