--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -1,4 +1,10 @@
-// Command sidecar is described in docs/design.md.
+// Command sidecar runs beside a backend server and starts the tasks that entries give it.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/process"
+)
+
+func main() { os.Exit(process.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/sidecar/operator/server.go
@@ -0,0 +1,91 @@
+// Package operator is the admin HTTP API of the sidecar.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/entry"
+	"github.com/skylarkweir/skylarkweir/sidecar/tasks"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Server answers operators.
+type Server struct {
+	identity *entry.Identity
+	links    *entry.Links
+	book     *ledger.Book
+	table    *tasks.Table
+	registry metrics.Registry
+	listener net.Listener
+	http     http.Server
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(i *entry.Identity, l *entry.Links, b *ledger.Book, t *tasks.Table, r metrics.Registry) *Server {
+	s := &Server{identity: i, links: l, book: b, table: t, registry: r}
+
+	router := mux.NewRouter()
+	router.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", s.readyz).Methods(http.MethodGet)
+	router.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	router.HandleFunc("/v1/status", s.show).Methods(http.MethodGet)
+	s.http = http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+
+	return s
+}
+
+// Listen opens the address; port 0 lets the kernel choose.
+func (s *Server) Listen(ctx context.Context, address string) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return merry.Prependf(err, "listen on %s", address)
+	}
+
+	s.listener = l
+
+	return nil
+}
+
+// Address returns the address of the listener.
+func (s *Server) Address() net.Addr { return s.listener.Addr() }
+
+// Loop serves until the server is closed.
+func (s *Server) Loop() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return merry.Prepend(err, "serve admin address")
+	}
+
+	return nil
+}
+
+// Close ends all connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if reason := s.unready(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	writeMetrics(w, s.registry)
+}
+
+func (s *Server) show(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.status())
+}
--- /dev/null
+++ b/sidecar/process/process.go
@@ -0,0 +1,168 @@
+// Package process wires the parts of the sidecar and runs them.
+package process
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/backend"
+	"github.com/skylarkweir/skylarkweir/sidecar/entry"
+	"github.com/skylarkweir/skylarkweir/sidecar/operator"
+	"github.com/skylarkweir/skylarkweir/sidecar/tasks"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/process/ejection"
+	"github.com/skylarkweir/skylarkweir/weir/process/share"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// stopMargin is the time that a shutdown may take beyond the wait for running tasks.
+const stopMargin = 10 * time.Second
+
+// Options returns the parts of a sidecar for fx.
+func Options(s Settings, log zerolog.Logger) fx.Option {
+	return fx.Options(
+		fx.Supply(s, log),
+		fx.Provide(
+			metrics.NewRegistry,
+			func() *quic.Node { return &quic.Node{} },
+			func() *ledger.Book { return &ledger.Book{} },
+			func() *ejection.Statistics { return &ejection.Statistics{} },
+			func() *entry.Identity { return entry.NewIdentity(s.Worker()) },
+			func() *backend.Client { return backend.NewClient(s.Backend(), s.Slots(), s.MaxOutput()) },
+			func(c *backend.Client, st *ejection.Statistics, r metrics.Registry) *tasks.Table {
+				return tasks.NewTable(tasks.NewLimits(s.TableStarts(), s.OutcomeMemory()), c, st, r, log)
+			},
+			func(t *tasks.Table, b *ledger.Book, i *entry.Identity) *tasks.Follower {
+				return tasks.NewFollower(t, b, i, share.NewCapacity(s.Slots(), s.MemoryMB(), s.QueueTasks(), s.AllowanceDelay()))
+			},
+			func(n *quic.Node, i *entry.Identity, b *ledger.Book, t *tasks.Table, r metrics.Registry) *entry.Links {
+				return entry.NewLinks(n, i, b, t, s.Entries(), r, log)
+			},
+			entry.NewRegistrar,
+			backend.NewWatch,
+			operator.NewServer,
+			newProcess,
+		),
+		fx.Invoke(func(l fx.Lifecycle, p *Process) { l.Append(fx.Hook{OnStart: p.start, OnStop: p.stop}) }),
+		fx.StartTimeout(stopMargin),
+		fx.StopTimeout(s.DrainLimit()+stopMargin),
+		fx.NopLogger,
+	)
+}
+
+// Process is a running sidecar.
+type Process struct {
+	parts
+	// cancel ends the loops.
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+// parts are what the process runs.
+type parts struct {
+	fx.In
+
+	Settings   Settings
+	Log        zerolog.Logger
+	Node       *quic.Node
+	Client     *backend.Client
+	Watch      *backend.Watch
+	Table      *tasks.Table
+	Follower   *tasks.Follower
+	Links      *entry.Links
+	Registrar  *entry.Registrar
+	Server     *operator.Server
+	Registry   metrics.Registry
+	Shutdowner fx.Shutdowner
+}
+
+func newProcess(p parts) *Process { return &Process{parts: p} }
+
+// Admin returns the chosen address of the admin HTTP API.
+func (p *Process) Admin() string { return p.Server.Address().String() }
+
+func (p *Process) start(ctx context.Context) error {
+	keys, err := quic.LoadKeys(p.Settings.Keys())
+	if err != nil {
+		return err
+	}
+
+	if err := p.Node.Listen(p.Settings.Listen(), keys); err != nil {
+		return err
+	}
+
+	if err := p.Server.Listen(ctx, p.Settings.Admin()); err != nil {
+		_ = p.Node.Close()
+		return err
+	}
+
+	p.gauges()
+
+	running, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+
+	for _, loop := range []func(context.Context){
+		p.Watch.Loop, p.Table.Loop, p.Follower.Loop, p.Links.Loop, p.Registrar.Loop,
+	} {
+		p.group.Go(func() { loop(running) })
+	}
+
+	p.group.Go(p.serve)
+
+	p.Log.Info().Str("event", "listening").Str("quic", p.Node.Address().String()).Str("admin", p.Admin()).Msg("")
+
+	return nil
+}
+
+func (p *Process) serve() {
+	if err := p.Server.Loop(); err != nil {
+		p.Log.Error().Err(err).Str("event", "admin_failed").Msg("")
+		_ = p.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+	}
+}
+
+// stop shuts down gracefully: no new work, then the end of the running tasks, then the end of the connections.
+func (p *Process) stop(ctx context.Context) error {
+	p.Log.Info().Str("event", "leaving").Msg("")
+	p.Table.Leave()
+	p.Links.Leave()
+
+	draining, cancel := context.WithTimeout(ctx, p.Settings.DrainLimit())
+	defer cancel()
+
+	err := p.Table.Drain(draining)
+
+	p.cancel()
+	p.Server.Close()
+	p.group.Wait()
+	p.Client.Close()
+
+	if closing := p.Node.Close(); err == nil {
+		err = closing
+	}
+
+	p.Log.Info().Err(err).Str("event", "stopped").Msg("")
+
+	return err
+}
+
+func (p *Process) gauges() {
+	for name, value := range map[string]func() int64{
+		"control.bytes_in":  func() int64 { in, _ := p.Node.Traffic().Control(); return in },
+		"control.bytes_out": func() int64 { _, out := p.Node.Traffic().Control(); return out },
+		"work.bytes_in":     func() int64 { in, _ := p.Node.Traffic().Work(); return in },
+		"work.bytes_out":    func() int64 { _, out := p.Node.Traffic().Work(); return out },
+		"slots.held":        func() int64 { return int64(p.Table.Load().GetHeldSlots()) },
+		"slots.queued":      func() int64 { return int64(p.Table.Load().GetQueuedSlots()) },
+		"table.starts":      func() int64 { n, _, _ := p.Table.Held(); return int64(n) },
+		"table.tombstones":  func() int64 { _, n, _ := p.Table.Held(); return int64(n) },
+		"table.bytes":       func() int64 { _, _, n := p.Table.Held(); return n },
+	} {
+		_ = p.Registry.Register(name, metrics.NewFunctionalGauge(value))
+	}
+}
--- /dev/null
+++ b/sidecar/tasks/entitlement.go
@@ -0,0 +1,90 @@
+package tasks
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/share"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Entitle returns the kinds that a worker runs and its members' allowances, by a state of the log. Without a
+// registration nothing is allowed.
+func Entitle(s *ledger.State, worker string, incarnation uint64) ([]share.Kind, []share.Member) {
+	agreed := s.Agreement()
+	workers := s.Workers()
+	fleet := 0
+
+	var own ledger.Worker
+
+	for _, w := range workers {
+		fleet += w.Slots()
+
+		if w.Name() == worker {
+			own = w
+		}
+	}
+
+	_, registered := s.Registered(worker, incarnation)
+
+	var (
+		kinds   []share.Kind
+		members []share.Member
+	)
+
+	for _, k := range agreed.Kinds() {
+		if registered && own.Serves(k.Service()) {
+			kinds = append(kinds, share.NewKind(k.Name(), k.Share(), k.Urgent()))
+		}
+	}
+
+	for _, m := range agreed.Members() {
+		limit, allowance := m.Limit(fleet), 0
+
+		if registered {
+			allowance = share.Split(m.Name(), limit, agreed.Granule(m, fleet), workers)[worker]
+		}
+
+		members = append(members, share.NewMember(m.Name(), limit, allowance))
+	}
+
+	return kinds, members
+}
+
+// Follower configures a table by the log state.
+type Follower struct {
+	table    *Table
+	book     *ledger.Book
+	worker   Incarnate
+	capacity share.Capacity
+}
+
+// Incarnate is a worker whose incarnation may change.
+type Incarnate interface {
+	Name() string
+	Incarnation() uint64
+}
+
+// NewFollower returns a follower for a worker of a capacity.
+func NewFollower(t *Table, b *ledger.Book, w Incarnate, c share.Capacity) *Follower {
+	return &Follower{t, b, w, c}
+}
+
+// followInterval bounds the time until a change of incarnation takes effect, which the book does not tell.
+const followInterval = time.Second
+
+// Loop follows the log state until ctx ends.
+func (f *Follower) Loop(ctx context.Context) {
+	for {
+		changed := f.book.Changed()
+		kinds, members := Entitle(f.book.State(), f.worker.Name(), f.worker.Incarnation())
+		f.table.Configure(f.capacity, kinds, members)
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(followInterval):
+		}
+	}
+}
