Add the stand-in backend server

Cause: the sidecar needs a backend server to run against. The stand-in sleeps for the run time that the input asks for and records each start, so that tests can judge from outside what ran.

--- a/sidecar/entry/registrar.go
+++ b/sidecar/entry/registrar.go
@@ -19,9 +19,6 @@
 
 	firstRegisterBackOff = 200 * time.Millisecond
 	lastRegisterBackOff  = 5 * time.Second
-	// maxConfirmed is the number of confirmed registrations that never show in the state, after which the incarnation
-	// is taken for one that was declared lost before the state was read.
-	maxConfirmed = 3
 )
 
 // Registrar keeps the sidecar registered in the log, through one entry at a time.
@@ -32,9 +29,7 @@
 	log      zerolog.Logger
 	// registered is true once this incarnation was seen in the state.
 	registered bool
-	// confirmed counts the confirmed attempts of this incarnation that do not show in the state.
-	confirmed int
-	backOff   time.Duration
+	backOff    time.Duration
 }
 
 // NewRegistrar returns a registrar.
@@ -46,7 +41,8 @@
 func (r *Registrar) Loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := r.book.Changed()
-		offset, registered := r.book.State().Registered(r.identity.Name(), r.identity.Incarnation())
+		state := r.book.State()
+		offset, registered := state.Registered(r.identity.Name(), r.identity.Incarnation())
 
 		switch {
 		case registered && !r.registered:
@@ -55,7 +51,7 @@
 			r.event("registered").Int64("offset", offset).Msg("")
 		case registered:
 			wait(ctx, changed, time.Hour)
-		case r.registered || r.confirmed >= maxConfirmed:
+		case r.registered || state.Departed(r.identity.Name(), r.identity.Incarnation()):
 			r.renew(ctx)
 		default:
 			r.register(ctx, changed)
@@ -66,7 +62,7 @@
 // renew takes a new incarnation. The wait keeps two sidecars of the same name from replacing each other quickly.
 func (r *Registrar) renew(ctx context.Context) {
 	r.event("incarnation_lost").Msg("")
-	r.registered, r.confirmed = false, 0
+	r.registered = false
 	r.identity.Renew()
 	r.links.Reconnect("new incarnation")
 	r.rest(ctx)
@@ -86,8 +82,6 @@
 		return
 	}
 
-	r.confirmed++
-
 	// The record arrives with the next exchange of positions.
 	for until := time.Now().Add(registerWait); time.Now().Before(until) && ctx.Err() == nil; {
 		changed := r.book.Changed()
--- a/sidecar/process/process.go
+++ b/sidecar/process/process.go
@@ -103,7 +103,7 @@
 
 	p.gauges()
 
-	running, cancel := context.WithCancel(context.Background())
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	p.cancel = cancel
 
 	for _, loop := range []func(context.Context){
--- /dev/null
+++ b/standin/backend/server.go
@@ -0,0 +1,295 @@
+// Package backend is the stand-in of a backend server.
+package backend
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// maxInput bounds an input in bytes.
+const maxInput = 64 << 20
+
+// Server runs tasks by sleeping and keeps a record of each start. The zero value is a healthy server.
+type Server struct {
+	mu     sync.Mutex
+	starts []*start
+	seen   map[identity]struct{}
+	counts counts
+	faults faults
+}
+
+// start is the record of one start.
+type start struct {
+	Submission string    `json:"submission"`
+	Task       int       `json:"task"`
+	Attempt    int       `json:"attempt"`
+	Kind       string    `json:"kind"`
+	Start      time.Time `json:"start"`
+	// End is zero while the task runs.
+	End    time.Time `json:"end,omitzero"`
+	Status int       `json:"status"`
+}
+
+// identity is what no two starts may share.
+type identity struct {
+	submission    string
+	task, attempt int
+}
+
+// counts sum up the starts. Repeated counts the starts of a submission, task and attempt beyond its first one.
+type counts struct {
+	Started   int            `json:"started"`
+	Running   int            `json:"running"`
+	Completed int            `json:"completed"`
+	Failed    int            `json:"failed"`
+	Cancelled int            `json:"cancelled"`
+	Refused   int            `json:"refused"`
+	Repeated  int            `json:"repeated"`
+	Peak      int            `json:"peak"`
+	Kinds     map[string]int `json:"kinds"`
+}
+
+// faults are the faults that are switched on.
+type faults struct {
+	// FailAll answers every task at once with 500.
+	FailAll bool `json:"fail_all"`
+	// SlowFactor multiplies run times; zero means 1.
+	SlowFactor float64 `json:"slow_factor"`
+	// Refuse closes every connection without an answer, health checks included.
+	Refuse bool `json:"refuse"`
+}
+
+// input is what a task asks for. Any other bytes are echoed.
+type input struct {
+	RunMS float64 `json:"run_ms"`
+	Echo  string  `json:"echo"`
+	// Fail is "4xx" or "5xx" to answer with such a status.
+	Fail string `json:"fail"`
+	// Size is the length of the output in bytes, which repeats Echo.
+	Size int `json:"size"`
+}
+
+// Handler returns the HTTP API.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.UseEncodedPath()
+	r.HandleFunc("/run/{kind}", s.run).Methods(http.MethodPost)
+	r.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
+	r.HandleFunc("/admin/starts", s.showStarts).Methods(http.MethodGet)
+	r.HandleFunc("/admin/counts", s.showCounts).Methods(http.MethodGet)
+	r.HandleFunc("/admin/faults", s.setFaults).Methods(http.MethodPost)
+
+	return r
+}
+
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxInput))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+
+	f := s.currentFaults()
+	if f.Refuse {
+		s.count(func(c *counts) { c.Refused++ })
+		panic(http.ErrAbortHandler)
+	}
+
+	st := s.begin(r)
+
+	var in input
+	if json.Unmarshal(body, &in) != nil {
+		in = input{Echo: string(body)}
+	}
+
+	status := s.execute(r, in, f)
+	s.end(st, status)
+
+	if status != http.StatusOK {
+		http.Error(w, "the task was told to fail", status)
+		return
+	}
+
+	_, _ = w.Write(in.output())
+}
+
+// execute takes the time of the task and returns its status; 499 stands for a caller that has gone away.
+func (s *Server) execute(r *http.Request, in input, f faults) int {
+	const clientClosed = 499
+
+	if f.FailAll {
+		return http.StatusInternalServerError
+	}
+
+	if f.SlowFactor > 0 {
+		in.RunMS *= f.SlowFactor
+	}
+
+	timer := time.NewTimer(time.Duration(in.RunMS * float64(time.Millisecond)))
+	defer timer.Stop()
+
+	select {
+	case <-r.Context().Done():
+		return clientClosed
+	case <-timer.C:
+	}
+
+	switch in.Fail {
+	case "4xx":
+		return http.StatusUnprocessableEntity
+	case "5xx":
+		return http.StatusInternalServerError
+	default:
+		return http.StatusOK
+	}
+}
+
+func (i input) output() []byte {
+	if i.Size <= 0 {
+		return []byte(i.Echo)
+	}
+
+	pattern := []byte(i.Echo)
+	if len(pattern) == 0 {
+		pattern = []byte{'.'}
+	}
+
+	return bytes.Repeat(pattern, i.Size/len(pattern)+1)[:i.Size]
+}
+
+func (s *Server) begin(r *http.Request) *start {
+	number := func(header string) int {
+		n, _ := strconv.Atoi(r.Header.Get(header))
+		return n
+	}
+
+	kind, err := url.PathUnescape(mux.Vars(r)["kind"])
+	if err != nil {
+		kind = mux.Vars(r)["kind"]
+	}
+
+	st := &start{
+		Submission: r.Header.Get("Weir-Submission"), Task: number("Weir-Task"), Attempt: number("Weir-Attempt"),
+		Kind: kind, Start: time.Now(),
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.seen == nil {
+		s.seen = map[identity]struct{}{}
+		s.counts.Kinds = map[string]int{}
+	}
+
+	id := identity{st.Submission, st.Task, st.Attempt}
+	if _, repeated := s.seen[id]; repeated {
+		s.counts.Repeated++
+	}
+
+	s.seen[id] = struct{}{}
+	s.starts = append(s.starts, st)
+	s.counts.Started++
+	s.counts.Running++
+	s.counts.Peak = max(s.counts.Peak, s.counts.Running)
+
+	s.counts.Kinds[st.Kind]++
+
+	return st
+}
+
+func (s *Server) end(st *start, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	st.End, st.Status = time.Now(), status
+	s.counts.Running--
+
+	switch {
+	case status == http.StatusOK:
+		s.counts.Completed++
+	case status >= 400 && status != 499:
+		s.counts.Failed++
+	default:
+		s.counts.Cancelled++
+	}
+}
+
+func (s *Server) count(f func(*counts)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	f(&s.counts)
+}
+
+func (s *Server) currentFaults() faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.faults
+}
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	if s.currentFaults().Refuse {
+		panic(http.ErrAbortHandler)
+	}
+
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (s *Server) showStarts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+
+	out := make([]start, 0, len(s.starts))
+	for _, st := range s.starts {
+		out = append(out, *st)
+	}
+
+	s.mu.Unlock()
+	slices.SortFunc(out, func(a, b start) int { return a.Start.Compare(b.Start) })
+	write(w, out)
+}
+
+func (s *Server) showCounts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	body, err := json.Marshal(s.counts)
+	s.mu.Unlock()
+
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f faults
+
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+
+	if err := d.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	write(w, f)
+}
+
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
