Test the sidecar against a fake entry over QUIC

Cause: the connection, lease, shutdown and incarnation rules had no run yet. Change: a fake entry with a log in memory, the stand-in backend server, and tests of broken connections, lapsed leases, graceful shutdown, declared loss and exit codes. Process no longer embeds its parts, which fx refuses.

--- a/sidecar/entry/session.go
+++ b/sidecar/entry/session.go
@@ -16,12 +16,20 @@
 	// silence is the time without an acknowledgement after which the connection is given up. It is longer than a
 	// lease, so that a short pause of the entry costs an epoch and no connection.
 	silence = 6 * time.Second
+	// passAgain is the time after which records are sent again that the entry has not applied.
+	passAgain = 5 * time.Second
 	// firstFrame bounds the wait for the frame that decides an exchange.
 	firstFrame = 10 * time.Second
 	// ackTimeout bounds the wait for the acknowledgement of an outcome; without it the outcome stays held.
 	ackTimeout = 10 * time.Second
 )
 
+// passed is what was sent to the entry last.
+type passed struct {
+	position int64
+	at       time.Time
+}
+
 // Session is an established connection to an entry.
 type Session struct {
 	links      *Links
@@ -89,7 +97,8 @@
 	last := time.Now()
 	acknowledged := s.heard.Load()
 	sequence := uint64(0)
-	through := int64(0)
+
+	var through passed
 
 	for {
 		sequence++
@@ -115,7 +124,7 @@
 }
 
 // pause waits for the next heartbeat and passes records on in the meantime.
-func (s *Session) pause(ctx context.Context, tick <-chan time.Time, through *int64) error {
+func (s *Session) pause(ctx context.Context, tick <-chan time.Time, through *passed) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -162,9 +171,9 @@
 }
 
 // pass sends the records that the entry lacks and that were not sent to it yet.
-func (s *Session) pass(through *int64) error {
+func (s *Session) pass(through *passed) error {
 	position := s.links.book.State().Position()
-	if position <= s.position.Load() || position <= *through {
+	if position <= s.position.Load() || position <= through.position && time.Since(through.at) < passAgain {
 		return nil
 	}
 
@@ -173,7 +182,7 @@
 		return nil
 	}
 
-	*through = records.GetThrough()
+	*through = passed{records.GetThrough(), time.Now()}
 
 	f := &wire.Frame{}
 	f.SetRecords(records)
--- /dev/null
+++ b/sidecar/process/fake_test.go
@@ -0,0 +1,336 @@
+package process_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/process"
+	"github.com/skylarkweir/skylarkweir/standin/backend"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// fakeEntry speaks the entry's end of the protocol and keeps the log in memory.
+type fakeEntry struct {
+	node quic.Node
+	book ledger.Book
+	// mute stops the acknowledgement of heartbeats.
+	mute atomic.Bool
+
+	mu      sync.Mutex
+	next    int64
+	current *fakeLink
+	hellos  []uint64
+	leaving bool
+}
+
+// fakeLink is the connection of the sidecar.
+type fakeLink struct {
+	connection *quic.Conn
+	worker     *wire.Worker
+	epoch      atomic.Uint64
+	registered atomic.Bool
+}
+
+func (f *fakeEntry) append(records ...[]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	for _, r := range records {
+		f.book.Advance([]ledger.Record{ledger.NewRecord(f.next, time.Now(), r)}, f.next+1)
+		f.next++
+	}
+}
+
+func (f *fakeEntry) run(ctx context.Context) {
+	for {
+		c, err := f.node.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		go f.serve(ctx, c)
+	}
+}
+
+func (f *fakeEntry) serve(ctx context.Context, c *quic.Conn) {
+	control, err := c.Accept(ctx)
+	if err != nil {
+		return
+	}
+
+	hello, err := control.Receive()
+	if err != nil {
+		return
+	}
+
+	w := &wire.Welcome{}
+	w.SetEntry(&wire.Entry{})
+	w.SetPosition(f.book.State().Position())
+
+	reply := &wire.Frame{}
+	reply.SetWelcome(w)
+
+	if control.Send(reply) != nil {
+		return
+	}
+
+	l := &fakeLink{connection: c, worker: hello.GetHello().GetWorker()}
+
+	f.mu.Lock()
+	f.current = l
+	f.hellos = append(f.hellos, l.worker.GetIncarnation())
+	f.mu.Unlock()
+
+	go f.registrations(ctx, c)
+	f.heartbeats(l, control)
+}
+
+func (f *fakeEntry) heartbeats(l *fakeLink, control *quic.Stream) {
+	for {
+		in, err := control.Receive()
+		if err != nil {
+			return
+		}
+
+		if in.HasLeaving() {
+			f.mu.Lock()
+			f.leaving = true
+			f.mu.Unlock()
+		}
+
+		h := in.GetHeartbeat()
+		if h == nil {
+			continue
+		}
+
+		l.epoch.Store(h.GetLeaseEpoch())
+		l.registered.Store(h.GetRegisteredPlusOne() > 0)
+
+		if f.mute.Load() {
+			continue
+		}
+
+		a := &wire.HeartbeatAck{}
+		a.SetSequence(h.GetSequence())
+		a.SetLeaseEpoch(h.GetLeaseEpoch())
+		a.SetPosition(f.book.State().Position())
+
+		out := &wire.Frame{}
+		out.SetHeartbeatAck(a)
+		_ = control.Send(out)
+
+		if records := f.book.Since(h.GetPosition()); records != nil {
+			out = &wire.Frame{}
+			out.SetRecords(records)
+			_ = control.Send(out)
+		}
+	}
+}
+
+func (f *fakeEntry) registrations(ctx context.Context, c *quic.Conn) {
+	for {
+		s, err := c.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		in, err := s.Receive()
+		if err != nil || !in.HasRegister() {
+			return
+		}
+
+		f.append(ledger.WorkerJoinedRecord(in.GetRegister().GetWorker()))
+
+		r := &wire.RegisterReply{}
+		r.SetOk(true)
+
+		out := &wire.Frame{}
+		out.SetRegisterReply(r)
+		_ = s.Send(out)
+	}
+}
+
+func (f *fakeEntry) link() *fakeLink {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.current
+}
+
+// start returns a Start as the entry would send it now.
+func (f *fakeEntry) start(submission, input string) *wire.Start {
+	id := &wire.TaskId{}
+	id.SetSubmission(submission)
+
+	s := &wire.Start{}
+	s.SetId(id)
+	s.SetMember("m")
+	s.SetKind("k")
+	s.SetCores(1)
+	s.SetRemainingMs(20_000)
+	s.SetKeepMs(60_000)
+	s.SetPosition(f.book.State().Position())
+	s.SetInput([]byte(input))
+
+	if l := f.link(); l != nil {
+		s.SetLeaseEpoch(l.epoch.Load())
+		s.SetIncarnation(l.worker.GetIncarnation())
+	}
+
+	return s
+}
+
+// send sends a Start and acknowledges its outcome.
+func (f *fakeEntry) send(ctx context.Context, s *wire.Start) (*wire.StartReply, error) {
+	x, err := f.link().connection.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+
+	out := &wire.Frame{}
+	out.SetStart(s)
+
+	if err := x.Send(out); err != nil {
+		return nil, err
+	}
+
+	in, err := x.Receive()
+	if err != nil {
+		return nil, err
+	}
+
+	out = &wire.Frame{}
+	out.SetStartAck(&wire.StartAck{})
+	_ = x.Send(out)
+	x.Close()
+
+	return in.GetStartReply(), nil
+}
+
+func (f *fakeEntry) close(ctx context.Context, submission string) (*wire.CloseReply, error) {
+	c := &wire.Close{}
+	c.SetSubmissions([]string{submission})
+
+	out := &wire.Frame{}
+	out.SetClose(c)
+
+	in, err := f.link().connection.RoundTrip(ctx, out)
+	if err != nil {
+		return nil, err
+	}
+
+	return in.GetCloseReply(), nil
+}
+
+// bench is a sidecar with a fake entry and the stand-in backend server.
+type bench struct {
+	is      *is.I
+	entry   *fakeEntry
+	app     *fx.App
+	process *process.Process
+	backend *httptest.Server
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	dir := t.TempDir()
+
+	is.NoErr(quic.IssueKeys(dir, time.Hour))
+
+	path := func(name string) string { return filepath.Join(dir, name) }
+	keys, err := quic.LoadKeys(path(quic.CertificateFile), path(quic.KeyFile), path(quic.AuthorityFile))
+	is.NoErr(err)
+
+	b := &bench{is: is, entry: &fakeEntry{}, backend: httptest.NewServer((&backend.Server{}).Handler())}
+	is.NoErr(b.entry.node.Listen("127.0.0.1:0", keys))
+
+	digest := sha256.Sum256([]byte("token"))
+	agreed, err := agreement.Parse([]byte(fmt.Sprintf(`{"agreement":"test",
+		"members":[{"name":"m","limit_slots":2,"credential_sha256":"%s"}],
+		"kinds":[{"name":"k","service":"s","share_percent":50,"urgent":false,"max_cores":1}]}`, hex.EncodeToString(digest[:]))))
+	is.NoErr(err)
+	b.entry.append(ledger.PublicationRecord(0, []byte("nonce"), "test", agreed))
+
+	go b.entry.run(ctx)
+
+	file := path("sidecar.jsonc")
+	is.NoErr(os.WriteFile(file, []byte(fmt.Sprintf(`{"name":"w","entries":["%s"],"backend":"%s","slots":2,
+		"allowance_delay":"50ms", // short for the test
+		"keys":{"certificate":"%s","key":"%s","authority":"%s"}}`,
+		b.entry.node.Address(), b.backend.URL, path(quic.CertificateFile), path(quic.KeyFile), path(quic.AuthorityFile))), 0o600))
+
+	s, err := process.Load(file)
+	is.NoErr(err)
+
+	b.app = fx.New(process.Options(s, zerolog.New(zerolog.NewTestWriter(t))), fx.Populate(&b.process))
+	is.NoErr(b.app.Start(ctx))
+
+	t.Cleanup(func() {
+		_ = b.app.Stop(context.Background())
+
+		cancel()
+		b.entry.node.Close()
+		b.backend.Close()
+	})
+
+	b.await("the sidecar is ready", func() bool { return b.get(b.process.Admin(), "/readyz") == "ok\n" })
+	b.await("its registration is reported", func() bool { return b.entry.link().registered.Load() })
+
+	return b
+}
+
+func (b *bench) await(what string, condition func() bool) {
+	for until := time.Now().Add(15 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			b.is.NoErr(fmt.Errorf("waited in vain until %s", what))
+		}
+	}
+}
+
+func (b *bench) get(host, path string) string {
+	r, err := http.Get("http://" + host + path)
+	b.is.NoErr(err)
+	defer r.Body.Close()
+
+	text, err := io.ReadAll(r.Body)
+	b.is.NoErr(err)
+
+	return string(text)
+}
+
+type backendCounts struct {
+	Started   int `json:"started"`
+	Running   int `json:"running"`
+	Completed int `json:"completed"`
+	Repeated  int `json:"repeated"`
+}
+
+func (b *bench) counts() backendCounts {
+	var c backendCounts
+	b.is.NoErr(json.Unmarshal([]byte(b.get(strings.TrimPrefix(b.backend.URL, "http://"), "/admin/counts")), &c))
+
+	return c
+}
--- a/sidecar/process/process.go
+++ b/sidecar/process/process.go
@@ -57,7 +57,7 @@
 
 // Process is a running sidecar.
 type Process struct {
-	parts
+	parts parts
 	// cancel ends the loops.
 	cancel context.CancelFunc
 	group  sync.WaitGroup
@@ -84,20 +84,20 @@
 func newProcess(p parts) *Process { return &Process{parts: p} }
 
 // Admin returns the chosen address of the admin HTTP API.
-func (p *Process) Admin() string { return p.Server.Address().String() }
+func (p *Process) Admin() string { return p.parts.Server.Address().String() }
 
 func (p *Process) start(ctx context.Context) error {
-	keys, err := quic.LoadKeys(p.Settings.Keys())
+	keys, err := quic.LoadKeys(p.parts.Settings.Keys())
 	if err != nil {
 		return err
 	}
 
-	if err := p.Node.Listen(p.Settings.Listen(), keys); err != nil {
+	if err := p.parts.Node.Listen(p.parts.Settings.Listen(), keys); err != nil {
 		return err
 	}
 
-	if err := p.Server.Listen(ctx, p.Settings.Admin()); err != nil {
-		_ = p.Node.Close()
+	if err := p.parts.Server.Listen(ctx, p.parts.Settings.Admin()); err != nil {
+		_ = p.parts.Node.Close()
 		return err
 	}
 
@@ -107,62 +107,62 @@
 	p.cancel = cancel
 
 	for _, loop := range []func(context.Context){
-		p.Watch.Loop, p.Table.Loop, p.Follower.Loop, p.Links.Loop, p.Registrar.Loop,
+		p.parts.Watch.Loop, p.parts.Table.Loop, p.parts.Follower.Loop, p.parts.Links.Loop, p.parts.Registrar.Loop,
 	} {
 		p.group.Go(func() { loop(running) })
 	}
 
 	p.group.Go(p.serve)
 
-	p.Log.Info().Str("event", "listening").Str("quic", p.Node.Address().String()).Str("admin", p.Admin()).Msg("")
+	p.parts.Log.Info().Str("event", "listening").Str("quic", p.parts.Node.Address().String()).Str("admin", p.Admin()).Msg("")
 
 	return nil
 }
 
 func (p *Process) serve() {
-	if err := p.Server.Loop(); err != nil {
-		p.Log.Error().Err(err).Str("event", "admin_failed").Msg("")
-		_ = p.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+	if err := p.parts.Server.Loop(); err != nil {
+		p.parts.Log.Error().Err(err).Str("event", "admin_failed").Msg("")
+		_ = p.parts.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
 	}
 }
 
 // stop shuts down gracefully: no new work, then the end of the running tasks, then the end of the connections.
 func (p *Process) stop(ctx context.Context) error {
-	p.Log.Info().Str("event", "leaving").Msg("")
-	p.Table.Leave()
-	p.Links.Leave()
+	p.parts.Log.Info().Str("event", "leaving").Msg("")
+	p.parts.Table.Leave()
+	p.parts.Links.Leave()
 
-	draining, cancel := context.WithTimeout(ctx, p.Settings.DrainLimit())
+	draining, cancel := context.WithTimeout(ctx, p.parts.Settings.DrainLimit())
 	defer cancel()
 
-	err := p.Table.Drain(draining)
+	err := p.parts.Table.Drain(draining)
 
 	p.cancel()
-	p.Server.Close()
+	p.parts.Server.Close()
 	p.group.Wait()
-	p.Client.Close()
+	p.parts.Client.Close()
 
-	if closing := p.Node.Close(); err == nil {
+	if closing := p.parts.Node.Close(); err == nil {
 		err = closing
 	}
 
-	p.Log.Info().Err(err).Str("event", "stopped").Msg("")
+	p.parts.Log.Info().Err(err).Str("event", "stopped").Msg("")
 
 	return err
 }
 
 func (p *Process) gauges() {
 	for name, value := range map[string]func() int64{
-		"control.bytes_in":  func() int64 { in, _ := p.Node.Traffic().Control(); return in },
-		"control.bytes_out": func() int64 { _, out := p.Node.Traffic().Control(); return out },
-		"work.bytes_in":     func() int64 { in, _ := p.Node.Traffic().Work(); return in },
-		"work.bytes_out":    func() int64 { _, out := p.Node.Traffic().Work(); return out },
-		"slots.held":        func() int64 { return int64(p.Table.Load().GetHeldSlots()) },
-		"slots.queued":      func() int64 { return int64(p.Table.Load().GetQueuedSlots()) },
-		"table.starts":      func() int64 { n, _, _ := p.Table.Held(); return int64(n) },
-		"table.tombstones":  func() int64 { _, n, _ := p.Table.Held(); return int64(n) },
-		"table.bytes":       func() int64 { _, _, n := p.Table.Held(); return n },
+		"control.bytes_in":  func() int64 { in, _ := p.parts.Node.Traffic().Control(); return in },
+		"control.bytes_out": func() int64 { _, out := p.parts.Node.Traffic().Control(); return out },
+		"work.bytes_in":     func() int64 { in, _ := p.parts.Node.Traffic().Work(); return in },
+		"work.bytes_out":    func() int64 { _, out := p.parts.Node.Traffic().Work(); return out },
+		"slots.held":        func() int64 { return int64(p.parts.Table.Load().GetHeldSlots()) },
+		"slots.queued":      func() int64 { return int64(p.parts.Table.Load().GetQueuedSlots()) },
+		"table.starts":      func() int64 { n, _, _ := p.parts.Table.Held(); return int64(n) },
+		"table.tombstones":  func() int64 { _, n, _ := p.parts.Table.Held(); return int64(n) },
+		"table.bytes":       func() int64 { _, _, n := p.parts.Table.Held(); return n },
 	} {
-		_ = p.Registry.Register(name, metrics.NewFunctionalGauge(value))
+		_ = p.parts.Registry.Register(name, metrics.NewFunctionalGauge(value))
 	}
 }
--- /dev/null
+++ b/sidecar/process/process_test.go
@@ -0,0 +1,168 @@
+package process_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/process"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Guards against a task that runs again when its start is repeated, and against one that is cut off by a connection
+// that breaks in mid task.
+func TestBrokenConnectionKeepsTask(t *testing.T) {
+	b := newBench(t)
+	is := b.is
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+
+	reply, err := b.entry.send(ctx, b.entry.start("short", `{"run_ms":5,"echo":"yes"}`))
+	is.NoErr(err)
+	is.Equal(string(reply.GetCompleted().GetOutput()), "yes")
+
+	go func() { _, _ = b.entry.send(ctx, b.entry.start("long", `{"run_ms":700,"echo":"first"}`)) }()
+
+	b.await("the long task runs", func() bool { return b.counts().Running == 1 })
+
+	broken := b.entry.link()
+	broken.connection.Close("broken by the test")
+	b.await("the sidecar has reconnected", func() bool { return b.entry.link() != broken && b.entry.link().epoch.Load() > 0 })
+
+	reply, err = b.entry.send(ctx, b.entry.start("long", `{"run_ms":700,"echo":"second"}`))
+	is.NoErr(err)
+	is.Equal(string(reply.GetCompleted().GetOutput()), "first")
+	is.Equal(b.counts(), backendCounts{Started: 2, Completed: 2})
+}
+
+// Guards against starts that were sent under a lease that has lapsed since, such as those buffered during a pause.
+func TestLapsedLeaseRejectsStarts(t *testing.T) {
+	b := newBench(t)
+	is := b.is
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+
+	old := b.entry.start("late", `{"echo":"x"}`)
+
+	b.entry.mute.Store(true)
+	b.await("a heartbeat carries the next epoch", func() bool { return b.entry.link().epoch.Load() > old.GetLeaseEpoch() })
+
+	reply, err := b.entry.send(ctx, old)
+	is.NoErr(err)
+	is.Equal(reply.GetRejected().GetReason(), wire.Rejection_REJECTION_LEASE_LAPSED)
+
+	b.entry.mute.Store(false)
+	b.await("a start of the new epoch runs", func() bool {
+		reply, err := b.entry.send(ctx, b.entry.start("late", `{"echo":"x"}`))
+		return err == nil && reply.HasCompleted()
+	})
+	is.Equal(b.counts().Started, 1)
+}
+
+// Guards against a shutdown that interrupts a running task, takes new ones, or leaves queued ones without an answer.
+func TestGracefulShutdown(t *testing.T) {
+	b := newBench(t)
+	is := b.is
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+
+	replies := make(chan *wire.StartReply, 3)
+	for _, id := range []string{"a", "b", "c"} {
+		go func() {
+			reply, _ := b.entry.send(ctx, b.entry.start(id, `{"run_ms":800,"echo":"done"}`))
+			replies <- reply
+		}()
+	}
+
+	b.await("two tasks run", func() bool { return b.counts().Running == 2 })
+	b.await("one task is queued", func() bool {
+		return strings.Contains(b.get(b.process.Admin(), "/v1/status"), `"queued_slots":1,"room"`)
+	})
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.app.Stop(ctx) }()
+
+	queued := <-replies
+	is.Equal(queued.GetRejected().GetReason(), wire.Rejection_REJECTION_LEAVING)
+
+	reply, err := b.entry.send(ctx, b.entry.start("d", `{}`))
+	is.NoErr(err)
+	is.Equal(reply.GetRejected().GetReason(), wire.Rejection_REJECTION_LEAVING)
+
+	for range 2 {
+		is.Equal(string((<-replies).GetCompleted().GetOutput()), "done")
+	}
+
+	is.NoErr(<-stopped)
+
+	b.entry.mu.Lock()
+	defer b.entry.mu.Unlock()
+	is.True(b.entry.leaving)
+}
+
+// Guards against a sidecar that was declared lost and goes on under the same incarnation, and against a close that
+// forgets the tasks of the older one.
+func TestDeclaredLost(t *testing.T) {
+	b := newBench(t)
+	is := b.is
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+
+	first := b.entry.link()
+	old := b.entry.start("old", `{"echo":"x"}`)
+	_, err := b.entry.send(ctx, old)
+	is.NoErr(err)
+
+	b.entry.append(ledger.WorkerLeftRecord("w", first.worker.GetIncarnation(), true))
+	b.await("a new incarnation is registered", func() bool { return b.entry.link() != first && b.entry.link().registered.Load() })
+	is.True(b.entry.link().worker.GetIncarnation() != first.worker.GetIncarnation())
+
+	closed, err := b.entry.close(ctx, "old")
+	is.NoErr(err)
+	is.Equal(len(closed.GetClosed()[0].GetStarted()), 1)
+
+	late := b.entry.start("late", `{}`)
+	late.SetIncarnation(first.worker.GetIncarnation())
+	reply, err := b.entry.send(ctx, late)
+	is.NoErr(err)
+	is.Equal(reply.GetRejected().GetReason(), wire.Rejection_REJECTION_WRONG_INCARNATION)
+
+	// A ticket from before the registration belongs to a set of workers without this incarnation.
+	early := b.entry.start("early", `{}`)
+	early.SetPosition(old.GetPosition())
+	reply, err = b.entry.send(ctx, early)
+	is.NoErr(err)
+	is.Equal(reply.GetRejected().GetReason(), wire.Rejection_REJECTION_NOT_REGISTERED)
+	is.Equal(b.counts().Started, 1)
+}
+
+// Guards against exit codes that scripts cannot rely on.
+func TestExitCodes(t *testing.T) {
+	is := is.New(t)
+	bad := filepath.Join(t.TempDir(), "bad.jsonc")
+	is.NoErr(os.WriteFile(bad, []byte(`{"name":"w"}`), 0o600))
+
+	for _, c := range []struct {
+		arguments []string
+		code      int
+		text      string
+	}{
+		{[]string{"--help"}, 0, "--settings /etc"},
+		{[]string{"--version"}, 0, "sidecar"},
+		{[]string{}, 2, "--settings is required"},
+		{[]string{"--unknown"}, 2, "unknown"},
+		{[]string{"--settings", bad, "--check-settings"}, 2, "entries"},
+		{[]string{"--settings", bad + ".none"}, 2, "no such file"},
+	} {
+		var out bytes.Buffer
+		is.Equal(process.Main(c.arguments, &out, &out), c.code)
+		is.True(strings.Contains(out.String(), c.text))
+	}
+}
