--- a/sidecar/entry/registrar.go
+++ b/sidecar/entry/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -30,6 +31,7 @@
 	// registered is true once this incarnation was seen in the state.
 	registered bool
 	backOff    time.Duration
+	leaving    atomic.Bool
 }
 
 // NewRegistrar returns a registrar.
@@ -37,6 +39,9 @@
 	return &Registrar{links: l, identity: i, book: b, log: log, backOff: firstRegisterBackOff}
 }
 
+// Leave ends the registrations: the record of the departure must not bring back a sidecar that finishes its tasks.
+func (r *Registrar) Leave() { r.leaving.Store(true) }
+
 // Loop registers the sidecar, and again as a new incarnation when it was declared lost or replaced, until ctx ends.
 func (r *Registrar) Loop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -45,6 +50,8 @@
 		offset, registered := state.Registered(r.identity.Name(), r.identity.Incarnation())
 
 		switch {
+		case r.leaving.Load():
+			return
 		case registered && !r.registered:
 			r.registered = true
 			r.backOff = firstRegisterBackOff
--- a/sidecar/process/fake_test.go
+++ b/sidecar/process/fake_test.go
@@ -116,6 +116,7 @@
 			f.mu.Lock()
 			f.leaving = true
 			f.mu.Unlock()
+			f.append(ledger.WorkerLeftRecord(l.worker.GetName(), l.worker.GetIncarnation(), false))
 		}
 
 		h := in.GetHeartbeat()
--- a/sidecar/process/process.go
+++ b/sidecar/process/process.go
@@ -129,6 +129,7 @@
 // stop shuts down gracefully: no new work, then the end of the running tasks, then the end of the connections.
 func (p *Process) stop(ctx context.Context) error {
 	p.parts.Log.Info().Str("event", "leaving").Msg("")
+	p.parts.Registrar.Leave()
 	p.parts.Table.Leave()
 	p.parts.Links.Leave()
 
--- a/sidecar/tasks/counts.go
+++ b/sidecar/tasks/counts.go
@@ -12,10 +12,19 @@
 type counts struct {
 	accepted, queued, started, repeated, closed, completed, failed metrics.Counter
 	rejected                                                       map[wire.Rejection]metrics.Counter
+	// waited and ran are times in microseconds.
+	waited, ran metrics.Histogram
 }
 
 func newCounts(r metrics.Registry) counts {
-	c := counts{rejected: map[wire.Rejection]metrics.Counter{}}
+	// The sample favours the last five minutes.
+	sample := func() metrics.Sample { return metrics.NewExpDecaySample(1028, 0.015) }
+
+	c := counts{
+		rejected: map[wire.Rejection]metrics.Counter{},
+		waited:   metrics.GetOrRegisterHistogram("tasks.queued_us", r, sample()),
+		ran:      metrics.GetOrRegisterHistogram("tasks.run_us", r, sample()),
+	}
 
 	for _, p := range []struct {
 		name    string
--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -34,6 +34,8 @@
 	ackWait = 5 * time.Second
 	// poll is the interval at which Drain looks at the table.
 	poll = 20 * time.Millisecond
+	// outputs is the number of outputs that the moving average of their size goes back to.
+	outputs = 32
 	// overhead is the number of bytes that each held body costs beyond its length.
 	overhead = 512
 )
@@ -88,7 +90,9 @@
 	// starts, tombstones and bytes are what Limits bound; unfetched counts the outcomes without acknowledgement.
 	starts, tombstones, unfetched int
 	bytes                         int64
-	leaving                       bool
+	// typical is the moving average of output sizes.
+	typical float64
+	leaving bool
 }
 
 // NewTable returns an empty table. It rejects every start until it is configured.
@@ -137,12 +141,18 @@
 
 	run.task = share.NewTask(r.member, r.kind, r.cores, r.memoryMB, run)
 
-	if rejection := refusal(t.scheduler.Offer(now, run.task)); rejection != nil {
+	verdict, displaced := t.scheduler.Offer(now, run.task)
+	if rejection := refusal(verdict); rejection != nil {
 		t.reject(run, *rejection)
 		return run
 	}
 
 	t.add(s, run, now)
+
+	if displaced != nil {
+		t.drop(displaced.Value(), Rejected{wire.Rejection_REJECTION_QUEUE_FULL, "the place in the queue went to another member"})
+	}
+
 	t.serve()
 
 	if _, waits := t.queued[run]; waits {
@@ -184,7 +194,7 @@
 		return &Rejected{wire.Rejection_REJECTION_LEAVING, "the sidecar is leaving"}
 	case t.starts >= t.limits.starts:
 		return &Rejected{wire.Rejection_REJECTION_TABLE_FULL, "the start table is full"}
-	case t.bytes+int64(len(r.input)) > t.limits.bytes:
+	case t.bytes+int64(len(r.input))+t.expected()*int64(len(t.queued)+len(t.running)+1) > t.limits.bytes:
 		return &Rejected{wire.Rejection_REJECTION_TABLE_FULL, "inputs and outcomes held fill the memory for them"}
 	case !r.probe && t.statistics.Suspect():
 		return &Rejected{wire.Rejection_REJECTION_SUSPECT, "the backend server is suspect and takes probes only"}
@@ -193,6 +203,10 @@
 	}
 }
 
+// expected returns the output size that a task probably has, in bytes. Counting it for every accepted task keeps the
+// held outputs within the limit, since an output cannot be refused once its task has run.
+func (t *Table) expected() int64 { return int64(t.typical) }
+
 // refusal returns the rejection that a verdict stands for, or nil.
 func refusal(v share.Verdict) *Rejected {
 	switch v {
@@ -254,7 +268,7 @@
 
 		run := task.Value()
 
-		if rejection := stale(run, now); rejection != nil {
+		if rejection := t.stale(run, now); rejection != nil {
 			t.scheduler.Release(task)
 			t.drop(run, *rejection)
 
@@ -266,12 +280,14 @@
 }
 
 // stale returns the reason for which a queued start must not run any more, or nil.
-func stale(run *Run, now time.Time) *Rejected {
+func (t *Table) stale(run *Run, now time.Time) *Rejected {
 	switch r := run.request; {
 	case !now.Before(r.deadline):
 		return &Rejected{wire.Rejection_REJECTION_DEADLINE, "the deadline passed in the queue"}
 	case !r.lease.Valid(r.epoch, now):
 		return &Rejected{wire.Rejection_REJECTION_LEASE_LAPSED, "the lease lapsed in the queue"}
+	case !r.probe && t.statistics.Suspect():
+		return &Rejected{wire.Rejection_REJECTION_SUSPECT, "the backend server became suspect while the task was queued"}
 	default:
 		return nil
 	}
@@ -289,6 +305,7 @@
 	}
 
 	t.counts.started.Inc(1)
+	t.counts.waited.Update(now.Sub(run.offered).Microseconds())
 	t.event("task_started", run).Dur("queued", now.Sub(run.offered)).Msg("")
 
 	go t.run(run)
@@ -301,7 +318,7 @@
 	now := time.Now()
 
 	if now.Sub(run.started) > recheck {
-		if rejection := stale(run, now); rejection != nil {
+		if rejection := t.stale(run, now); rejection != nil {
 			t.finish(run, backend.NewNotStarted(rejection.message), rejection)
 			return
 		}
@@ -332,6 +349,7 @@
 	switch result := result.(type) {
 	case backend.Completed:
 		t.judge(run, now, false, true)
+		t.typical += (float64(len(result.Output())) - t.typical) / outputs
 		t.hold(run, Completed{result.Output(), digest, took, run.started.Sub(run.offered)}, len(result.Output()))
 	case backend.Failed:
 		kind := result.Kind()
@@ -366,6 +384,7 @@
 	if after := t.statistics.Suspect(); after != before {
 		t.log.Info().Str("event", "backend_suspect").Bool("suspect", after).
 			Int("failure_permille", t.statistics.FailurePermille()).Msg("")
+		t.prune(now)
 	}
 }
 
@@ -376,6 +395,7 @@
 	t.bytes += run.size
 	t.unfetched++
 	t.counts.end(o)
+	t.counts.ran.Update(time.Since(run.started).Microseconds())
 
 	e := t.event("task_ended", run).Dur("ran", time.Since(run.started))
 	if f, failed := o.(Failed); failed {
@@ -556,11 +576,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	for run := range t.queued {
-		if rejection := stale(run, now); rejection != nil && t.scheduler.Withdraw(run.task) {
-			t.drop(run, *rejection)
-		}
-	}
+	t.prune(now)
 
 	for len(t.expiry) > 0 && !now.Before(t.expiry[0].end()) {
 		s := t.expiry[0]
@@ -578,6 +594,15 @@
 	t.serve()
 }
 
+// prune rejects the queued tasks that must not run any more.
+func (t *Table) prune(now time.Time) {
+	for run := range t.queued {
+		if rejection := t.stale(run, now); rejection != nil && t.scheduler.Withdraw(run.task) {
+			t.drop(run, *rejection)
+		}
+	}
+}
+
 // busy tells whether a task of the submission has not ended.
 func (t *Table) busy(s *submission) bool {
 	for _, r := range s.records {
--- a/weir/process/ejection/statistics.go
+++ b/weir/process/ejection/statistics.go
@@ -14,7 +14,8 @@
 	// fast is the factor by which a failure has to be shorter than the average success to count double. A backend
 	// server that fails at once draws more work than the others, because it always looks idle.
 	fast = 4
-	// readmission is the number of successful probes that ends the suspicion.
+	// readmission is the number of successful probes, or of health checks if only those had failed, that ends the
+	// suspicion.
 	readmission = 3
 	// unhealthyChecks is the number of failed health checks in sequence that makes a backend server suspect.
 	unhealthyChecks = 2
@@ -32,7 +33,9 @@
 	count, next int
 
 	suspect bool
-	// successes counts the successful probes since the last failed one.
+	// unanswered is true if failed health checks are the only cause of the suspicion.
+	unanswered bool
+	// successes counts the successful probes or health checks since the last failed one.
 	successes int
 	backOff   time.Duration
 	// nextProbe is the earliest time of the next probe.
@@ -83,16 +86,14 @@
 	case !s.suspect || !decided:
 	case failed:
 		s.successes = 0
+		s.unanswered = false
 		// Probes that fail together are one sign of failure and lengthen the back-off once.
 		if !now.Before(s.nextProbe) {
 			s.backOff = min(2*s.backOff, lastBackOff)
 			s.nextProbe = now.Add(s.backOff)
 		}
 	default:
-		s.successes++
-		if s.successes >= readmission && s.missed < unhealthyChecks {
-			s.readmit()
-		}
+		s.succeed()
 	}
 }
 
@@ -103,12 +104,21 @@
 
 	if healthy {
 		s.missed = 0
+		if s.unanswered {
+			s.succeed()
+		}
+
 		return
 	}
 
 	s.missed++
 	if s.missed >= unhealthyChecks && !s.suspect {
 		s.eject(now)
+		s.unanswered = true
+	}
+
+	if s.unanswered {
+		s.successes = 0
 	}
 }
 
@@ -179,13 +189,18 @@
 
 func (s *Statistics) eject(now time.Time) {
 	s.suspect = true
+	s.unanswered = false
 	s.successes = 0
 	s.backOff = firstBackOff
 	s.nextProbe = now.Add(s.backOff)
 }
 
-// readmit also clears the results, since those from before the suspicion would end it the other way again.
-func (s *Statistics) readmit() {
-	s.suspect = false
-	s.count, s.next = 0, 0
+// succeed counts a sign that the backend server works. The end of the suspicion clears the results, since those from
+// before would begin it again.
+func (s *Statistics) succeed() {
+	s.successes++
+	if s.successes >= readmission && s.missed < unhealthyChecks {
+		s.suspect, s.unanswered = false, false
+		s.count, s.next = 0, 0
+	}
 }
--- a/weir/process/share/scheduler.go
+++ b/weir/process/share/scheduler.go
@@ -122,7 +122,8 @@
 	name   string
 	member *member
 	tasks  list.List
-	held   int
+	// held and queued count slots.
+	held, queued int
 }
 
 func (f *flow[T]) head() *Task[T] {
@@ -196,8 +197,11 @@
 }
 
 // Offer queues a task if there is room. The caller then takes the tasks that may start from Next, until it returns
-// none. A task that can start at once is accepted even if the queue of its kind is full of tasks that can't.
-func (s *Scheduler[T]) Offer(now time.Time, t *Task[T]) Verdict {
+// none. A task that can start at once is accepted even if the queue of its kind is full of tasks that can't. A full
+// queue also takes a task of a member that has less in it, in proportion to its limit, than another one: the newest
+// task of that one is withdrawn and returned as displaced. Without this, the entry that asks most often decides which
+// members are served.
+func (s *Scheduler[T]) Offer(now time.Time, t *Task[T]) (v Verdict, displaced *Task[T]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -205,30 +209,60 @@
 
 	switch {
 	case k == nil || !k.known:
-		return UnknownKind
+		return UnknownKind, nil
 	case !s.fits(t):
-		return TooLarge
+		return TooLarge, nil
 	}
 
 	m := s.members[t.member]
 	if m == nil || t.cores > m.allowance.Target() {
-		return NotAllowed
+		return NotAllowed, nil
 	}
 
 	s.enqueue(k, m, t)
 
 	bound := s.capacity.queue
 	// A member at its allowance gets half of the queue, so that it cannot shut out the members that could start.
-	full := k.length > bound || (!s.allowed(now, t) && t.flow.tasks.Len() > max(1, bound/2))
+	blocked := !s.allowed(now, t) && t.flow.tasks.Len() > max(1, bound/2)
 
-	if full && s.pick(now) != t {
-		s.dequeue(t)
-		s.forget(t)
+	switch {
+	case k.length <= bound && !blocked, s.pick(now) == t:
+		return Accepted, nil
+	case blocked:
+		displaced = t
+	default:
+		displaced = k.newest(t)
+	}
 
-		return Full
+	s.dequeue(displaced)
+	s.forget(displaced)
+
+	if displaced == t {
+		return Full, nil
 	}
 
-	return Accepted
+	return Accepted, displaced
+}
+
+// newest returns the newest task of the flow that has the most queued in proportion to its member's limit, or the
+// offered task if no flow has more than the one of that.
+func (k *kind[T]) newest(offered *Task[T]) *Task[T] {
+	most := offered.flow
+
+	for _, f := range k.flows {
+		a, b := ratio(f.queued, f.member.limit), ratio(most.queued, most.member.limit)
+		if f.queued > 0 && (a > b || a == b && most != offered.flow && f.name < most.name) {
+			most = f
+		}
+	}
+
+	if most == offered.flow {
+		return offered
+	}
+
+	t, _ := most.tasks.Back().Value.(*Task[T])
+
+	return t
 }
 
 // Next assigns slots to the queued task that is served next and returns it, or nil if none can start.
@@ -476,6 +510,7 @@
 	t.flow = f
 	t.element = f.tasks.PushBack(t)
 	k.length++
+	f.queued += t.cores
 	k.queued += t.cores
 	s.queued += t.cores
 	s.active[k] = struct{}{}
@@ -486,6 +521,7 @@
 	t.flow.tasks.Remove(t.element)
 	t.element = nil
 	k.length--
+	t.flow.queued -= t.cores
 	k.queued -= t.cores
 	s.queued -= t.cores
 
@@ -513,3 +549,9 @@
 		delete(s.kinds, f.kind.name)
 	}
 }
+
+// Name returns the kind's name.
+func (k Kind) Name() string { return k.name }
+
+// Name returns the member's name.
+func (m Member) Name() string { return m.name }
