--- /dev/null
+++ b/entry/home/sidecars.go
@@ -0,0 +1,16 @@
+package home
+
+import (
+	"context"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+)
+
+// Sidecars carries starts and closes to the workers; *sidecar.Hub implements it.
+type Sidecars interface {
+	// Start sends one start and waits for its reply. The start was certainly not sent if sent is false.
+	Start(ctx context.Context, w *fleet.Worker, s *wire.Start) (reply *wire.StartReply, sent bool, err error)
+	// Close closes submissions at one incarnation of a sidecar.
+	Close(ctx context.Context, worker string, incarnation uint64, submissions []string, cancel bool) (*wire.CloseReply, error)
+}
--- /dev/null
+++ b/weir/process/fleet/worker.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// Worker is one incarnation of a sidecar with its worker. Its identity does not change; the rest is read and
+// written without locks.
+type Worker struct {
+	wire *wire.Worker
+	// services is nil if the worker serves every service.
+	services map[string]bool
+
+	// report is never nil.
+	report atomic.Pointer[Report]
+	// refused holds the kinds that the worker rejected for want of room since its latest report; it may be nil.
+	refused atomic.Pointer[refusals]
+	// joinedPlusOne is the log offset of the registration plus one; zero means not registered.
+	joinedPlusOne atomic.Int64
+	// heard is when the worker was last heard from, in nanoseconds since the Unix epoch.
+	heard atomic.Int64
+	// outstanding counts the slots of this entry's starts without an outcome; since counts those sent after the report.
+	outstanding, since atomic.Int64
+	connected, leaving atomic.Bool
+	ejected            atomic.Bool
+	probe              probe
+}
+
+type refusals struct {
+	kinds map[string]bool
+}
+
+// Name returns the name of the worker.
+func (w *Worker) Name() string { return w.wire.GetName() }
+
+// Incarnation returns the incarnation of the sidecar process.
+func (w *Worker) Incarnation() uint64 { return w.wire.GetIncarnation() }
+
+// FailureDomain returns the failure domain.
+func (w *Worker) FailureDomain() string { return w.wire.GetFailureDomain() }
+
+// Rack returns the rack.
+func (w *Worker) Rack() string { return w.wire.GetRack() }
+
+// Slots returns the number of cores.
+func (w *Worker) Slots() int { return int(w.wire.GetSlots()) }
+
+// MemoryMB returns the size of the memory.
+func (w *Worker) MemoryMB() int { return int(w.wire.GetMemoryMb()) }
+
+// Serves tells whether the backend server offers the service.
+func (w *Worker) Serves(service string) bool { return w.services == nil || w.services[service] }
+
+// Joined returns the log offset of the registration, and false while it is not known.
+func (w *Worker) Joined() (offset int64, registered bool) {
+	j := w.joinedPlusOne.Load()
+
+	return j - 1, j > 0
+}
+
+// Report returns the latest load report; before the first one it is the zero Report.
+func (w *Worker) Report() *Report { return w.report.Load() }
+
+// Heard returns when the worker was last heard from.
+func (w *Worker) Heard() time.Time { return time.Unix(0, w.heard.Load()) }
+
+// Connected tells whether the worker has a connection now.
+func (w *Worker) Connected() bool { return w.connected.Load() }
+
+// Leaving tells whether the worker said that it leaves.
+func (w *Worker) Leaving() bool { return w.leaving.Load() || w.Report().Leaving() }
+
+// Ejected tells whether the worker receives probes only.
+func (w *Worker) Ejected() bool { return w.ejected.Load() }
+
+// Outstanding returns the slots of this entry's starts that have no outcome yet.
+func (w *Worker) Outstanding() int { return int(w.outstanding.Load()) }
+
+// Load estimates the slots held and queued: the report and the own starts since, but at least the own starts
+// without an outcome, since a report may have been sent before it saw them.
+func (w *Worker) Load() int {
+	return int(max(int64(w.Report().Busy())+w.since.Load(), w.outstanding.Load()))
+}
+
+// Started counts a start of that many slots.
+func (w *Worker) Started(slots int) {
+	w.outstanding.Add(int64(slots))
+	w.since.Add(int64(slots))
+}
+
+// Ended takes back the count of a start whose outcome is known or given up.
+func (w *Worker) Ended(slots int) { w.outstanding.Add(-int64(slots)) }
+
+// Refuse notes that the worker rejected the kind for want of room. It holds until the next report.
+func (w *Worker) Refuse(kind string) {
+	for {
+		old := w.refused.Load()
+		next := &refusals{kinds: map[string]bool{kind: true}}
+
+		if old != nil {
+			for k := range old.kinds {
+				next.kinds[k] = true
+			}
+		}
+
+		if w.refused.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Room tells whether the run queue of the kind is not known to be full.
+func (w *Worker) Room(kind string) bool {
+	if r := w.refused.Load(); r != nil && r.kinds[kind] {
+		return false
+	}
+
+	return w.Report().Room(kind)
+}
