dispatch: add fleet, placement, wait queue and retry budget

Intermediate state: the decisions of an entry as components usable alone, and the begin of the home table.

--- /dev/null
+++ b/entry/home/admit.go
@@ -0,0 +1,123 @@
+package home
+
+import (
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/placement"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+)
+
+// admit checks a new submission and returns its record, with nothing started or queued yet. The caller holds the shard.
+func (t *Table) admit(s submission.Submission, now time.Time) (*Held, error) {
+	switch {
+	case t.incarnation != 0 && s.Ticket().Incarnation() != t.incarnation:
+		return nil, fault.New(fault.UnknownSubmission, "the ticket belongs to another home")
+	case t.leaving.Load():
+		return nil, fault.New(fault.Leaving, "entry is leaving")
+	case len(s.Inputs()) == 0:
+		return nil, fault.WithField(fault.New(fault.InvalidRequest, "submission has no tasks"), "tasks")
+	case s.Cores() < 1:
+		return nil, fault.WithField(fault.New(fault.InvalidRequest, "cores is %d, at least 1 is needed", s.Cores()), "cores")
+	case !now.Before(s.Deadline()):
+		return nil, fault.WithRan(fault.New(fault.DeadlineExceeded, "deadline has passed"), fault.RanNone)
+	}
+
+	r := t.rules.Load()
+
+	place, err := t.runnable(r, s)
+	if err != nil {
+		return nil, err
+	}
+
+	if int(t.count.Load()) >= t.bound() {
+		return nil, fault.New(fault.Overloaded, "table of submissions is full")
+	}
+
+	if err := t.fits(s, now); err != nil {
+		return nil, err
+	}
+
+	if !t.memory.reserve(inputBytes(s)) {
+		return nil, fault.New(fault.Overloaded, "no memory for inputs and answers")
+	}
+
+	return newHeld(t, s, place, r.limit(s.Member()), now), nil
+}
+
+// runnable refuses what no worker can ever run.
+func (t *Table) runnable(r *rules, s submission.Submission) (placement.Task, error) {
+	if r == nil || !r.ready {
+		return placement.Task{}, fault.New(fault.NoAgreement, "no agreement is known yet")
+	}
+
+	k, found := r.kinds[s.Kind()]
+	if !found {
+		return placement.Task{}, fault.WithField(fault.New(fault.InvalidRequest, "kind %q is not in the agreement", s.Kind()), "kind")
+	}
+
+	limit, found := r.members[s.Member()]
+
+	switch {
+	case !found:
+		return placement.Task{}, fault.New(fault.Forbidden, "member %q is not in the agreement", s.Member())
+	case r.slots == 0:
+		return placement.Task{}, fault.New(fault.NoWorkers, "no worker is registered")
+	case s.Cores() > k.maxCores:
+		return placement.Task{}, never("cores", "a task asks for %d cores, kind %s allows %d", s.Cores(), s.Kind(), k.maxCores)
+	case s.Cores() > limit:
+		return placement.Task{}, never("cores", "a task asks for %d cores, the limit of member %s is %d slots", s.Cores(), s.Member(), limit)
+	}
+
+	served, fits := r.largest(k.service, s.Cores(), s.MemoryMB())
+	if served && !fits {
+		return placement.Task{}, never("cores", "no worker has %d cores and %d MB", s.Cores(), s.MemoryMB())
+	}
+
+	place := placement.NewTask(s.Kind(), k.service, s.Cores(), s.MemoryMB(), s.Ticket().Position())
+
+	for _, w := range t.workers.View().Workers() {
+		if place.Possible(w) && !w.Leaving() {
+			return place, nil
+		}
+	}
+
+	return placement.Task{}, fault.New(fault.NoWorkers, "no connected worker can run kind %s", s.Kind())
+}
+
+// fits refuses what the wait queue cannot take or cannot serve in time.
+func (t *Table) fits(s submission.Submission, now time.Time) error {
+	t.queue.mu.Lock()
+	defer t.queue.mu.Unlock()
+
+	q, n := &t.queue.tasks, len(s.Inputs())
+	if !q.Admits(s.Member(), s.Kind(), n) {
+		return fault.New(fault.Overloaded, "wait queue has no room for %d tasks of kind %s", n, s.Kind())
+	}
+
+	if wait, known := q.Wait(s.Kind(), n, now); known && now.Add(wait).After(s.Deadline()) {
+		return fault.New(fault.DeadlineUnreachable, "tasks of kind %s wait about %s at present", s.Kind(), wait.Round(time.Millisecond))
+	}
+
+	return nil
+}
+
+func (t *Table) bound() int {
+	if t.size > 0 {
+		return t.size
+	}
+
+	return defaultSize
+}
+
+func never(field, format string, args ...any) error {
+	return fault.WithField(fault.New(fault.NeverRunnable, format, args...), field)
+}
+
+func inputBytes(s submission.Submission) (n int64) {
+	for _, i := range s.Inputs() {
+		n += int64(len(i))
+	}
+
+	return n
+}
--- /dev/null
+++ b/entry/home/answer.go
@@ -0,0 +1,42 @@
+package home
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+)
+
+type answerBody struct {
+	Submission string       `json:"submission"`
+	State      string       `json:"state"`
+	Length     int64        `json:"length"`
+	Digest     string       `json:"digest"`
+	Results    []resultBody `json:"results"`
+}
+
+type resultBody struct {
+	Index  int    `json:"index"`
+	Output []byte `json:"output"`
+}
+
+// answer returns the JSON of a complete submission. Length and digest cover the outputs in the order of the tasks.
+func answer(id string, outputs [][]byte) []byte {
+	b := answerBody{Submission: id, State: "complete", Results: make([]resultBody, len(outputs))}
+	h := sha256.New()
+
+	for i, o := range outputs {
+		if o == nil {
+			o = []byte{}
+		}
+
+		h.Write(o)
+		b.Length += int64(len(o))
+		b.Results[i] = resultBody{i, o}
+	}
+
+	b.Digest = hex.EncodeToString(h.Sum(nil))
+	// Marshal cannot fail: the body holds only text, numbers and bytes.
+	body, _ := json.Marshal(b)
+
+	return body
+}
--- /dev/null
+++ b/entry/home/decision.go
@@ -0,0 +1,108 @@
+package home
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/placement"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+)
+
+// The names of the logged events.
+const (
+	eventPlaced   = "task_placed"
+	eventWaiting  = "task_waiting"
+	eventRejected = "start_rejected"
+	eventRetried  = "start_retried"
+	eventRefused  = "submission_refused"
+	eventEnded    = "submission_ended"
+)
+
+// maxDecisions bounds the decisions kept for a submission; the oldest are dropped.
+const maxDecisions = 16
+
+// Decision is one decision on a task of a submission.
+type Decision struct {
+	at     time.Time
+	event  string
+	task   int32
+	choice string
+	reason string
+}
+
+// Time returns when the decision was taken.
+func (d Decision) Time() time.Time { return d.at }
+
+// Event returns the name of the event as it is logged.
+func (d Decision) Event() string { return d.event }
+
+// Task returns the index of the task.
+func (d Decision) Task() int { return int(d.task) }
+
+// Choice returns the name of the chosen worker, if any.
+func (d Decision) Choice() string { return d.choice }
+
+// Reason returns why.
+func (d Decision) Reason() string { return d.reason }
+
+// decisions is a ring that grows up to maxDecisions.
+type decisions struct {
+	ring []Decision
+	// next is where the oldest one is once the ring is full.
+	next int
+}
+
+func (d *decisions) add(n Decision) {
+	if len(d.ring) < maxDecisions {
+		d.ring = append(d.ring, n)
+
+		return
+	}
+
+	d.ring[d.next] = n
+	d.next = (d.next + 1) % maxDecisions
+}
+
+func (d *decisions) list() []Decision {
+	return append(append([]Decision{}, d.ring[d.next:]...), d.ring[:d.next]...)
+}
+
+// Decisions returns the latest decisions on the submission's tasks, oldest first.
+func (h *Held) Decisions() []Decision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.decisions.list()
+}
+
+// decide logs a decision on a task and keeps it.
+func (h *Held) decide(l *zerolog.Event, event string, k *task, attempt int, choice, reason string) {
+	l.Str("submission", h.id).Str("member", h.member).Str("kind", k.work.submission.Kind()).Int("task", k.index).
+		Int("attempt", attempt).Str("choice", choice).Str("reason", reason).Msg(event)
+
+	h.mu.Lock()
+	h.decisions.add(Decision{time.Now(), event, int32(k.index), choice, reason})
+	h.mu.Unlock()
+}
+
+// placed logs a choice, or that there is none at present.
+func (h *Held) placed(k *task, attempt int, c placement.Choice) {
+	l := h.table.log.Info().Int("candidates", c.Candidates())
+	if a := c.Against(); a != nil {
+		l = l.Str("against", a.Name())
+	}
+
+	if w := c.Worker(); w != nil {
+		h.decide(l, eventPlaced, k, attempt, w.Name(), string(c.Reason()))
+	} else {
+		h.decide(l, eventWaiting, k, attempt, "", string(c.Reason()))
+	}
+}
+
+func (t *Table) refused(s submission.Submission, err error) {
+	t.log.Info().Str("submission", s.ID()).Str("member", s.Member()).Str("kind", s.Kind()).Int("tasks", len(s.Inputs())).
+		Str("reason", fault.KindOf(err).Code()).Str("ran", string(fault.RanOf(err))).Str("message", err.Error()).Msg(eventRefused)
+	t.meters().refused(err)
+}
--- /dev/null
+++ b/entry/home/ending.go
@@ -0,0 +1,37 @@
+package home
+
+import (
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+)
+
+// ending is the end of a submission that is to be announced.
+type ending struct {
+	held  *Held
+	work  *work
+	cause error
+}
+
+func (e *ending) announce() {
+	t, h := e.held.table, e.held
+	took := time.Since(e.work.accepted)
+	l := t.log.Info().Str("submission", h.id).Str("member", h.member).Str("kind", e.work.submission.Kind()).
+		Int("tasks", h.total).Dur("took_ms", took)
+
+	if e.cause == nil {
+		l = l.Str("reason", "complete")
+	} else {
+		l = l.Str("reason", fault.KindOf(e.cause).Code()).Str("ran", string(fault.RanOf(e.cause))).Str("message", e.cause.Error())
+	}
+
+	l.Msg(eventEnded)
+	t.meters().ended(e.cause)
+	t.inflight.Add(-1)
+	close(h.done)
+
+	select {
+	case t.endedSignal() <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/entry/home/handover.go
@@ -0,0 +1,93 @@
+package home
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// Drain refuses new submissions and waits until nothing is in flight.
+func (t *Table) Drain(ctx context.Context) error {
+	t.leaving.Store(true)
+
+	for t.inflight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return merry.Prependf(ctx.Err(), "drain with %d submissions in flight", t.inflight.Load())
+		case <-t.endedSignal():
+		}
+	}
+
+	return nil
+}
+
+// Export returns the ended submissions for a handover.
+func (t *Table) Export() []*wire.HeldSubmission {
+	var all []*wire.HeldSubmission
+
+	now := time.Now()
+
+	for i := range t.shards {
+		d := &t.shards[i]
+		d.mu.Lock()
+
+		for _, h := range d.held {
+			status, body := h.Answer()
+			keep := h.expiry.Sub(now)
+
+			if status == 0 || keep <= 0 {
+				continue
+			}
+
+			m := &wire.HeldSubmission{}
+			m.SetSubmission(h.id)
+			m.SetMember(h.member)
+			m.SetDigest(h.digest[:])
+			m.SetStatus(int32(status))
+			m.SetAnswer(body)
+			m.SetKeepMs(keep.Milliseconds())
+			all = append(all, m)
+		}
+		d.mu.Unlock()
+	}
+
+	return all
+}
+
+// Import takes submissions over from another home. They count against the memory, but are never refused.
+func (t *Table) Import(held []*wire.HeldSubmission) {
+	now := time.Now()
+
+	for _, m := range held {
+		h := &Held{
+			table: t, id: m.GetSubmission(), member: m.GetMember(), expiry: now.Add(time.Duration(m.GetKeepMs()) * time.Millisecond),
+			total: 1, done: make(chan struct{}), state: ended, status: int(m.GetStatus()), body: m.GetAnswer(),
+		}
+		copy(h.digest[:], m.GetDigest())
+		close(h.done)
+
+		d := t.shard(h.id)
+		d.mu.Lock()
+		_, found := d.held[h.id]
+
+		if !found {
+			d.put(h)
+		}
+		d.mu.Unlock()
+
+		if found {
+			continue
+		}
+
+		t.count.Add(1)
+		t.expiry.add(h)
+
+		if h.status == http.StatusOK {
+			t.memory.add(int64(len(h.body)))
+		}
+	}
+}
--- /dev/null
+++ b/entry/home/rules.go
@@ -0,0 +1,142 @@
+package home
+
+import (
+	"context"
+	"sync"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/share"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// rules is what the log's state says about admission and placement, in a form that is quick to look up. It is
+// immutable but for the cache of allowances.
+type rules struct {
+	ready   bool
+	kinds   map[string]kindRule
+	members map[string]int
+	workers []ledger.Worker
+	slots   int
+	entries int
+	agreed  *agreement.Agreement
+	// allowances maps a member to its slots by worker; filled on first use, since few of many members are active.
+	allowances sync.Map
+}
+
+type kindRule struct {
+	service  string
+	maxCores int
+	share    int
+	urgent   bool
+}
+
+func newRules(s *ledger.State) *rules {
+	r := &rules{
+		ready: s.Ready() && s.Version() > 0, kinds: map[string]kindRule{}, members: map[string]int{},
+		workers: s.Workers(), entries: max(len(s.Entries()), 1), agreed: s.Agreement(),
+	}
+
+	if r.agreed == nil {
+		r.ready = false
+
+		return r
+	}
+
+	for _, w := range r.workers {
+		r.slots += w.Slots()
+	}
+
+	for _, k := range r.agreed.Kinds() {
+		r.kinds[k.Name()] = kindRule{k.Service(), k.MaxCores(), k.Share(), k.Urgent()}
+	}
+
+	for _, m := range r.agreed.Members() {
+		r.members[m.Name()] = m.Limit(r.slots)
+	}
+
+	return r
+}
+
+func (r *rules) limit(member string) int { return r.members[member] }
+
+// largest tells whether any registered worker serves the service, and whether one of these can hold the task.
+func (r *rules) largest(service string, cores, memoryMB int) (served, fits bool) {
+	for _, w := range r.workers {
+		if !w.Serves(service) {
+			continue
+		}
+
+		served = true
+
+		if cores <= w.Slots() && memoryMB <= w.MemoryMB() {
+			return true, true
+		}
+	}
+
+	return served, false
+}
+
+// allowed tells whether the member may hold slots at the worker.
+func (r *rules) allowed(member, worker string) bool {
+	a, found := r.allowances.Load(member)
+	if !found {
+		m, known := r.agreed.Member(member)
+		if !known {
+			return false
+		}
+
+		a, _ = r.allowances.LoadOrStore(member, share.Split(member, m.Limit(r.slots), r.agreed.Granule(m, r.slots), r.workers))
+	}
+
+	return a.(map[string]int)[worker] > 0
+}
+
+// Follow keeps the table in step with the process's copy of the log until ctx ends.
+func (t *Table) Follow(ctx context.Context, book *ledger.Book) {
+	f := &follower{t, book}
+	f.apply()
+
+	go f.run(ctx)
+}
+
+type follower struct {
+	table *Table
+	book  *ledger.Book
+}
+
+func (f *follower) run(ctx context.Context) {
+	for {
+		changed := f.book.Changed()
+		f.apply()
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (f *follower) apply() {
+	f.table.apply(f.book.State())
+}
+
+func (t *Table) apply(s *ledger.State) {
+	r := newRules(s)
+	t.rules.Store(r)
+	t.register(s)
+
+	t.queue.mu.Lock()
+	for name, k := range r.kinds {
+		t.queue.tasks.SetKind(name, k.share, k.urgent)
+	}
+
+	for name, limit := range r.members {
+		t.queue.tasks.SetLimit(name, limit)
+	}
+
+	t.queue.tasks.SetCapacity(r.slots / r.entries)
+	t.queue.mu.Unlock()
+	t.meters().kinds(t, r)
+	t.changed(nil)
+}
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -3,43 +3,176 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
-	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
-	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/process/placement"
+	"github.com/skylarkweir/skylarkweir/weir/process/retrybudget"
+	"github.com/skylarkweir/skylarkweir/weir/process/waitqueue"
 	"github.com/skylarkweir/skylarkweir/weir/request/submission"
 )
 
-// Table holds the submissions of one home.
+const (
+	// shards spreads the table over several locks. Submit and Find of different submissions rarely share one.
+	shards = 64
+	// defaultSize is the number of submissions held at most. At about 600 bytes for an ended submission without its
+	// answer, the records of a full table take 120 MB.
+	defaultSize = 200000
+	// defaultAnswerMemory is the design's answer_memory.
+	defaultAnswerMemory = 96 << 20
+)
+
+// Table holds the submissions of one home. Lock order: shard, Held, queue.
 type Table struct {
 	workers  *fleet.Fleet
 	sidecars Sidecars
 	log      zerolog.Logger
+	// incarnation is this entry's; zero leaves the home of a ticket unchecked.
+	incarnation uint64
+	policy      placement.Policy
+	rules       atomic.Pointer[rules]
+
+	shards [shards]shard
+	size   int
+	count  atomic.Int64
+	// inflight counts submissions without an answer.
+	inflight atomic.Int64
+	leaving  atomic.Bool
+	// ended wakes Drain; it has room for one signal.
+	ended     chan struct{}
+	endedOnce sync.Once
+
+	queue  queue
+	news   news
+	memory memory
+	expiry expiry
+	closer closer
+	budget retrybudget.Budget
+
+	metricsOnce sync.Once
+	registry    metrics.Registry
+	metrics     *meters
+}
+
+type shard struct {
+	mu   sync.Mutex
+	held map[string]*Held
+}
+
+// queue is the wait queue with its lock.
+type queue struct {
+	mu     sync.Mutex
+	tasks  waitqueue.Queue[*task]
+	random *rand.Rand
 }
 
 // Use sets what the table works with. It is called once, before any other method.
 func (t *Table) Use(workers *fleet.Fleet, sidecars Sidecars, log zerolog.Logger) {
 	t.workers, t.sidecars, t.log = workers, sidecars, log
+	t.closer.sidecars = sidecars
+	workers.Watch(t.changed)
 }
 
+// Own sets the incarnation of this entry. Tickets of another one are not started here.
+func (t *Table) Own(incarnation uint64) { t.incarnation = incarnation }
+
+// Limit sets the number of tasks that may wait, the number of submissions held and the memory for inputs and answers
+// in bytes. Zero keeps the default.
+func (t *Table) Limit(queueTasks, submissions, answerMemory int) {
+	t.queue.tasks.SetBound(queueTasks)
+	t.size = submissions
+	t.memory.limit = int64(answerMemory)
+}
+
+// Choose sets the placement policy; the default is two choices.
+func (t *Table) Choose(p placement.Policy) { t.policy = p }
+
+// Measure sets the registry of the metrics. It is called before Run.
+func (t *Table) Measure(r metrics.Registry) { t.registry = r }
+
 // Run dispatches tasks until ctx ends.
-func (t *Table) Run(ctx context.Context) { <-ctx.Done() }
+func (t *Table) Run(ctx context.Context) {
+	go t.expiry.run(ctx, t)
+	t.loop(ctx)
+}
 
 // Submit takes a submission, or returns the one that is held under the same ticket.
-func (t *Table) Submit(_ submission.Submission) (*Held, error) {
-	return nil, fault.New(fault.NoAgreement, "no agreement is known yet")
+func (t *Table) Submit(s submission.Submission) (*Held, error) {
+	now := time.Now()
+
+	h, err := t.submit(s, now)
+	if err != nil {
+		t.refused(s, err)
+
+		return nil, err
+	}
+
+	return h, nil
 }
 
 // Find returns a held submission.
-func (t *Table) Find(_ string) (*Held, bool) { return nil, false }
+func (t *Table) Find(id string) (*Held, bool) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	h, found := s.held[id]
+
+	return h, found
+}
+
+// Inflight returns the number of submissions without an answer.
+func (t *Table) Inflight() int { return int(t.inflight.Load()) }
+
+// Count returns the number of submissions held.
+func (t *Table) Count() int { return int(t.count.Load()) }
+
+func (t *Table) submit(s submission.Submission, now time.Time) (*Held, error) {
+	if err := t.expiry.check(s.Ticket().Expiry(), now); err != nil {
+		return nil, err
+	}
+
+	d := t.shard(s.ID())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if h, found := d.held[s.ID()]; found {
+		return h, h.matches(s)
+	}
 
-// Drain refuses new submissions and waits until nothing is in flight.
-func (t *Table) Drain(_ context.Context) error { return nil }
+	h, err := t.admit(s, now)
+	if err != nil {
+		return nil, err
+	}
 
-// Export returns the ended submissions for a handover.
-func (t *Table) Export() []*wire.HeldSubmission { return nil }
+	d.put(h)
+	t.count.Add(1)
+	t.inflight.Add(1)
+	t.expiry.add(h)
+	h.begin(now)
 
-// Import takes submissions over from another home.
-func (t *Table) Import(_ []*wire.HeldSubmission) {}
+	return h, nil
+}
+
+func (t *Table) shard(id string) *shard { return &t.shards[xxhash.Sum64String(id)%shards] }
+
+func (s *shard) put(h *Held) {
+	if s.held == nil {
+		s.held = map[string]*Held{}
+	}
+
+	s.held[h.id] = h
+}
+
+func (t *Table) endedSignal() chan struct{} {
+	t.endedOnce.Do(func() { t.ended = make(chan struct{}, 1) })
+
+	return t.ended
+}
--- a/weir/process/fleet/fleet.go
+++ b/weir/process/fleet/fleet.go
@@ -23,6 +23,8 @@
 	known map[string]*Worker
 	// watch is called after each change that may give a waiting task a place; it must not block.
 	watch atomic.Pointer[func(*Worker)]
+	// members is closed and replaced when a worker connects or disconnects. Guarded by mu.
+	members chan struct{}
 }
 
 // View is an immutable set of connected workers, ordered by name.
@@ -59,6 +61,18 @@
 // Watch sets the function that is called after a report of a worker, or with nil after any other change.
 func (f *Fleet) Watch(changed func(*Worker)) { f.watch.Store(&changed) }
 
+// Changed is closed when a worker connects or disconnects next.
+func (f *Fleet) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.members == nil {
+		f.members = make(chan struct{})
+	}
+
+	return f.members
+}
+
 // Connect adds the worker. The same incarnation keeps its counts; another one of the same name is replaced.
 func (f *Fleet) Connect(d *wire.Worker, now time.Time) *Worker {
 	f.mu.Lock()
@@ -76,8 +90,10 @@
 	f.replace(d.GetName(), w)
 
 	w.connected.Store(true)
+	w.leaving.Store(false)
 	w.heard.Store(now.UnixNano())
-	f.eject()
+	f.eject(now)
+	f.announce()
 	f.mu.Unlock()
 	f.changed(nil)
 
@@ -94,7 +110,8 @@
 		f.replace(w.Name(), nil)
 	}
 
-	f.eject()
+	f.eject(time.Now())
+	f.announce()
 	f.mu.Unlock()
 	f.changed(nil)
 }
@@ -124,7 +141,7 @@
 
 			if old.suspect != r.suspect || r.suspect && old.failurePermille != r.failurePermille {
 				f.mu.Lock()
-				f.eject()
+				f.eject(now)
 				f.mu.Unlock()
 			}
 
@@ -150,8 +167,6 @@
 
 		w.joinedPlusOne.Store(joined)
 	}
-
-	f.changed(nil)
 }
 
 func newWorker(d *wire.Worker) *Worker {
@@ -192,7 +207,7 @@
 
 // eject marks the worst suspects. The bound keeps a fault that all workers share, such as a bad kind of task, from
 // taking the whole fleet out. The caller holds mu.
-func (f *Fleet) eject() {
+func (f *Fleet) eject(now time.Time) {
 	workers := f.View().Workers()
 
 	var suspects []*Worker
@@ -210,7 +225,20 @@
 	})
 
 	for i, w := range suspects {
-		w.ejected.Store(i < len(workers)/maxEjected)
+		out := i < len(workers)/maxEjected
+		if out && !w.Ejected() {
+			w.probe.begin(now)
+		}
+
+		w.ejected.Store(out)
+	}
+}
+
+// announce wakes those who wait for a connection. The caller holds mu.
+func (f *Fleet) announce() {
+	if f.members != nil {
+		close(f.members)
+		f.members = nil
 	}
 }
 
--- a/weir/process/fleet/probe.go
+++ b/weir/process/fleet/probe.go
@@ -21,6 +21,12 @@
 	running bool
 }
 
+func (p *probe) begin(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next = now.Add(minProbeDelay)
+}
+
 // ProbeDue tells whether a probe may be sent, and for how long that has been so.
 func (w *Worker) ProbeDue(now time.Time) (since time.Duration, due bool) {
 	if !w.Report().Probe() {
--- a/weir/process/fleet/report.go
+++ b/weir/process/fleet/report.go
@@ -12,6 +12,8 @@
 	probe           bool
 	// full holds the kinds whose run queue takes no more tasks; it is nil if there are none.
 	full map[string]bool
+	// queuedByKind holds the queued slots of the kinds that queue something.
+	queuedByKind map[string]int
 }
 
 func newReport(l *wire.Load) *Report {
@@ -21,6 +23,14 @@
 	}
 
 	for _, k := range l.GetKinds() {
+		if n := int(k.GetQueuedSlots()); n > 0 {
+			if r.queuedByKind == nil {
+				r.queuedByKind = map[string]int{}
+			}
+
+			r.queuedByKind[k.GetKind()] = n
+		}
+
 		if k.GetRoom() {
 			continue
 		}
@@ -41,6 +51,12 @@
 // Busy returns the slots held and queued.
 func (r *Report) Busy() int { return r.held + r.queued }
 
+// Held returns the slots held by running tasks.
+func (r *Report) Held() int { return r.held }
+
+// Queued returns the queued slots of the kind.
+func (r *Report) Queued(kind string) int { return r.queuedByKind[kind] }
+
 // Suspect tells whether the backend server fails too often.
 func (r *Report) Suspect() bool { return r.suspect }
 
--- a/weir/process/fleet/worker.go
+++ b/weir/process/fleet/worker.go
@@ -85,6 +85,30 @@
 	return int(max(int64(w.Report().Busy())+w.since.Load(), w.outstanding.Load()))
 }
 
+// Free tells whether the worker is estimated to start a task of that many slots at once.
+func (w *Worker) Free(kind string, slots int) bool {
+	return w.Load()+slots <= w.Slots() && w.Room(kind)
+}
+
+// Queues tells whether the run queue of the kind is estimated to take a task of that many slots.
+func (w *Worker) Queues(kind string, slots int) bool {
+	if !w.Room(kind) {
+		return false
+	}
+
+	r := w.Report()
+	// Starts since the report fill the free slots first and then the queue.
+	since := max(0, int(w.since.Load())-max(0, w.Slots()-r.Held()))
+
+	return r.Queued(kind)+since < slots*max(minQueue, w.Slots()/queuePart)
+}
+
+// The length of a sidecar's run queue for one kind in tasks: a quarter of its slots, and at least two.
+const (
+	minQueue  = 2
+	queuePart = 4
+)
+
 // Started counts a start of that many slots.
 func (w *Worker) Started(slots int) {
 	w.outstanding.Add(int64(slots))
@@ -94,7 +118,10 @@
 // Ended takes back the count of a start whose outcome is known or given up.
 func (w *Worker) Ended(slots int) { w.outstanding.Add(-int64(slots)) }
 
-// Refuse notes that the worker rejected the kind for want of room. It holds until the next report.
+// anyKind stands for all kinds in refusals.
+const anyKind = ""
+
+// Refuse notes that the worker rejected the kind, or all kinds if it is empty. It holds until the next report.
 func (w *Worker) Refuse(kind string) {
 	for {
 		old := w.refused.Load()
@@ -114,7 +141,7 @@
 
 // Room tells whether the run queue of the kind is not known to be full.
 func (w *Worker) Room(kind string) bool {
-	if r := w.refused.Load(); r != nil && r.kinds[kind] {
+	if r := w.refused.Load(); r != nil && (r.kinds[anyKind] || r.kinds[kind]) {
 		return false
 	}
 
--- /dev/null
+++ b/weir/process/retrybudget/budget_test.go
@@ -0,0 +1,48 @@
+package retrybudget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/retrybudget"
+)
+
+// Guards against retries that amplify an overload: 1000 failing requests in 1 s get about 100 retries.
+func TestRetriesAreAShareOfRequests(t *testing.T) {
+	is := is.New(t)
+
+	var b retrybudget.Budget
+
+	now, retries := time.Unix(100, 0), 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		b.Request(now)
+
+		for b.Spend(now) {
+			retries++
+		}
+	}
+
+	is.True(retries >= 100 && retries <= 103)
+}
+
+// Guards against a quiet entry that can never retry, and against a budget that grows without bound while idle.
+func TestFloorAndBurst(t *testing.T) {
+	is := is.New(t)
+
+	var b retrybudget.Budget
+
+	now := time.Unix(100, 0)
+	is.True(b.Spend(now))
+	is.True(!b.Spend(now))
+	is.True(b.Spend(now.Add(time.Second)))
+
+	now, retries := now.Add(time.Hour), 0
+	for b.Spend(now) {
+		retries++
+	}
+
+	is.Equal(retries, 20)
+}
--- /dev/null
+++ b/weir/process/waitqueue/queue.go
@@ -0,0 +1,402 @@
+// Package waitqueue holds the tasks that wait at an entry for a place.
+package waitqueue
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// defaultBound is the number of tasks that a queue of zero value holds at most.
+const defaultBound = 20000
+
+// Queue has one flow for each member and kind. It is not safe for concurrent use. The zero value works.
+type Queue[T any] struct {
+	kinds map[string]*kind[T]
+	// order holds the kinds by name, so that ties are decided the same way every time.
+	order []*kind[T]
+	// tasks and held are the sums over all kinds.
+	tasks, held int
+	members     map[string]int
+	bound       int
+	capacity    int
+	// pass is the number of the present pass over the flows.
+	pass uint64
+}
+
+// kind holds the flows of one kind of work.
+type kind[T any] struct {
+	name string
+	// share is in percent, and at least 1.
+	share  int
+	urgent bool
+	tasks  int
+	held   int
+	flows  []*Flow[T]
+	drain  drain
+}
+
+// Flow holds the waiting tasks of one member and kind, first come first.
+type Flow[T any] struct {
+	kind   *kind[T]
+	member string
+	// limit is the member's limit in slots, and at least 1.
+	limit       int
+	held        int
+	first, last *Item[T]
+	// skipped is the last pass in which the head of this flow found no place.
+	skipped uint64
+	// blocked is true if no worker had room for the head; only news of a worker can change that.
+	blocked bool
+}
+
+// Item is a waiting task.
+type Item[T any] struct {
+	value      T
+	slots      int
+	flow       *Flow[T]
+	prev, next *Item[T]
+	waiting    bool
+	since      time.Time
+	// moved is the last pass in which the item was moved back.
+	moved uint64
+}
+
+// Value returns the task.
+func (i *Item[T]) Value() T { return i.value }
+
+// Waiting tells whether the item is in the queue.
+func (i *Item[T]) Waiting() bool { return i.waiting }
+
+// Since returns when the item was first pushed.
+func (i *Item[T]) Since() time.Time { return i.since }
+
+// Blocked tells whether no worker had room when the head of the item's flow was last tried.
+func (i *Item[T]) Blocked() bool { return i.flow.blocked }
+
+// SetBound sets the number of tasks that may wait.
+func (q *Queue[T]) SetBound(tasks int) { q.bound = tasks }
+
+// SetCapacity sets the slots that this entry can expect to use, of which the kinds have their shares.
+func (q *Queue[T]) SetCapacity(slots int) { q.capacity = slots }
+
+// SetKind sets the share of a kind in percent and whether it is urgent.
+func (q *Queue[T]) SetKind(name string, share int, urgent bool) {
+	k := q.kind(name)
+	k.share, k.urgent = max(share, 1), urgent
+}
+
+// SetLimit sets the limit in slots of a member.
+func (q *Queue[T]) SetLimit(member string, slots int) {
+	for _, k := range q.order {
+		for _, f := range k.flows {
+			if f.member == member {
+				f.limit = max(slots, 1)
+			}
+		}
+	}
+}
+
+// Tasks returns the number of waiting tasks.
+func (q *Queue[T]) Tasks() int { return q.tasks }
+
+// TasksOf returns the number of waiting tasks of the kind.
+func (q *Queue[T]) TasksOf(name string) int {
+	if k, found := q.kinds[name]; found {
+		return k.tasks
+	}
+
+	return 0
+}
+
+// Held returns the slots of tasks that were taken and not released.
+func (q *Queue[T]) Held() int { return q.held }
+
+// Admits tells whether n more tasks fit in. Half of the bound is split among the kinds by their shares and the rest
+// is common, so that a flood of one kind leaves room for the others; one member gets at most three quarters.
+func (q *Queue[T]) Admits(member, name string, n int) bool {
+	bound := q.bound
+	if bound == 0 {
+		bound = defaultBound
+	}
+
+	if q.tasks+n > bound || q.members[member]+n > bound-bound/4 {
+		return false
+	}
+
+	q.kind(name)
+
+	common := bound - bound/2
+
+	for _, k := range q.order {
+		tasks := k.tasks
+		if k.name == name {
+			tasks += n
+		}
+
+		over := tasks - bound/2*k.share/100
+		if over > 0 {
+			common -= over
+		}
+
+		if k.name == name && over <= 0 {
+			return true
+		}
+	}
+
+	return common >= 0
+}
+
+// Push appends a task and returns its item.
+func (q *Queue[T]) Push(member, name string, limit, slots int, value T, now time.Time) *Item[T] {
+	f := q.flow(member, name, limit)
+	i := &Item[T]{value: value, slots: slots, flow: f, since: now}
+	q.insert(i, f.last)
+
+	if f.kind.tasks == 1 {
+		f.kind.drain.begin(now)
+	}
+
+	return i
+}
+
+// Return puts a task that was taken back to the head of its flow and releases its slots.
+func (q *Queue[T]) Return(i *Item[T]) {
+	q.Release(i)
+	q.insert(i, nil)
+}
+
+// Remove takes a waiting item out without counting it as held. An item that does not wait is left alone.
+func (q *Queue[T]) Remove(i *Item[T]) {
+	if !i.waiting {
+		return
+	}
+
+	q.unlink(i)
+}
+
+// Take removes the item and counts its slots as held until Release.
+func (q *Queue[T]) Take(i *Item[T], now time.Time) {
+	q.unlink(i)
+
+	f := i.flow
+	f.held += i.slots
+	f.kind.held += i.slots
+	q.held += i.slots
+	f.kind.drain.taken(now)
+}
+
+// Release ends the hold of a taken item.
+func (q *Queue[T]) Release(i *Item[T]) {
+	f := i.flow
+	f.held -= i.slots
+	f.kind.held -= i.slots
+	q.held -= i.slots
+}
+
+// Begin starts a pass over the flows. With unblock, blocked flows are tried in full again.
+func (q *Queue[T]) Begin(unblock bool) {
+	q.pass++
+
+	if !unblock {
+		return
+	}
+
+	for _, k := range q.order {
+		for _, f := range k.flows {
+			f.blocked = false
+		}
+	}
+}
+
+// Next returns the head of the flow that is served next and was not skipped in this pass, or nil.
+func (q *Queue[T]) Next() *Item[T] {
+	var (
+		best      *Flow[T]
+		bestClass int
+		bestRatio float64
+	)
+
+	for _, k := range q.order {
+		if k.tasks == 0 {
+			continue
+		}
+
+		class, ratio := q.rank(k)
+		if best != nil && (class > bestClass || class == bestClass && ratio >= bestRatio) {
+			continue
+		}
+
+		if f := k.next(q.pass); f != nil {
+			best, bestClass, bestRatio = f, class, ratio
+		}
+	}
+
+	if best == nil {
+		return nil
+	}
+
+	return best.first
+}
+
+// Skip passes over the flow of the item for the rest of the pass. With blocked, the flow waits for news of a worker.
+func (q *Queue[T]) Skip(i *Item[T], blocked bool) {
+	i.flow.skipped = q.pass
+	i.flow.blocked = blocked
+}
+
+// MoveBack puts the item behind the others of its flow, and returns false if that was done before in this pass.
+func (q *Queue[T]) MoveBack(i *Item[T]) bool {
+	if i.moved == q.pass || i.flow.first == i.flow.last {
+		return false
+	}
+
+	i.moved = q.pass
+	f := i.flow
+	q.unlink(i)
+	q.insert(i, f.last)
+
+	return true
+}
+
+// Wait estimates how long a new task of the kind waits until it is taken; known is false without a backlog to
+// measure.
+func (q *Queue[T]) Wait(name string, n int, now time.Time) (wait time.Duration, known bool) {
+	k, found := q.kinds[name]
+	if !found || k.tasks == 0 {
+		return 0, false
+	}
+
+	rate, known := k.drain.rate(now)
+	if !known {
+		return 0, false
+	}
+
+	seconds := float64(k.tasks+n) / rate
+	if seconds > math.MaxInt32 {
+		seconds = math.MaxInt32
+	}
+
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// rank gives the class of section "Shares" of the design and the ratio of held slots to share within it.
+func (q *Queue[T]) rank(k *kind[T]) (class int, ratio float64) {
+	// Beyond the expected capacity the shares apply to what this entry really holds.
+	capacity := max(q.capacity, q.held)
+	below := k.held*100 < k.share*capacity
+
+	switch {
+	case below && k.urgent:
+		class = 0
+	case below:
+		class = 1
+	default:
+		class = 2
+	}
+
+	return class, float64(k.held) / float64(k.share)
+}
+
+// next returns the flow of the member that holds the least in proportion to its limit.
+func (k *kind[T]) next(pass uint64) *Flow[T] {
+	var best *Flow[T]
+
+	for _, f := range k.flows {
+		if f.first == nil || f.skipped == pass {
+			continue
+		}
+
+		if best == nil || f.held*best.limit < best.held*f.limit {
+			best = f
+		}
+	}
+
+	return best
+}
+
+func (q *Queue[T]) kind(name string) *kind[T] {
+	if k, found := q.kinds[name]; found {
+		return k
+	}
+
+	if q.kinds == nil {
+		q.kinds = map[string]*kind[T]{}
+	}
+
+	k := &kind[T]{name: name, share: 1}
+	q.kinds[name] = k
+	q.order = append(q.order, k)
+	slices.SortFunc(q.order, func(a, b *kind[T]) int { return strings.Compare(a.name, b.name) })
+
+	return k
+}
+
+func (q *Queue[T]) flow(member, name string, limit int) *Flow[T] {
+	k := q.kind(name)
+
+	for _, f := range k.flows {
+		if f.member == member {
+			f.limit = max(limit, 1)
+
+			return f
+		}
+	}
+
+	f := &Flow[T]{kind: k, member: member, limit: max(limit, 1)}
+	k.flows = append(k.flows, f)
+
+	return f
+}
+
+// insert links the item behind another one, or at the head if that is nil.
+func (q *Queue[T]) insert(i, behind *Item[T]) {
+	f := i.flow
+	i.prev, i.next = behind, f.first
+
+	if behind != nil {
+		i.next = behind.next
+		behind.next = i
+	} else {
+		f.first = i
+	}
+
+	if i.next != nil {
+		i.next.prev = i
+	} else {
+		f.last = i
+	}
+
+	i.waiting = true
+	q.count(f, 1)
+}
+
+func (q *Queue[T]) unlink(i *Item[T]) {
+	f := i.flow
+
+	if i.prev != nil {
+		i.prev.next = i.next
+	} else {
+		f.first = i.next
+	}
+
+	if i.next != nil {
+		i.next.prev = i.prev
+	} else {
+		f.last = i.prev
+	}
+
+	i.prev, i.next, i.waiting = nil, nil, false
+	q.count(f, -1)
+}
+
+func (q *Queue[T]) count(f *Flow[T], n int) {
+	if q.members == nil {
+		q.members = map[string]int{}
+	}
+
+	f.kind.tasks += n
+	q.tasks += n
+	q.members[f.member] += n
+}
