--- /dev/null
+++ b/entry/home/bench_test.go
@@ -0,0 +1,294 @@
+package home_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/entry/home"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const agreed = `{"agreement":"test","members":[
+ {"name":"mill","limit_percent":100,"credential_sha256":"` + hash1 + `"},
+ {"name":"shop","limit_slots":2,"credential_sha256":"` + hash2 + `"}],
+ "kinds":[{"name":"scan","service":"grain","share_percent":40,"urgent":false,"max_cores":8},
+ {"name":"quote","service":"mix","share_percent":40,"urgent":true,"max_cores":4}]}`
+
+const (
+	hash1 = "0000000000000000000000000000000000000000000000000000000000000001"
+	hash2 = "0000000000000000000000000000000000000000000000000000000000000002"
+)
+
+// bench is a table with a fleet and sidecars of its own, without a network.
+type bench struct {
+	table   *home.Table
+	fleet   *fleet.Fleet
+	book    *ledger.Book
+	workers map[string]*fleet.Worker
+
+	mu     sync.Mutex
+	starts []*wire.Start
+	closed map[string]int
+	// start gives the outcome of a start; by default it completes with the input.
+	start func(ctx context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error)
+	// close gives the tasks that a worker reports as started.
+	close func(worker string, submission string) ([]*wire.TaskId, error)
+
+	sequence atomic.Uint64
+	reports  atomic.Uint64
+}
+
+func newBench(tb testing.TB, names ...string) *bench {
+	tb.Helper()
+
+	b := &bench{
+		table: &home.Table{}, fleet: &fleet.Fleet{}, book: &ledger.Book{}, workers: map[string]*fleet.Worker{}, closed: map[string]int{},
+		start: func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+			return completed(s, s.GetInput()), true, nil
+		},
+	}
+
+	a, err := agreement.Parse([]byte(agreed))
+	if err != nil {
+		tb.Fatal(err)
+	}
+
+	records := []ledger.Record{ledger.NewRecord(0, time.Now(), ledger.PublicationRecord(0, []byte("n"), "op", a))}
+	for i, n := range names {
+		records = append(records, ledger.NewRecord(int64(i+1), time.Now(), ledger.WorkerJoinedRecord(descriptor(n, 1))))
+	}
+
+	b.book.Advance(records, int64(len(records)))
+	b.table.Use(b.fleet, b, zerolog.Nop())
+
+	for _, n := range names {
+		b.connect(n, 1)
+	}
+
+	b.table.Follow(tb.Context(), b.book)
+
+	go b.table.Run(tb.Context())
+
+	return b
+}
+
+func descriptor(name string, incarnation uint64) *wire.Worker {
+	w := &wire.Worker{}
+	w.SetName(name)
+	w.SetIncarnation(incarnation)
+	w.SetSlots(8)
+	w.SetMemoryMb(1024)
+	w.SetFailureDomain("d-" + name)
+
+	return w
+}
+
+func (b *bench) connect(name string, incarnation uint64) {
+	w := b.fleet.Connect(descriptor(name, incarnation), time.Now())
+	b.workers[name] = w
+}
+
+// report sends a load report of a worker.
+func (b *bench) report(name string) {
+	l := &wire.Load{}
+	l.SetSequence(b.reports.Add(1))
+	l.SetSlots(8)
+	b.fleet.Report(b.workers[name], l, time.Now())
+}
+
+// heartbeats reports for all workers until the test ends.
+func (b *bench) heartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		for n := range b.workers {
+			b.report(n)
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (b *bench) Start(ctx context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+	b.mu.Lock()
+	b.starts = append(b.starts, s)
+	start := b.start
+	b.mu.Unlock()
+
+	return start(ctx, w, s)
+}
+
+func (b *bench) Close(_ context.Context, worker string, incarnation uint64, ids []string, _ bool) (*wire.CloseReply, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed[worker]++
+
+	r := &wire.CloseReply{}
+	r.SetIncarnation(incarnation)
+
+	var all []*wire.Closed
+
+	for _, id := range ids {
+		c := &wire.Closed{}
+		c.SetSubmission(id)
+
+		if b.close != nil {
+			started, err := b.close(worker, id)
+			if err != nil {
+				return nil, err
+			}
+
+			c.SetStarted(started)
+		}
+
+		all = append(all, c)
+	}
+
+	r.SetClosed(all)
+
+	return r, nil
+}
+
+func (b *bench) sent() []*wire.Start {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return append([]*wire.Start{}, b.starts...)
+}
+
+type options struct {
+	kind     string
+	form     submission.Form
+	cores    int
+	memory   int
+	position int64
+	deadline time.Duration
+	lifetime time.Duration
+	member   string
+}
+
+// submission returns one of n tasks with the inputs "0", "1" and so on.
+func (b *bench) submission(n int, o options) submission.Submission {
+	now := time.Now()
+	if o.kind == "" {
+		o.kind = "scan"
+	}
+
+	if o.member == "" {
+		o.member = "mill"
+	}
+
+	if o.position == 0 {
+		o.position = b.book.State().Position()
+	}
+
+	if o.deadline == 0 {
+		o.deadline = 10 * time.Second
+	}
+
+	if o.lifetime == 0 {
+		o.lifetime = 5 * time.Minute
+	}
+
+	q := b.sequence.Add(1)
+	t := ticket.New(netip.MustParseAddrPort("127.0.0.1:1"), 7, q, o.member, o.position, now.Add(o.lifetime))
+	inputs := make([][]byte, n)
+
+	for i := range inputs {
+		inputs[i] = fmt.Append(nil, i)
+	}
+
+	return submission.New(ticket.Key("key").Sign(t), t, o.kind, o.form, inputs, max(o.cores, 1), o.memory, now.Add(o.deadline))
+}
+
+func completed(s *wire.Start, output []byte) *wire.StartReply {
+	c := &wire.Completed{}
+	c.SetOutput(output)
+
+	d := sha256.Sum256(output)
+	c.SetDigest(d[:])
+	c.SetRunUs(1000)
+
+	r := &wire.StartReply{}
+	r.SetId(s.GetId())
+	r.SetCompleted(c)
+
+	return r
+}
+
+func failed(s *wire.Start, code string) *wire.StartReply {
+	f := &wire.Failed{}
+	f.SetCode(code)
+	f.SetMessage("as told")
+
+	r := &wire.StartReply{}
+	r.SetId(s.GetId())
+	r.SetFailed(f)
+
+	return r
+}
+
+func rejected(s *wire.Start, reason wire.Rejection) *wire.StartReply {
+	j := &wire.Rejected{}
+	j.SetReason(reason)
+
+	r := &wire.StartReply{}
+	r.SetId(s.GetId())
+	r.SetRejected(j)
+
+	return r
+}
+
+// result is an answer as a caller decodes it.
+type result struct {
+	Submission string
+	State      string
+	Length     int
+	Digest     string
+	Results    []struct {
+		Index  int
+		Output []byte
+	}
+	Error  struct{ Code, Ran, Message string }
+	status int
+}
+
+func await(is *is.I, h *home.Held) (r result) {
+	is.Helper()
+
+	select {
+	case <-h.Done():
+	case <-time.After(20 * time.Second):
+		is.Fail() // no answer within 20 s
+	}
+
+	status, body := h.Answer()
+	is.NoErr(json.Unmarshal(body, &r))
+	r.status = status
+
+	return r
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(is *is.I, what func() bool) {
+	is.Helper()
+
+	for end := time.Now().Add(10 * time.Second); !what(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			is.Fail() // not within 10 s
+		}
+	}
+}
--- a/entry/home/closer.go
+++ b/entry/home/closer.go
@@ -37,7 +37,7 @@
 }
 
 // add closes the submission at the worker; the result goes to Held.closed.
-func (c *closer) add(w *fleet.Worker, h *Held) {
+func (c *closer) add(ctx context.Context, w *fleet.Worker, h *Held) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -50,13 +50,14 @@
 		b = &batch{closer: c, worker: w}
 		c.batches[w] = b
 
-		go b.run()
+		// A close outlives the submission that began the batch.
+		go b.run(context.WithoutCancel(ctx))
 	}
 
 	b.waiting = append(b.waiting, h)
 }
 
-func (b *batch) run() {
+func (b *batch) run(ctx context.Context) {
 	for {
 		b.closer.mu.Lock()
 
@@ -72,14 +73,14 @@
 		b.waiting = b.waiting[n:]
 		b.closer.mu.Unlock()
 
-		b.send(now)
+		b.send(ctx, now)
 	}
 }
 
 // send closes the submissions and tries again until closeWait is over. After that the answer says that it is unknown
 // what ran.
-func (b *batch) send(held []*Held) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+func (b *batch) send(ctx context.Context, held []*Held) {
+	ctx, cancel := context.WithTimeout(ctx, closeWait)
 	defer cancel()
 
 	ids := make([]string, len(held))
--- a/entry/home/dispatch.go
+++ b/entry/home/dispatch.go
@@ -9,7 +9,6 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
 	"github.com/skylarkweir/skylarkweir/weir/process/placement"
 	"github.com/skylarkweir/skylarkweir/weir/process/waitqueue"
-	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
 // news collects the workers that reported since the last pass.
@@ -84,9 +83,6 @@
 	}
 }
 
-// register takes over the registrations of the connected workers from the log.
-func (t *Table) register(s *ledger.State) { t.workers.Register(s.Registered) }
-
 // pass places as many waiting tasks as there is room for. Flows that found no room before are tried only on the
 // workers that reported since, so that a full fleet is not scanned for each flow at each reply.
 func (t *Table) pass() {
@@ -94,7 +90,7 @@
 
 	if all {
 		if r := t.rules.Load(); r != nil {
-			t.workers.Register(r.registered)
+			t.workers.Register(r.state.Registered)
 		}
 	}
 
@@ -124,8 +120,10 @@
 		c := t.place(i, dirty, now)
 		waits := c.Worker() == nil && !k.waited
 
+		var s *start
+
 		if c.Worker() != nil {
-			t.taken(i, c, now)
+			s = t.take(i, c, now)
 		} else {
 			k.waited = true
 			t.skip(i, c)
@@ -133,8 +131,8 @@
 		q.mu.Unlock()
 
 		switch {
-		case c.Worker() != nil:
-			go (&start{table: t, task: k, worker: c.Worker(), choice: c}).run()
+		case s != nil:
+			go s.run()
 		case waits:
 			k.work.held.placed(k, 0, c)
 		}
@@ -165,18 +163,19 @@
 	return c
 }
 
-// taken moves the item from the queue to the worker. The caller holds the lock of the queue.
-func (t *Table) taken(i *waitqueue.Item[*task], c placement.Choice, now time.Time) {
+// take moves the item from the queue to the worker. The caller holds the lock of the queue.
+func (t *Table) take(i *waitqueue.Item[*task], c placement.Choice, now time.Time) *start {
 	k := i.Value()
 	t.queue.tasks.Take(i, now)
 	k.work.spread.Add(c.Worker())
-	c.Worker().Started(i.Slots())
 
 	if c.Probe() {
 		c.Worker().ProbeStarted()
 	}
 
 	t.meters().waited(now.Sub(i.Since()))
+
+	return &start{table: t, task: k, worker: c.Worker(), choice: c, before: c.Worker().Started(i.Slots()), attempt: k.attempt}
 }
 
 // skip leaves the flow of the item for this pass. An item without any candidate lets the others of its flow pass.
--- a/entry/home/ending.go
+++ b/entry/home/ending.go
@@ -27,11 +27,6 @@
 
 	l.Msg(eventEnded)
 	t.meters().ended(e.cause)
-	t.inflight.Add(-1)
 	close(h.done)
-
-	select {
-	case t.endedSignal() <- struct{}{}:
-	default:
-	}
+	t.less()
 }
--- a/entry/home/expiry.go
+++ b/entry/home/expiry.go
@@ -64,6 +64,8 @@
 			for _, h := range e.sweep(now) {
 				t.drop(h)
 			}
+
+			t.memory.compact()
 		}
 	}
 }
--- /dev/null
+++ b/entry/home/failure_test.go
@@ -0,0 +1,423 @@
+package home_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+)
+
+var errBroken = errors.New("connection broke")
+
+// room is what an idle worker of the bench takes: its 8 slots and a run queue of 2 tasks.
+const room = 10
+
+// hang keeps a start without a reply until its submission lets go.
+func hang(ctx context.Context, _ *fleet.Worker, _ *wire.Start) (*wire.StartReply, bool, error) {
+	<-ctx.Done()
+
+	return nil, true, ctx.Err()
+}
+
+// Guards against a failed task that leaves a job half done (I2) or its queued tasks in the queue.
+func TestFailedTaskFailsTheJob(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a")
+	b.start = func(ctx context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		if s.GetId().GetIndex() == 3 {
+			for len(b.sent()) < room {
+				time.Sleep(time.Millisecond)
+			}
+
+			return failed(s, "task_failed"), true, nil
+		}
+
+		return hang(ctx, w, s)
+	}
+
+	h, err := b.table.Submit(b.submission(100, options{}))
+	is.NoErr(err)
+
+	r := await(is, h)
+	is.Equal(r.Error.Code, "task_failed")
+	is.Equal(r.Error.Ran, "some")
+	is.Equal(len(b.sent()), room)
+	eventually(is, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+
+		return b.closed["a"] == 1
+	})
+}
+
+// Guards against "ran none" when a start may have run (I4): what the sidecars confirm decides.
+func TestDeadlineTellsWhatRan(t *testing.T) {
+	for name, c := range map[string]struct {
+		start func(ctx context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error)
+		close func(worker, id string) ([]*wire.TaskId, error)
+		ran   string
+	}{
+		"confirmed as not started": {hang, nil, "none"},
+		"confirmed as started": {hang, func(_, id string) ([]*wire.TaskId, error) {
+			k := &wire.TaskId{}
+			k.SetSubmission(id)
+
+			return []*wire.TaskId{k}, nil
+		}, "some"},
+		"not confirmed": {hang, func(string, string) ([]*wire.TaskId, error) { return nil, errBroken }, "unknown"},
+		"never sent": {func(context.Context, *fleet.Worker, *wire.Start) (*wire.StartReply, bool, error) {
+			return nil, false, errBroken
+		}, func(string, string) ([]*wire.TaskId, error) { return nil, errBroken }, "none"},
+		"rejected": {func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+			return rejected(s, wire.Rejection_REJECTION_LEASE_LAPSED), true, nil
+		}, nil, "none"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newBench(t, "a")
+			b.start, b.close = c.start, c.close
+
+			h, err := b.table.Submit(b.submission(3, options{deadline: 200 * time.Millisecond}))
+			is.NoErr(err)
+
+			r := await(is, h)
+			is.Equal(r.Error.Code, "deadline_exceeded")
+			is.Equal(r.status, 504)
+			is.Equal(r.Error.Ran, c.ran)
+		})
+	}
+}
+
+// Guards against a late answer that revives a submission after its failure was told.
+func TestLateOutcomeChangesNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a")
+	release := make(chan struct{})
+	b.start = func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		<-release
+
+		return completed(s, s.GetInput()), true, nil
+	}
+
+	h, err := b.table.Submit(b.submission(1, options{}))
+	is.NoErr(err)
+	eventually(is, func() bool { return len(b.sent()) == 1 })
+	h.Cancel()
+	is.Equal(await(is, h).Error.Code, "cancelled")
+
+	_, before := h.Answer()
+	close(release)
+	eventually(is, func() bool { return b.workers["a"].Outstanding() == 0 })
+
+	_, after := h.Answer()
+	is.Equal(string(before), string(after))
+}
+
+// Guards against one close message for each cancelled submission.
+func TestWaveOfCancellationsIsBatched(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a")
+	b.start = hang
+	b.table.Limit(5000, 0, 0)
+	b.report("a")
+
+	cancels := make([]func(), 0, 2000)
+
+	for range 2000 {
+		h, err := b.table.Submit(b.submission(1, options{}))
+		is.NoErr(err)
+		cancels = append(cancels, h.Cancel)
+	}
+
+	eventually(is, func() bool { return len(b.sent()) == room })
+
+	b.mu.Lock()
+	b.close = func(string, string) ([]*wire.TaskId, error) {
+		time.Sleep(20 * time.Millisecond)
+
+		return nil, nil
+	}
+	b.mu.Unlock()
+
+	// Waiting tasks first, since a cancelled start makes room for one that waits.
+	for _, c := range slices.Backward(cancels) {
+		c()
+	}
+
+	is.NoErr(b.table.Drain(t.Context()))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	is.True(b.closed["a"] <= 2)
+	is.Equal(len(b.starts), room)
+}
+
+// Guards against a task that runs on a second worker while the first one may still run it (I1), and against a lost
+// outcome after a short break.
+func TestBrokenConnectionRepeatsTheSameStart(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a", "b")
+
+	var broken atomic.Pointer[fleet.Worker]
+
+	b.start = func(_ context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		if broken.CompareAndSwap(nil, w) {
+			b.fleet.Disconnect(w)
+
+			return nil, true, errBroken
+		}
+
+		return completed(s, s.GetInput()), true, nil
+	}
+
+	h, err := b.table.Submit(b.submission(1, options{}))
+	is.NoErr(err)
+	eventually(is, func() bool { return broken.Load() != nil })
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(len(b.sent()), 1) // not placed elsewhere
+
+	b.connect(broken.Load().Name(), 1)
+	is.Equal(await(is, h).status, 200)
+
+	sent := b.sent()
+	is.Equal(len(sent), 2)
+	is.Equal(sent[0].GetId().GetAttempt(), sent[1].GetId().GetAttempt())
+	is.Equal(broken.Load().Outstanding(), 0)
+}
+
+// Guards against a second run of a request that is not repeatable (I5) when its worker was replaced.
+func TestLostWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		form   submission.Form
+		status int
+		ran    string
+		starts int
+	}{
+		"job":                    {submission.Job{}, 502, "unknown", 1},
+		"not repeatable request": {submission.NewRequest(false), 502, "unknown", 1},
+		"repeatable request":     {submission.NewRequest(true), 200, "", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newBench(t, "a", "b")
+
+			var lost atomic.Bool
+
+			b.start = func(_ context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+				if lost.CompareAndSwap(false, true) {
+					b.fleet.Disconnect(w)
+					b.fleet.Connect(descriptor(w.Name(), 2), time.Now())
+
+					return nil, true, errBroken
+				}
+
+				return completed(s, s.GetInput()), true, nil
+			}
+
+			h, err := b.table.Submit(b.submission(1, options{form: c.form}))
+			is.NoErr(err)
+
+			r := await(is, h)
+			is.Equal(r.status, c.status)
+			is.Equal(r.Error.Ran, c.ran)
+			is.Equal(len(b.sent()), c.starts)
+		})
+	}
+}
+
+// Guards against retries of work that failed by its own fault or is not repeatable, and against endless retries.
+func TestRetries(t *testing.T) {
+	for name, c := range map[string]struct {
+		form   submission.Form
+		code   string
+		starts int
+	}{
+		"backend failed, repeatable":     {submission.NewRequest(true), "backend_failed", 3},
+		"backend failed, not repeatable": {submission.NewRequest(false), "backend_failed", 1},
+		"task failed, repeatable":        {submission.NewRequest(true), "task_failed", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newBench(t, "a", "b")
+
+			// Requests that pay for the budget.
+			for range 30 {
+				h, err := b.table.Submit(b.submission(1, options{form: submission.NewRequest(true)}))
+				is.NoErr(err)
+				await(is, h)
+			}
+
+			b.mu.Lock()
+			b.starts = nil
+			b.start = func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+				return failed(s, c.code), true, nil
+			}
+			b.mu.Unlock()
+
+			h, err := b.table.Submit(b.submission(1, options{form: c.form}))
+			is.NoErr(err)
+
+			r := await(is, h)
+			is.Equal(r.Error.Code, c.code)
+			is.Equal(r.Error.Ran, "some")
+			is.Equal(len(b.sent()), c.starts)
+		})
+	}
+}
+
+// Guards against an altered output that is delivered (I3), and against a reply of another start.
+func TestOutputsAndRepliesAreChecked(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a")
+	b.start = func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		r := completed(s, s.GetInput())
+		r.GetCompleted().SetOutput([]byte("altered"))
+
+		return r, true, nil
+	}
+
+	h, err := b.table.Submit(b.submission(1, options{}))
+	is.NoErr(err)
+	is.Equal(await(is, h).Error.Code, "backend_failed")
+
+	other := &wire.Start{}
+	other.SetId(&wire.TaskId{})
+	b.mu.Lock()
+	b.start = func(context.Context, *fleet.Worker, *wire.Start) (*wire.StartReply, bool, error) {
+		return completed(other, nil), true, nil
+	}
+	b.mu.Unlock()
+
+	h, err = b.table.Submit(b.submission(1, options{deadline: 300 * time.Millisecond}))
+	is.NoErr(err)
+	is.Equal(await(is, h).Error.Code, "deadline_exceeded")
+}
+
+// Guards against a home that goes on after another entry has closed its submission and told the caller so.
+func TestClosedByAnotherEntry(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a", "b")
+	b.start = func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		return rejected(s, wire.Rejection_REJECTION_CLOSED), true, nil
+	}
+
+	h, err := b.table.Submit(b.submission(1, options{}))
+	is.NoErr(err)
+
+	r := await(is, h)
+	is.Equal(r.Error.Code, "home_lost")
+	is.Equal(r.Error.Ran, "none")
+	is.Equal(len(b.sent()), 1)
+}
+
+// Guards against work for a worker that leaves, is silent or is ejected (I6), and against work lost in the meantime.
+func TestUnusableWorkersGetNothing(t *testing.T) {
+	for name, unusable := range map[string]func(b *bench){
+		"leaving": func(b *bench) { b.fleet.Leave(b.workers["a"]) },
+		"silent":  func(b *bench) { b.fleet.Hear(b.workers["a"], time.Now().Add(-3*time.Second)) },
+		"suspect": func(b *bench) {
+			l := &wire.Load{}
+			l.SetSequence(1)
+			l.SetSuspect(true)
+			b.fleet.Report(b.workers["a"], l, time.Now())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, "a", "b", "c")
+			unusable(b)
+
+			var wrong atomic.Int64
+
+			b.start = func(_ context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+				if w.Name() == "a" {
+					wrong.Add(1)
+				}
+
+				return completed(s, s.GetInput()), true, nil
+			}
+
+			h, err := b.table.Submit(b.submission(100, options{}))
+			is.NoErr(err)
+			is.Equal(await(is, h).status, 200)
+			is.Equal(wrong.Load(), int64(0))
+		})
+	}
+}
+
+// Guards against tasks that start twice, answers that are not whole and slots that leak, under random rejections,
+// failures, breaks and cancellations.
+func TestRandomFaults(t *testing.T) {
+	const seed = 20261204
+
+	t.Logf("seed %d", seed)
+	is := is.New(t)
+	b := newBench(t, "a", "b", "c", "d")
+	go b.heartbeats(t.Context())
+
+	random := rand.New(rand.NewPCG(seed, 1))
+	ran := map[string]int{}
+	b.start = func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		b.mu.Lock()
+		fate := random.IntN(100)
+		key := fmt.Sprint(s.GetId().GetSubmission(), "/", s.GetId().GetIndex())
+
+		if fate >= 20 {
+			ran[key]++
+		}
+		b.mu.Unlock()
+
+		time.Sleep(time.Duration(fate) * 20 * time.Microsecond)
+
+		switch {
+		case fate < 10:
+			return rejected(s, wire.Rejection_REJECTION_QUEUE_FULL), true, nil
+		case fate < 20:
+			return nil, false, errBroken
+		case fate < 21:
+			return failed(s, "backend_failed"), true, nil
+		default:
+			return completed(s, s.GetInput()), true, nil
+		}
+	}
+
+	for n := range 300 {
+		h, err := b.table.Submit(b.submission(1+n%20, options{deadline: 20 * time.Second}))
+		is.NoErr(err)
+
+		if n%17 == 0 {
+			go h.Cancel()
+		}
+	}
+
+	is.NoErr(b.table.Drain(t.Context()))
+
+	for _, n := range ran {
+		is.Equal(n, 1)
+	}
+
+	eventually(is, func() bool {
+		sum := 0
+		for _, w := range b.fleet.View().Workers() {
+			sum += w.Outstanding()
+		}
+
+		return sum == 0
+	})
+
+	_, err := b.table.Submit(b.submission(1, options{}))
+	is.Equal(fault.KindOf(err), fault.Leaving)
+}
--- a/entry/home/held.go
+++ b/entry/home/held.go
@@ -200,7 +200,7 @@
 }
 
 // stopped takes an attempt that ran without an output, or may have run. It is retried if that is allowed.
-func (h *Held) stopped(k *task, ran bool, cause error, retry bool) (retried bool) {
+func (h *Held) stopped(k *task, ran bool, cause error, retry bool, at *fleet.Worker) (retried bool) {
 	h.mu.Lock()
 	if !ran && k.worker != nil {
 		k.work.unknown = true
@@ -212,7 +212,7 @@
 		return false
 	}
 
-	if retry && h.retry(k) {
+	if retry && h.retry(k, at) {
 		h.unlock()
 
 		return true
@@ -238,6 +238,14 @@
 	return true
 }
 
+// rejectedFor takes an attempt that was not started for a reason that ends the submission.
+func (h *Held) rejectedFor(k *task, cause error) {
+	h.mu.Lock()
+	h.resolve(k, false)
+	h.unlock()
+	h.fail(cause)
+}
+
 // resolve ends the pending state of a start. It returns false if that was done before. The caller holds mu.
 func (h *Held) resolve(k *task, ran bool) bool {
 	if k.worker == nil {
@@ -256,12 +264,13 @@
 }
 
 // retry queues a repeatable request again within the budget. The caller holds mu.
-func (h *Held) retry(k *task) bool {
+func (h *Held) retry(k *task, at *fleet.Worker) bool {
 	if !k.work.submission.Form().Repeatable() || k.retries >= maxRetries || !h.table.budget.Spend(time.Now()) {
 		return false
 	}
 
 	k.retries++
+	k.avoid = at
 	h.again(k)
 
 	return true
@@ -305,7 +314,7 @@
 	}
 
 	for _, worker := range at {
-		h.table.closer.add(worker, h)
+		h.table.closer.add(w.ctx, worker, h)
 	}
 
 	if !h.settle(false) {
--- a/entry/home/memory.go
+++ b/entry/home/memory.go
@@ -1,8 +1,6 @@
 package home
 
-import (
-	"sync"
-)
+import "sync"
 
 // memory accounts for inputs, outputs and answers. The zero value works with the default limit.
 type memory struct {
@@ -44,6 +42,17 @@
 	m.shrink(0)
 }
 
+// compact forgets answers that were dropped for another reason.
+func (m *memory) compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	for len(m.order) > 0 && m.order[0].dropped() {
+		m.order[0] = nil
+		m.order = m.order[1:]
+	}
+}
+
 // shrink drops delivered answers until n more bytes fit.
 func (m *memory) shrink(n int64) {
 	for {
@@ -72,6 +81,13 @@
 	return defaultAnswerMemory
 }
 
+func (h *Held) dropped() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.state == released
+}
+
 // release drops the answer and returns its size.
 func (h *Held) release() int64 {
 	h.mu.Lock()
--- a/entry/home/meters.go
+++ b/entry/home/meters.go
@@ -32,7 +32,7 @@
 			r = metrics.NewRegistry()
 		}
 
-		t.metrics = &meters{
+		t.measured = &meters{
 			registry: r,
 			starts:   metrics.GetOrRegisterCounter("starts", r),
 			retries:  metrics.GetOrRegisterCounter("retries", r),
@@ -46,14 +46,16 @@
 		r.GetOrRegister("answers.bytes", metrics.NewFunctionalGauge(t.memory.bytes))
 	})
 
-	return t.metrics
+	return t.measured
 }
 
 func (m *meters) start() { m.starts.Inc(1) }
 
 func (m *meters) retry() { m.retries.Inc(1) }
 
-func (m *meters) reject(reason string) { metrics.GetOrRegisterCounter("rejects."+reason, m.registry).Inc(1) }
+func (m *meters) reject(reason string) {
+	metrics.GetOrRegisterCounter("rejects."+reason, m.registry).Inc(1)
+}
 
 func (m *meters) refused(err error) {
 	metrics.GetOrRegisterCounter("refusals."+fault.KindOf(err).Code(), m.registry).Inc(1)
--- a/entry/home/rules.go
+++ b/entry/home/rules.go
@@ -19,6 +19,7 @@
 	slots   int
 	entries int
 	agreed  *agreement.Agreement
+	state   *ledger.State
 	// allowances maps a member to its slots by worker; filled on first use, since few of many members are active.
 	allowances sync.Map
 }
@@ -33,7 +34,7 @@
 func newRules(s *ledger.State) *rules {
 	r := &rules{
 		ready: s.Ready() && s.Version() > 0, kinds: map[string]kindRule{}, members: map[string]int{},
-		workers: s.Workers(), entries: max(len(s.Entries()), 1), agreed: s.Agreement(),
+		workers: s.Workers(), entries: max(len(s.Entries()), 1), agreed: s.Agreement(), state: s,
 	}
 
 	if r.agreed == nil {
@@ -124,7 +125,7 @@
 func (t *Table) apply(s *ledger.State) {
 	r := newRules(s)
 	t.rules.Store(r)
-	t.register(s)
+	t.workers.Register(s.Registered)
 
 	t.queue.mu.Lock()
 	for name, k := range r.kinds {
--- a/entry/home/start.go
+++ b/entry/home/start.go
@@ -28,6 +28,8 @@
 	task   *task
 	worker *fleet.Worker
 	choice placement.Choice
+	// before is the load report that does not include this start.
+	before *fleet.Report
 	// attempt is fixed when the start is handed out, since the task may move on.
 	attempt int
 	// sent is true once the sidecar may have received the start.
@@ -36,7 +38,6 @@
 
 func (s *start) run() {
 	t, h := s.table, s.task.work.held
-	s.attempt = s.task.attempt
 
 	if !h.hand(s.task, s.worker) {
 		s.over(false, false)
@@ -238,7 +239,7 @@
 // over gives the slots back. A task that is queued again has released its part of the queue already.
 func (s *start) over(queued, success bool) {
 	t := s.table
-	s.worker.Ended(s.task.work.place.Slots())
+	s.worker.Ended(s.task.work.place.Slots(), s.before)
 
 	if s.choice.Probe() {
 		s.worker.ProbeEnded(time.Now(), success)
--- /dev/null
+++ b/entry/home/submit_test.go
@@ -0,0 +1,153 @@
+package home_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+)
+
+// Guards against partial or reordered answers (I2, I3): outputs end in random order and are given whole and in order.
+func TestJobIsAnsweredWhole(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a", "b", "c")
+	h, err := b.table.Submit(b.submission(50, options{}))
+	is.NoErr(err)
+
+	r := await(is, h)
+	is.Equal(r.status, 200)
+	is.Equal(r.State, "complete")
+	is.Equal(r.Submission, h.ID())
+	is.Equal(len(r.Results), 50)
+
+	all := ""
+	for i, x := range r.Results {
+		is.Equal(x.Index, i)
+		is.Equal(string(x.Output), strconv.Itoa(i))
+		all += string(x.Output)
+	}
+
+	sum := sha256.Sum256([]byte(all))
+	is.Equal(r.Digest, hex.EncodeToString(sum[:]))
+	is.Equal(r.Length, len(all))
+}
+
+// Guards against tasks that start twice when a client resubmits (I1), also many times at once.
+func TestResubmissionsStartNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a", "b")
+	s := b.submission(20, options{})
+
+	var wg sync.WaitGroup
+
+	for range 32 {
+		wg.Go(func() {
+			h, err := b.table.Submit(s)
+			if err == nil {
+				<-h.Done()
+			}
+		})
+	}
+
+	wg.Wait()
+
+	h, err := b.table.Submit(s)
+	is.NoErr(err)
+	is.Equal(await(is, h).status, 200)
+	is.Equal(len(b.sent()), 20)
+
+	other := submission.New(s.ID(), s.Ticket(), "scan", nil, [][]byte{[]byte("x")}, 1, 0, s.Deadline())
+	_, err = b.table.Submit(other)
+	is.Equal(fault.KindOf(err), fault.Conflict)
+}
+
+// Guards against work that is accepted although it can never run or not now, and against a refusal that started a task.
+func TestRefusals(t *testing.T) {
+	for name, c := range map[string]struct {
+		o    options
+		kind fault.Kind
+	}{
+		"more cores than any worker":         {options{cores: 9}, fault.NeverRunnable},
+		"more cores than the kind allows":    {options{kind: "quote", cores: 5}, fault.NeverRunnable},
+		"more cores than the member's limit": {options{member: "shop", cores: 3}, fault.NeverRunnable},
+		"more memory than any worker":        {options{memory: 2000}, fault.NeverRunnable},
+		"unknown kind":                       {options{kind: "x"}, fault.InvalidRequest},
+		"unknown member":                     {options{member: "x"}, fault.Forbidden},
+		"ticket older than the workers":      {options{position: 1}, fault.NoWorkers},
+		"deadline has passed":                {options{deadline: -time.Second}, fault.DeadlineExceeded},
+		"expired ticket":                     {options{lifetime: -time.Second}, fault.TicketExpired},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, "a")
+			_, err := b.table.Submit(b.submission(1, c.o))
+			is.Equal(fault.KindOf(err), c.kind)
+			is.Equal(len(b.sent()), 0)
+		})
+	}
+
+	is := is.New(t)
+	b := newBench(t)
+	_, err := b.table.Submit(b.submission(1, options{}))
+	is.Equal(fault.KindOf(err), fault.NoWorkers)
+}
+
+// Guards against starts on a worker that the closing entry would not ask, since it registered after the ticket (I4).
+func TestOnlyWorkersBelowThePositionAreUsed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a", "b", "c")
+
+	// Offsets are 1, 2 and 3; a position of 2 has applied only the first.
+	h, err := b.table.Submit(b.submission(30, options{position: 2}))
+	is.NoErr(err)
+	eventually(is, func() bool { b.report("a"); return len(b.sent()) == 30 })
+	is.Equal(await(is, h).status, 200)
+
+	for _, s := range b.sent() {
+		is.Equal(s.GetPosition(), int64(2))
+	}
+
+	is.Equal(b.workers["b"].Outstanding()+b.workers["c"].Outstanding(), 0)
+}
+
+// Guards against lost tasks when workers reject starts: each task is placed elsewhere until it runs.
+func TestRejectedStartsArePlacedElsewhere(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a", "b")
+	b.start = func(_ context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		if w.Name() == "a" {
+			return rejected(s, wire.Rejection_REJECTION_QUEUE_FULL), true, nil
+		}
+
+		return completed(s, s.GetInput()), true, nil
+	}
+
+	h, err := b.table.Submit(b.submission(6, options{}))
+	is.NoErr(err)
+	is.Equal(await(is, h).status, 200)
+
+	seen := map[string]int{}
+	for _, s := range b.sent() {
+		seen[strconv.Itoa(int(s.GetId().GetIndex()))+"/"+strconv.Itoa(int(s.GetId().GetAttempt()))]++
+	}
+
+	for _, n := range seen {
+		is.Equal(n, 1) // a rejected attempt is never sent again
+	}
+
+	// One rejection takes the worker out until its next report.
+	is.True(len(b.sent()) <= 6+6)
+	is.True(!b.workers["a"].Room("scan"))
+	b.report("a")
+	is.True(b.workers["a"].Room("scan"))
+}
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -58,7 +58,7 @@
 
 	metricsOnce sync.Once
 	registry    metrics.Registry
-	metrics     *meters
+	measured    *meters
 }
 
 type shard struct {
@@ -147,14 +147,18 @@
 		return h, h.matches(s)
 	}
 
+	// Counted before the check for leaving, so that Drain does not miss a submission that is being admitted.
+	t.inflight.Add(1)
+
 	h, err := t.admit(s, now)
 	if err != nil {
+		t.less()
+
 		return nil, err
 	}
 
 	d.put(h)
 	t.count.Add(1)
-	t.inflight.Add(1)
 	t.expiry.add(h)
 	h.begin(now)
 
@@ -171,6 +175,16 @@
 	s.held[h.id] = h
 }
 
+// less counts one submission less in flight and wakes Drain.
+func (t *Table) less() {
+	t.inflight.Add(-1)
+
+	select {
+	case t.endedSignal() <- struct{}{}:
+	default:
+	}
+}
+
 func (t *Table) endedSignal() chan struct{} {
 	t.endedOnce.Do(func() { t.ended = make(chan struct{}, 1) })
 
--- a/entry/home/task.go
+++ b/entry/home/task.go
@@ -51,6 +51,9 @@
 	waited bool
 }
 
-func (k *task) id() (submission string, index, attempt int) {
-	return k.work.held.id, k.index, k.attempt
+// allowed tells whether the member has an allowance at the worker.
+func (w *work) allowed(worker string) bool {
+	r := w.held.table.rules.Load()
+
+	return r == nil || r.allowed(w.held.member, worker)
 }
--- a/entry/sidecar/hub.go
+++ b/entry/sidecar/hub.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
@@ -10,6 +12,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
 // Registrar appends the registration of a worker to the log.
@@ -22,24 +25,132 @@
 type Hub struct {
 	entry     *wire.Entry
 	workers   *fleet.Fleet
+	book      *ledger.Book
 	registrar Registrar
 	log       zerolog.Logger
+
+	mu sync.Mutex
+	// links holds the present connection of each worker name.
+	links map[string]*link
 }
 
 // Use sets what the hub works with. It is called once, before any other method.
-func (h *Hub) Use(entry *wire.Entry, workers *fleet.Fleet, registrar Registrar, log zerolog.Logger) {
-	h.entry, h.workers, h.registrar, h.log = entry, workers, registrar, log
+func (h *Hub) Use(entry *wire.Entry, workers *fleet.Fleet, book *ledger.Book, registrar Registrar, log zerolog.Logger) {
+	h.entry, h.workers, h.book, h.registrar, h.log = entry, workers, book, registrar, log
 }
 
 // Serve handles the connection of a sidecar until it ends.
-func (h *Hub) Serve(_ context.Context, _ *quic.Conn, _ *quic.Stream, _ *wire.Hello) {}
+func (h *Hub) Serve(ctx context.Context, c *quic.Conn, control *quic.Stream, hello *wire.Hello) {
+	if hello.GetWorker().GetName() == "" || hello.GetWorker().GetIncarnation() == 0 {
+		c.Close("hello names no worker")
+
+		return
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	l := &link{hub: h, conn: c, control: control}
+
+	if err := l.welcome(); err != nil {
+		c.Close("welcome failed")
+
+		return
+	}
+
+	l.worker = h.workers.Connect(hello.GetWorker(), time.Now())
+	h.attach(l)
+	h.log.Info().Str("worker", l.worker.Name()).Uint64("incarnation", l.worker.Incarnation()).
+		Str("remote", c.Remote().String()).Msg("sidecar_connected")
+
+	go l.accept(ctx)
+
+	err := l.run(ctx)
+
+	c.Close("connection ended")
+	h.detach(l)
+	h.log.Info().Str("worker", l.worker.Name()).Uint64("incarnation", l.worker.Incarnation()).Err(err).Msg("sidecar_disconnected")
+}
 
 // Start sends one start to the worker and waits for its reply. The start was certainly not sent if sent is false.
-func (h *Hub) Start(_ context.Context, _ *fleet.Worker, _ *wire.Start) (reply *wire.StartReply, sent bool, err error) {
-	return nil, false, merry.New("worker is not connected")
+func (h *Hub) Start(ctx context.Context, w *fleet.Worker, s *wire.Start) (reply *wire.StartReply, sent bool, err error) {
+	l, found := h.find(w.Name(), w.Incarnation())
+	if !found {
+		return nil, false, merry.Errorf("worker %s is not connected", w.Name())
+	}
+
+	return l.start(ctx, s)
 }
 
 // Close closes submissions at one incarnation of a sidecar.
-func (h *Hub) Close(_ context.Context, _ string, _ uint64, _ []string, _ bool) (*wire.CloseReply, error) {
-	return nil, merry.New("worker is not connected")
+func (h *Hub) Close(ctx context.Context, worker string, incarnation uint64, submissions []string, cancel bool) (*wire.CloseReply, error) {
+	l, found := h.find(worker, incarnation)
+	if !found {
+		return nil, merry.Errorf("worker %s is not connected", worker)
+	}
+
+	m := &wire.Close{}
+	m.SetSubmissions(submissions)
+	m.SetCancel(cancel)
+	m.SetKeepMs(closeKeep.Milliseconds())
+
+	f := &wire.Frame{}
+	f.SetClose(m)
+
+	reply, err := l.conn.RoundTrip(ctx, f)
+	if err != nil {
+		return nil, merry.Prependf(err, "close at worker %s", worker)
+	}
+
+	if reply.WhichBody() != wire.Frame_CloseReply_case || reply.GetCloseReply().GetIncarnation() != incarnation {
+		return nil, merry.Errorf("close at worker %s: reply of another incarnation", worker)
+	}
+
+	return reply.GetCloseReply(), nil
+}
+
+// closeKeep is how long tombstones are kept: the longest lifetime of a ticket that is not set otherwise, and the margin
+// of the start tables.
+const closeKeep = 5*time.Minute + 30*time.Second
+
+func (h *Hub) find(worker string, incarnation uint64) (*link, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	l, found := h.links[worker]
+
+	return l, found && l.worker.Incarnation() == incarnation
+}
+
+// attach makes l the connection of its worker. An older one is closed, since a sidecar dials again only after a loss.
+func (h *Hub) attach(l *link) {
+	h.mu.Lock()
+
+	old := h.links[l.worker.Name()]
+
+	if h.links == nil {
+		h.links = map[string]*link{}
+	}
+
+	h.links[l.worker.Name()] = l
+	h.mu.Unlock()
+
+	if old != nil {
+		old.conn.Close("replaced by a newer connection")
+	}
+}
+
+func (h *Hub) detach(l *link) {
+	h.mu.Lock()
+
+	present := h.links[l.worker.Name()] == l
+	if present {
+		delete(h.links, l.worker.Name())
+	}
+
+	h.mu.Unlock()
+
+	if present {
+		h.workers.Disconnect(l.worker)
+	}
 }
--- /dev/null
+++ b/entry/sidecar/hub_test.go
@@ -0,0 +1,340 @@
+package sidecar_test
+
+import (
+	"context"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/entry/sidecar"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// rig is a hub that listens, and what its sidecars dial with.
+type rig struct {
+	hub          sidecar.Hub
+	fleet        fleet.Fleet
+	book         ledger.Book
+	entry, other quic.Node
+	registered   atomic.Int64
+}
+
+func (r *rig) Register(context.Context, *wire.Worker) error {
+	r.registered.Add(1)
+
+	return nil
+}
+
+func newRig(tb testing.TB) *rig {
+	tb.Helper()
+	is := is.New(tb)
+	dir := tb.TempDir()
+	is.NoErr(quic.IssueKeys(dir, time.Hour))
+
+	keys, err := quic.LoadKeys(filepath.Join(dir, quic.CertificateFile), filepath.Join(dir, quic.KeyFile), filepath.Join(dir, quic.AuthorityFile))
+	is.NoErr(err)
+
+	r := &rig{}
+	is.NoErr(r.entry.Listen("127.0.0.1:0", keys))
+	is.NoErr(r.other.Listen("127.0.0.1:0", keys))
+	tb.Cleanup(func() {
+		r.other.Close()
+		r.entry.Close()
+	})
+
+	e := &wire.Entry{}
+	e.SetName("entry")
+	r.hub.Use(e, &r.fleet, &r.book, r, zerolog.Nop())
+
+	go r.run(tb.Context())
+
+	return r
+}
+
+func (r *rig) run(ctx context.Context) {
+	for {
+		c, err := r.entry.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		s, err := c.Accept(ctx)
+		if err != nil {
+			continue
+		}
+
+		f, err := s.Receive()
+		if err != nil {
+			continue
+		}
+
+		go r.hub.Serve(ctx, c, s, f.GetHello())
+	}
+}
+
+// peer is the sidecar's end of a connection.
+type peer struct {
+	conn    *quic.Conn
+	control *quic.Stream
+	reply   func(s *wire.Start) *wire.StartReply
+	acks    atomic.Int64
+}
+
+func (r *rig) dial(tb testing.TB, reply func(s *wire.Start) *wire.StartReply) *peer {
+	tb.Helper()
+	is := is.New(tb)
+
+	c, err := r.other.Dial(tb.Context(), r.entry.Address().String())
+	is.NoErr(err)
+
+	s, err := c.Open(tb.Context())
+	is.NoErr(err)
+
+	w := &wire.Worker{}
+	w.SetName("w")
+	w.SetIncarnation(1)
+	w.SetSlots(64)
+
+	hello := &wire.Hello{}
+	hello.SetWorker(w)
+
+	f := &wire.Frame{}
+	f.SetHello(hello)
+	is.NoErr(s.Send(f))
+
+	f, err = s.Receive()
+	is.NoErr(err)
+	is.Equal(f.GetWelcome().GetEntry().GetName(), "entry")
+
+	p := &peer{conn: c, control: s, reply: reply}
+	go p.run(tb.Context())
+
+	return p
+}
+
+func (p *peer) run(ctx context.Context) {
+	for {
+		s, err := p.conn.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		go p.serve(s)
+	}
+}
+
+func (p *peer) serve(s *quic.Stream) {
+	defer s.Close()
+
+	f, err := s.Receive()
+	if err != nil {
+		return
+	}
+
+	out := &wire.Frame{}
+
+	switch f.WhichBody() {
+	case wire.Frame_Start_case:
+		r := p.reply(f.GetStart())
+		if r == nil {
+			return
+		}
+
+		out.SetStartReply(r)
+	case wire.Frame_Close_case:
+		r := &wire.CloseReply{}
+		r.SetIncarnation(1)
+
+		c := &wire.Closed{}
+		c.SetSubmission(f.GetClose().GetSubmissions()[0])
+		r.SetClosed([]*wire.Closed{c})
+		out.SetCloseReply(r)
+	default:
+		return
+	}
+
+	if s.Send(out) == nil {
+		if f, err := s.Receive(); err == nil && f.WhichBody() == wire.Frame_StartAck_case {
+			p.acks.Add(1)
+		}
+	}
+}
+
+func (p *peer) heartbeat(sequence, epoch uint64) error {
+	l := &wire.Load{}
+	l.SetSequence(sequence)
+	l.SetHeldSlots(5)
+
+	b := &wire.Heartbeat{}
+	b.SetSequence(sequence)
+	b.SetLeaseEpoch(epoch)
+	b.SetLoad(l)
+
+	f := &wire.Frame{}
+	f.SetHeartbeat(b)
+
+	return p.control.Send(f)
+}
+
+func echo(s *wire.Start) *wire.StartReply {
+	c := &wire.Completed{}
+	c.SetOutput(s.GetInput())
+
+	r := &wire.StartReply{}
+	r.SetId(s.GetId())
+	r.SetCompleted(c)
+
+	return r
+}
+
+func eventually(is *is.I, what func() bool) {
+	is.Helper()
+
+	for end := time.Now().Add(10 * time.Second); !what(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			is.Fail() // not within 10 s
+		}
+	}
+}
+
+func start() *wire.Start {
+	id := &wire.TaskId{}
+	id.SetSubmission("s")
+
+	m := &wire.Start{}
+	m.SetId(id)
+	m.SetInput([]byte("input"))
+
+	return m
+}
+
+// Guards against starts without the present lease epoch, unacknowledged outcomes, and a sidecar that never gets the
+// records it lacks.
+func TestHeartbeatsStartsAndRecords(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.book.Advance([]ledger.Record{ledger.NewRecord(0, time.Now(), ledger.WorkerLeftRecord("x", 1, false))}, 1)
+
+	epochs := make(chan uint64, 1)
+	p := r.dial(t, func(s *wire.Start) *wire.StartReply {
+		epochs <- s.GetLeaseEpoch()
+
+		return echo(s)
+	})
+	is.NoErr(p.heartbeat(1, 42))
+
+	f, err := p.control.Receive()
+	is.NoErr(err)
+	is.Equal(f.GetHeartbeatAck().GetSequence(), uint64(1))
+	is.Equal(f.GetHeartbeatAck().GetLeaseEpoch(), uint64(42))
+	is.Equal(f.GetHeartbeatAck().GetPosition(), int64(1))
+
+	f, err = p.control.Receive()
+	is.NoErr(err)
+	is.Equal(f.GetRecords().GetThrough(), int64(1))
+	is.Equal(len(f.GetRecords().GetRecords()), 1)
+
+	w, found := r.fleet.View().Find("w")
+	is.True(found)
+	is.Equal(w.Load(), 5)
+
+	reply, sent, err := r.hub.Start(t.Context(), w, start())
+	is.NoErr(err)
+	is.True(sent)
+	is.Equal(string(reply.GetCompleted().GetOutput()), "input")
+	is.Equal(<-epochs, uint64(42))
+	eventually(is, func() bool { return p.acks.Load() == 1 })
+
+	c, err := r.hub.Close(t.Context(), "w", 1, []string{"s"}, true)
+	is.NoErr(err)
+	is.Equal(c.GetClosed()[0].GetSubmission(), "s")
+
+	_, err = r.hub.Close(t.Context(), "w", 2, []string{"s"}, true)
+	is.True(err != nil) // another incarnation cannot confirm
+}
+
+// Guards against a registration for another worker than the connection's, and against a lost exchange.
+func TestRegister(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	p := r.dial(t, echo)
+
+	for name, ok := range map[string]bool{"w": true, "v": false} {
+		w := &wire.Worker{}
+		w.SetName(name)
+		w.SetIncarnation(1)
+
+		m := &wire.Register{}
+		m.SetWorker(w)
+
+		f := &wire.Frame{}
+		f.SetRegister(m)
+
+		reply, err := p.conn.RoundTrip(t.Context(), f)
+		is.NoErr(err)
+		is.Equal(reply.GetRegisterReply().GetOk(), ok)
+	}
+
+	is.Equal(r.registered.Load(), int64(1))
+}
+
+// Guards against an unknown outcome that is taken for "not sent", and against a lost worker that stays in the view.
+func TestBrokenConnection(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	received := make(chan bool)
+	p := r.dial(t, func(*wire.Start) *wire.StartReply {
+		close(received)
+		<-t.Context().Done()
+
+		return nil
+	})
+	eventually(is, func() bool { return len(r.fleet.View().Workers()) == 1 })
+	w := r.fleet.View().Workers()[0]
+
+	go func() {
+		<-received
+		p.conn.Close("test")
+	}()
+
+	_, sent, err := r.hub.Start(t.Context(), w, start())
+	is.True(err != nil)
+	is.True(sent)
+	eventually(is, func() bool { return len(r.fleet.View().Workers()) == 0 })
+
+	_, sent, err = r.hub.Start(t.Context(), w, start())
+	is.True(err != nil)
+	is.True(!sent)
+
+	// The same incarnation keeps its record when it is back.
+	r.dial(t, echo)
+	eventually(is, func() bool { return len(r.fleet.View().Workers()) == 1 })
+	is.Equal(r.fleet.View().Workers()[0], w)
+	_, _, err = r.hub.Start(t.Context(), w, start())
+	is.NoErr(err)
+}
+
+// BenchmarkStart measures one exchange over QUIC on loopback, both ends included.
+func BenchmarkStart(b *testing.B) {
+	is := is.New(b)
+	r := newRig(b)
+	r.dial(b, echo)
+	eventually(is, func() bool { return len(r.fleet.View().Workers()) == 1 })
+	w := r.fleet.View().Workers()[0]
+
+	b.SetParallelism(64)
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			if _, _, err := r.hub.Start(b.Context(), w, start()); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entry/sidecar/link.go
@@ -0,0 +1,221 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+)
+
+// registerWait bounds how long a registration may take. A longer outage of the log is waited for by the sidecar.
+const registerWait = 30 * time.Second
+
+// link is one connection of a sidecar.
+type link struct {
+	hub     *Hub
+	conn    *quic.Conn
+	control *quic.Stream
+	worker  *fleet.Worker
+	// epoch is the lease epoch of the latest heartbeat.
+	epoch atomic.Uint64
+	// sending serialises frames on the control stream.
+	sending sync.Mutex
+	// position is the log position that the sidecar has reached or that was sent to it at passed. Guarded by sending.
+	position int64
+	passed   time.Time
+}
+
+func (l *link) send(f *wire.Frame) error {
+	l.sending.Lock()
+	defer l.sending.Unlock()
+
+	return l.control.Send(f)
+}
+
+func (l *link) welcome() error {
+	m := &wire.Welcome{}
+	m.SetEntry(l.hub.entry)
+	m.SetPosition(l.hub.book.State().Position())
+
+	f := &wire.Frame{}
+	f.SetWelcome(m)
+
+	return l.send(f)
+}
+
+// run reads the control stream until it ends.
+func (l *link) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, l.control.Reset)
+	defer stop()
+
+	for {
+		f, err := l.control.Receive()
+		if err != nil {
+			return err
+		}
+
+		now := time.Now()
+		l.hub.workers.Hear(l.worker, now)
+
+		switch f.WhichBody() {
+		case wire.Frame_Heartbeat_case:
+			err = l.heartbeat(f.GetHeartbeat(), now)
+		case wire.Frame_Records_case:
+			err = l.hub.book.Receive(f.GetRecords())
+		case wire.Frame_Leaving_case:
+			l.hub.workers.Leave(l.worker)
+		default:
+			err = merry.Errorf("unexpected frame %v on the control stream", f.WhichBody())
+		}
+
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (l *link) heartbeat(b *wire.Heartbeat, now time.Time) error {
+	// Before the load, which may let a waiting task start with this epoch.
+	l.epoch.Store(b.GetLeaseEpoch())
+	l.hub.workers.Report(l.worker, b.GetLoad(), now)
+
+	m := &wire.HeartbeatAck{}
+	m.SetSequence(b.GetSequence())
+	m.SetLeaseEpoch(b.GetLeaseEpoch())
+	m.SetPosition(l.hub.book.State().Position())
+
+	f := &wire.Frame{}
+	f.SetHeartbeatAck(m)
+
+	if err := l.send(f); err != nil {
+		return err
+	}
+
+	return l.pass(b.GetPosition(), now)
+}
+
+// passAgain is the time after which a sidecar that is still behind is sent the same records again.
+const passAgain = 2 * time.Second
+
+// pass sends the records that a sidecar at the position lacks. It follows each heartbeat and not each change of the
+// book, since all entries would then send each record to each sidecar at once.
+func (l *link) pass(position int64, now time.Time) error {
+	l.sending.Lock()
+	defer l.sending.Unlock()
+
+	if position >= l.position || now.Sub(l.passed) > passAgain {
+		l.position = position
+	}
+
+	r := l.hub.book.Since(l.position)
+	if r == nil {
+		return nil
+	}
+
+	f := &wire.Frame{}
+	f.SetRecords(r)
+
+	if err := l.control.Send(f); err != nil {
+		return err
+	}
+
+	l.position, l.passed = max(r.GetThrough(), r.GetSnapshotPosition()), now
+
+	return nil
+}
+
+// accept serves the exchanges that the sidecar starts.
+func (l *link) accept(ctx context.Context) {
+	for {
+		s, err := l.conn.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		go (&exchange{l, s}).run(ctx)
+	}
+}
+
+func (l *link) start(ctx context.Context, m *wire.Start) (reply *wire.StartReply, sent bool, err error) {
+	s, err := l.conn.Open(ctx)
+	if err != nil {
+		return nil, false, err
+	}
+	defer s.Close()
+
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+
+	m.SetLeaseEpoch(l.epoch.Load())
+
+	f := &wire.Frame{}
+	f.SetStart(m)
+
+	if err := s.Send(f); err != nil {
+		return nil, true, err
+	}
+
+	in, err := s.Receive()
+	if err != nil {
+		return nil, true, err
+	}
+
+	l.hub.workers.Hear(l.worker, time.Now())
+
+	if in.WhichBody() != wire.Frame_StartReply_case {
+		return nil, true, merry.Errorf("worker %s answered a start with %v", l.worker.Name(), in.WhichBody())
+	}
+
+	ack := &wire.Frame{}
+	ack.SetStartAck(&wire.StartAck{})
+	// A lost acknowledgement costs the sidecar memory until the ticket expires, nothing else.
+	_ = s.Send(ack)
+
+	return in.GetStartReply(), true, nil
+}
+
+// exchange is a stream that the sidecar opened.
+type exchange struct {
+	link   *link
+	stream *quic.Stream
+}
+
+func (e *exchange) run(ctx context.Context) {
+	defer e.stream.Close()
+
+	f, err := e.stream.Receive()
+	if err != nil || f.WhichBody() != wire.Frame_Register_case {
+		e.stream.Reset()
+
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, registerWait)
+	defer cancel()
+
+	reply := &wire.RegisterReply{}
+	reply.SetOk(true)
+
+	w := f.GetRegister().GetWorker()
+
+	if w.GetName() != e.link.worker.Name() || w.GetIncarnation() != e.link.worker.Incarnation() {
+		err = merry.New("registration is for another worker than the connection")
+	} else {
+		err = e.link.hub.registrar.Register(ctx, w)
+	}
+
+	if err != nil {
+		reply.SetOk(false)
+		reply.SetMessage(err.Error())
+	}
+
+	out := &wire.Frame{}
+	out.SetRegisterReply(reply)
+	_ = e.stream.Send(out)
+}
--- a/weir/process/fleet/fleet.go
+++ b/weir/process/fleet/fleet.go
@@ -25,6 +25,7 @@
 	watch atomic.Pointer[func(*Worker)]
 	// members is closed and replaced when a worker connects or disconnects. Guarded by mu.
 	members chan struct{}
+	ejected atomic.Int64
 }
 
 // View is an immutable set of connected workers, ordered by name.
@@ -61,6 +62,9 @@
 // Watch sets the function that is called after a report of a worker, or with nil after any other change.
 func (f *Fleet) Watch(changed func(*Worker)) { f.watch.Store(&changed) }
 
+// Ejected returns how many workers receive probes only.
+func (f *Fleet) Ejected() int { return int(f.ejected.Load()) }
+
 // Changed is closed when a worker connects or disconnects next.
 func (f *Fleet) Changed() <-chan struct{} {
 	f.mu.Lock()
@@ -224,6 +228,8 @@
 		return b.Report().FailurePermille() - a.Report().FailurePermille()
 	})
 
+	f.ejected.Store(int64(min(len(suspects), len(workers)/maxEjected)))
+
 	for i, w := range suspects {
 		out := i < len(workers)/maxEjected
 		if out && !w.Ejected() {
--- a/weir/process/fleet/worker.go
+++ b/weir/process/fleet/worker.go
@@ -82,7 +82,7 @@
 // Load estimates the slots held and queued: the report and the own starts since, but at least the own starts
 // without an outcome, since a report may have been sent before it saw them.
 func (w *Worker) Load() int {
-	return int(max(int64(w.Report().Busy())+w.since.Load(), w.outstanding.Load()))
+	return int(max(int64(w.Report().Busy())+max(0, w.since.Load()), w.outstanding.Load()))
 }
 
 // Free tells whether the worker is estimated to start a task of that many slots at once.
@@ -109,14 +109,23 @@
 	queuePart = 4
 )
 
-// Started counts a start of that many slots.
-func (w *Worker) Started(slots int) {
+// Started counts a start of that many slots. It returns the report that does not include the start, for Ended.
+func (w *Worker) Started(slots int) *Report {
+	r := w.Report()
 	w.outstanding.Add(int64(slots))
 	w.since.Add(int64(slots))
+
+	return r
 }
 
 // Ended takes back the count of a start whose outcome is known or given up.
-func (w *Worker) Ended(slots int) { w.outstanding.Add(-int64(slots)) }
+func (w *Worker) Ended(slots int, before *Report) {
+	w.outstanding.Add(-int64(slots))
+
+	if w.Report() == before {
+		w.since.Add(-int64(slots))
+	}
+}
 
 // anyKind stands for all kinds in refusals.
 const anyKind = ""
--- a/weir/process/placement/choice.go
+++ b/weir/process/placement/choice.go
@@ -95,7 +95,7 @@
 			return t.compare(first, w, c)
 		}
 
-		if first != nil && c.candidates >= 2 {
+		if first != nil && c.candidates > 1 {
 			break
 		}
 	}
--- a/weir/process/placement/task.go
+++ b/weir/process/placement/task.go
@@ -21,6 +21,8 @@
 	allowed func(worker string) bool
 	// spread is nil for a submission of one task.
 	spread *Spread
+	// avoid is the worker that failed the last attempt; it may be nil.
+	avoid *fleet.Worker
 }
 
 // NewTask returns a task of a submission whose ticket has that log position.
@@ -42,6 +44,13 @@
 	return t
 }
 
+// Avoiding returns the task for a choice among the other workers.
+func (t Task) Avoiding(w *fleet.Worker) Task {
+	t.avoid = w
+
+	return t
+}
+
 // Slots returns the size of the task in slots.
 func (t Task) Slots() int { return t.slots }
 
@@ -55,7 +64,7 @@
 
 // eligible tells whether the worker is a candidate now, apart from ejection.
 func (t Task) eligible(w *fleet.Worker, now time.Time) bool {
-	return t.Possible(w) && !w.Leaving() && now.Sub(w.Heard()) < lostAfter && (t.allowed == nil || t.allowed(w.Name()))
+	return w != t.avoid && t.Possible(w) && !w.Leaving() && now.Sub(w.Heard()) < lostAfter && (t.allowed == nil || t.allowed(w.Name()))
 }
 
 // Spread counts where the tasks of one job were placed. The zero value works; it is not safe for concurrent use.
--- a/weir/process/waitqueue/queue.go
+++ b/weir/process/waitqueue/queue.go
@@ -47,8 +47,11 @@
 	first, last *Item[T]
 	// skipped is the last pass in which the head of this flow found no place.
 	skipped uint64
-	// blocked is true if no worker had room for the head; only news of a worker can change that.
+	// blocked is true if no worker had room for the head; only news of a worker or another head can change that.
 	blocked bool
+	// moves counts the items moved back in the pass moving.
+	moves  int
+	moving uint64
 }
 
 // Item is a waiting task.
@@ -72,6 +75,9 @@
 // Since returns when the item was first pushed.
 func (i *Item[T]) Since() time.Time { return i.since }
 
+// Slots returns the size of the task.
+func (i *Item[T]) Slots() int { return i.slots }
+
 // Blocked tells whether no worker had room when the head of the item's flow was last tried.
 func (i *Item[T]) Blocked() bool { return i.flow.blocked }
 
@@ -158,6 +164,9 @@
 		f.kind.drain.begin(now)
 	}
 
+	// The new item may be smaller or have more candidates than the head, which then is moved back.
+	f.blocked = false
+
 	return i
 }
 
@@ -246,14 +255,22 @@
 	i.flow.blocked = blocked
 }
 
-// MoveBack puts the item behind the others of its flow, and returns false if that was done before in this pass.
+// maxMoves bounds the work that a flow without candidates costs in each pass.
+const maxMoves = 8
+
+// MoveBack puts the item behind the others of its flow, and returns false once that was done often enough in this pass.
 func (q *Queue[T]) MoveBack(i *Item[T]) bool {
-	if i.moved == q.pass || i.flow.first == i.flow.last {
+	f := i.flow
+	if f.moving != q.pass {
+		f.moving, f.moves = q.pass, 0
+	}
+
+	if i.moved == q.pass || f.first == f.last || f.moves == maxMoves {
 		return false
 	}
 
 	i.moved = q.pass
-	f := i.flow
+	f.moves++
 	q.unlink(i)
 	q.insert(i, f.last)
 
@@ -368,6 +385,10 @@
 		f.last = i
 	}
 
+	if f.first == i {
+		f.blocked = false
+	}
+
 	i.waiting = true
 	q.count(f, 1)
 }
@@ -379,6 +400,7 @@
 		i.prev.next = i.next
 	} else {
 		f.first = i.next
+		f.blocked = false
 	}
 
 	if i.next != nil {
