Revoke the lease of a connection that has ended

Cause: after a broken connection the entry repeats a start on the next one. If that is rejected (queue full, for instance) the task is placed elsewhere as a new attempt. A first copy that a goroutine of the sidecar still reads from the old connection carried a lease epoch that stayed valid for up to 3 s, so it could start the task a second time.

Ruled out: closing the streams of the old connection alone, since a frame may have been read already. The sidecar dials again only after the old session has returned, so revoking the lease there orders it before any repetition.

--- a/sidecar/entry/lease.go
+++ b/sidecar/entry/lease.go
@@ -24,7 +24,9 @@
 	epoch uint64
 	// until is the end of the lease; zero if none was granted in this epoch.
 	until time.Time
-	sent  [unanswered]sending
+	// revoked is set for good once the connection has ended.
+	revoked bool
+	sent    [unanswered]sending
 }
 
 type sending struct {
@@ -67,7 +69,16 @@
 
 	l.lapse(now)
 
-	return epoch == l.epoch && !l.until.IsZero()
+	return epoch == l.epoch && !l.until.IsZero() && !l.revoked
+}
+
+// Revoke ends the lease for good. The entry repeats a start on the next connection, and may place the task elsewhere
+// if that is rejected. A first copy that is still being read from this connection must not run then.
+func (l *Lease) Revoke() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.revoked = true
 }
 
 // Epoch returns the present epoch and whether the lease is granted.
@@ -77,7 +88,7 @@
 
 	l.lapse(now)
 
-	return l.epoch, !l.until.IsZero()
+	return l.epoch, !l.until.IsZero() && !l.revoked
 }
 
 // lapse begins the next epoch if the lease has ended.
--- a/sidecar/entry/session.go
+++ b/sidecar/entry/session.go
@@ -75,6 +75,8 @@
 
 // run serves the connection until it ends. Tasks that were started on it go on.
 func (s *Session) run(ctx context.Context) error {
+	defer s.lease.Revoke()
+
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 
