Add the metrics exposition writer

Cause: the entry and the sidecar both serve /metrics, and go-metrics has no writer for the text form that Prometheus-like scrapers read.

A client library with its own registry was ruled out, since go-metrics is the project's library. Labels are kept in the registry name by metrics.Name.

--- /dev/null
+++ b/weir/process/metrics/metrics.go
@@ -0,0 +1,170 @@
+// Package metrics writes a go-metrics registry in the text form that Prometheus-like scrapers read.
+package metrics
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// contentType is version 0.0.4 of the text form.
+const contentType = "text/plain; version=0.0.4; charset=utf-8"
+
+var (
+	quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+	escape    = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+)
+
+// Name returns the registry name of a metric with labels, given as pairs of name and value.
+func Name(base string, labels ...string) string {
+	if len(labels) < 2 {
+		return base
+	}
+
+	var b strings.Builder
+	b.WriteString(base)
+
+	separator := byte('{')
+	for i := 0; i+1 < len(labels); i += 2 {
+		b.WriteByte(separator)
+		b.WriteString(labels[i] + `="` + escape.Replace(labels[i+1]) + `"`)
+
+		separator = ','
+	}
+
+	b.WriteByte('}')
+
+	return b.String()
+}
+
+// Handler serves the registry.
+func Handler(r gometrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		_ = Write(w, r)
+	})
+}
+
+// Write writes all metrics in the order of their names, so that metrics that differ only in labels follow each other.
+// Timers are written in seconds; a meter is written as its count, since scrapers derive rates themselves.
+func Write(w io.Writer, r gometrics.Registry) error {
+	all := map[string]any{}
+	names := []string{}
+
+	r.Each(func(name string, metric any) {
+		all[name] = metric
+		names = append(names, name)
+	})
+	slices.SortFunc(names, byBase)
+
+	b := &writer{Writer: bufio.NewWriter(w)}
+	for _, n := range names {
+		b.metric(n, all[n])
+	}
+
+	return b.Flush()
+}
+
+// byBase compares base names first, because '{' sorts after letters.
+func byBase(a, b string) int {
+	baseA, labelsA := split(a)
+	baseB, labelsB := split(b)
+
+	if c := strings.Compare(baseA, baseB); c != 0 {
+		return c
+	}
+
+	return strings.Compare(labelsA, labelsB)
+}
+
+type writer struct {
+	*bufio.Writer
+	// base is the name whose type line was written last.
+	base string
+}
+
+func (w *writer) metric(name string, metric any) {
+	base, labels := split(name)
+
+	switch m := metric.(type) {
+	case gometrics.Counter:
+		w.typed(base, "counter")
+		w.sample(base, labels, float64(m.Count()))
+	case gometrics.Gauge:
+		w.typed(base, "gauge")
+		w.sample(base, labels, float64(m.Value()))
+	case gometrics.GaugeFloat64:
+		w.typed(base, "gauge")
+		w.sample(base, labels, m.Value())
+	case gometrics.Meter:
+		w.typed(base, "counter")
+		w.sample(base, labels, float64(m.Snapshot().Count()))
+	case gometrics.Histogram:
+		s := m.Snapshot()
+		w.summary(base, labels, s.Percentiles(quantiles), float64(s.Sum()), s.Count(), 1)
+	case gometrics.Timer:
+		s := m.Snapshot()
+		w.summary(base, labels, s.Percentiles(quantiles), float64(s.Sum()), s.Count(), 1e9)
+	}
+}
+
+func (w *writer) summary(base, labels string, values []float64, sum float64, count int64, unit float64) {
+	w.typed(base, "summary")
+
+	for i, q := range quantiles {
+		quantile := `quantile="` + strconv.FormatFloat(q, 'g', -1, 64) + `"`
+		if labels != "" {
+			quantile = labels + "," + quantile
+		}
+
+		w.sample(base, quantile, values[i]/unit)
+	}
+
+	w.sample(base+"_sum", labels, sum/unit)
+	w.sample(base+"_count", labels, float64(count))
+}
+
+func (w *writer) typed(base, kind string) {
+	if w.base == base {
+		return
+	}
+
+	w.base = base
+	fmt.Fprintf(w, "# TYPE %s %s\n", base, kind)
+}
+
+func (w *writer) sample(name, labels string, value float64) {
+	if labels != "" {
+		name += "{" + labels + "}"
+	}
+
+	text := strconv.FormatFloat(value, 'g', -1, 64)
+	if math.IsInf(value, 1) {
+		text = "+Inf"
+	}
+
+	fmt.Fprintf(w, "%s %s\n", name, text)
+}
+
+// split returns the base name with the characters that scrapers refuse replaced, and the labels without braces.
+func split(name string) (base, labels string) {
+	base, labels, _ = strings.Cut(name, "{")
+
+	return strings.Map(allowed, base), strings.TrimSuffix(labels, "}")
+}
+
+func allowed(r rune) rune {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '_', r == ':':
+		return r
+	default:
+		return '_'
+	}
+}
