--- /dev/null
+++ b/entry/caller/local.go
@@ -0,0 +1,262 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Held is a submission in the home table.
+type Held interface {
+	Done() <-chan struct{}
+	Answer() (status int, body []byte)
+	Digest() [sha256.Size]byte
+	Cancel()
+	Delivered()
+	Progress() (ended, total int)
+}
+
+// Table is the home table.
+type Table interface {
+	Submit(s submission.Submission) (Held, error)
+	Find(id string) (Held, bool)
+}
+
+// Operation is what a caller asks about one submission.
+type Operation string
+
+// The operations, as Forward names them.
+const (
+	Submit  Operation = "submit"
+	State   Operation = "state"
+	Cancel  Operation = "cancel"
+	Explain Operation = "explain"
+)
+
+// Local carries out operations on submissions whose home is this entry, or which were handed over to it.
+type Local struct {
+	mint     *Mint
+	table    Table
+	book     *ledger.Book
+	slots    *Slots
+	maxTasks int
+
+	// gate is held for reading while a submission enters the table, so that none enters after Leave has returned.
+	gate    sync.RWMutex
+	leaving bool
+}
+
+// NewLocal returns a Local that decides at most as many submissions at once as there are slots.
+func NewLocal(mint *Mint, table Table, book *ledger.Book, slots *Slots, maxTasks int) *Local {
+	return &Local{mint: mint, table: table, book: book, slots: slots, maxTasks: maxTasks}
+}
+
+// Leave refuses new submissions from now on.
+func (l *Local) Leave() {
+	l.gate.Lock()
+	defer l.gate.Unlock()
+
+	l.leaving = true
+}
+
+// Holds tells whether the submission belongs here: it is in the table, or this entry is the home of its ticket.
+func (l *Local) Holds(id string, t ticket.Ticket) bool {
+	if t.Incarnation() == l.mint.Incarnation() {
+		return true
+	}
+
+	_, found := l.table.Find(id)
+
+	return found
+}
+
+// Submit enters the submission, or finds it if it was entered before, and waits for its answer if the body says so.
+func (l *Local) Submit(ctx context.Context, id string, t ticket.Ticket, b Body) Reply {
+	h, err := l.enter(ctx, id, t, b)
+	if err != nil {
+		return Refuse(err, id)
+	}
+
+	if !b.Wait() {
+		select {
+		case <-h.Done():
+		default:
+			return running(id, h)
+		}
+	}
+
+	select {
+	case <-h.Done():
+		return answer(h)
+	case <-ctx.Done():
+		// The caller has gone; the job goes on and its answer is kept.
+		return running(id, h)
+	}
+}
+
+func (l *Local) enter(ctx context.Context, id string, t ticket.Ticket, b Body) (Held, error) {
+	if err := l.slots.Acquire(ctx); err != nil {
+		return nil, err
+	}
+	defer l.slots.Release()
+
+	s := b.Submission(id, t, time.Now())
+
+	l.gate.RLock()
+	defer l.gate.RUnlock()
+
+	if h, found := l.table.Find(id); found {
+		if h.Digest() != s.Digest() {
+			return nil, fault.New(fault.Conflict, "the submission exists with another body")
+		}
+
+		return h, nil
+	}
+
+	switch {
+	case t.Incarnation() != l.mint.Incarnation():
+		// A submission that was handed over ends here once its record has expired.
+		return nil, fault.New(fault.TicketExpired, "the submission is no longer held")
+	case l.leaving:
+		return nil, fault.New(fault.Leaving, "the entry is leaving")
+	case !l.book.State().Ready():
+		return nil, fault.New(fault.NoAgreement, "no agreement has been read yet")
+	}
+
+	return l.table.Submit(s)
+}
+
+// State returns the answer of a submission that has ended, and its progress before.
+func (l *Local) State(id string) Reply {
+	h, found := l.table.Find(id)
+	if !found {
+		return Refuse(fault.New(fault.UnknownSubmission, "the home does not hold this submission"), id)
+	}
+
+	select {
+	case <-h.Done():
+		return answer(h)
+	default:
+		return running(id, h)
+	}
+}
+
+// Cancel ends the submission unless it has ended, and returns its state.
+func (l *Local) Cancel(id string) Reply {
+	if h, found := l.table.Find(id); found {
+		h.Cancel()
+	}
+
+	return l.State(id)
+}
+
+type explanation struct {
+	Submission  string    `json:"submission"`
+	Home        string    `json:"home"`
+	Incarnation uint64    `json:"incarnation"`
+	Sequence    uint64    `json:"sequence"`
+	Member      string    `json:"member"`
+	Position    int64     `json:"position"`
+	Expiry      time.Time `json:"expiry"`
+	// Workers are those that may run tasks of the submission; absent if the ledger cannot tell.
+	Workers []string `json:"workers,omitempty"`
+	Held    bool     `json:"held"`
+	State   string   `json:"state,omitempty"`
+	Status  int      `json:"status,omitempty"`
+	Ended   int      `json:"ended"`
+	Total   int      `json:"total"`
+}
+
+// Explain tells operators what is known about a submission.
+func (l *Local) Explain(id string, t ticket.Ticket) Reply {
+	e := explanation{
+		Submission: id, Home: t.Home().String(), Incarnation: t.Incarnation(), Sequence: t.Sequence(),
+		Member: t.Member(), Position: t.Position(), Expiry: t.Expiry().UTC(),
+	}
+
+	workers, _ := l.book.State().WorkersAt(t.Position())
+	for _, w := range workers {
+		e.Workers = append(e.Workers, w.Name())
+	}
+
+	if h, found := l.table.Find(id); found {
+		e.Held, e.State = true, stateRunning
+		e.Ended, e.Total = h.Progress()
+
+		select {
+		case <-h.Done():
+			e.Status, _ = h.Answer()
+			e.State = stateOf(e.Status)
+		default:
+		}
+	}
+
+	body, _ := json.Marshal(e)
+
+	return Reply{status: 200, body: body}
+}
+
+// Serve carries out an operation that another entry has forwarded. The second result is false if this entry is not
+// the home that the sender means.
+func (l *Local) Serve(ctx context.Context, f *wire.Forward) (Reply, bool) {
+	if f.GetIncarnation() != l.mint.Incarnation() {
+		return Reply{}, false
+	}
+
+	t, err := l.mint.Verify(f.GetSubmission(), f.GetMember())
+	if err != nil {
+		return Refuse(err, f.GetSubmission()), true
+	}
+
+	if !l.Holds(f.GetSubmission(), t) {
+		return Reply{}, false
+	}
+
+	switch Operation(f.GetOperation()) {
+	case Submit:
+		b, err := l.Decode(ctx, f.GetForm(), f.GetBody())
+		if err != nil {
+			return Refuse(err, f.GetSubmission()), true
+		}
+
+		return l.Submit(ctx, f.GetSubmission(), t, b), true
+	case State:
+		return l.State(f.GetSubmission()), true
+	case Cancel:
+		return l.Cancel(f.GetSubmission()), true
+	case Explain:
+		return l.Explain(f.GetSubmission(), t), true
+	default:
+		err := fault.New(fault.InvalidRequest, "operation %q is not known", f.GetOperation())
+
+		return Refuse(err, f.GetSubmission()), true
+	}
+}
+
+// Decode reads a body while holding a slot.
+func (l *Local) Decode(ctx context.Context, form string, data []byte) (Body, error) {
+	if err := l.slots.Acquire(ctx); err != nil {
+		return Body{}, err
+	}
+	defer l.slots.Release()
+
+	return DecodeBody(form, data, l.maxTasks)
+}
+
+func answer(h Held) Reply {
+	status, body := h.Answer()
+
+	return Reply{status, body, func(whole bool) {
+		if whole {
+			h.Delivered()
+		}
+	}}
+}
--- /dev/null
+++ b/entry/caller/mint.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Mint issues and checks tickets.
+type Mint struct {
+	key         ticket.Key
+	home        netip.AddrPort
+	incarnation uint64
+	book        *ledger.Book
+	lifetime    time.Duration
+	sequence    atomic.Uint64
+}
+
+// NewMint returns a mint for the entry that accepts QUIC connections at home.
+func NewMint(key ticket.Key, home netip.AddrPort, incarnation uint64, book *ledger.Book, lifetime time.Duration) *Mint {
+	return &Mint{key: key, home: home, incarnation: incarnation, book: book, lifetime: lifetime}
+}
+
+// Incarnation returns the incarnation of this entry.
+func (m *Mint) Incarnation() uint64 { return m.incarnation }
+
+// Issue returns a new ticket. Its position is the one that the ledger has now, which decides the workers that may run it.
+func (m *Mint) Issue(member string) (string, ticket.Ticket) {
+	expiry := time.UnixMilli(time.Now().Add(m.lifetime).UnixMilli())
+	t := ticket.New(m.home, m.incarnation, m.sequence.Add(1), member, m.book.State().Position(), expiry)
+
+	return m.key.Sign(t), t
+}
+
+// Verify returns the ticket of a submission id after checks of its signature, member and expiry.
+func (m *Mint) Verify(id, member string) (ticket.Ticket, error) {
+	t, err := m.key.Parse(id)
+	if err != nil {
+		return ticket.Ticket{}, err
+	}
+
+	if t.Member() != member {
+		return ticket.Ticket{}, fault.New(fault.Forbidden, "the ticket belongs to another member")
+	}
+
+	if !time.Now().Before(t.Expiry()) {
+		return ticket.Ticket{}, fault.New(fault.TicketExpired, "the ticket expired at %s", t.Expiry().UTC().Format(time.RFC3339))
+	}
+
+	return t, nil
+}
--- /dev/null
+++ b/entry/caller/reply.go
@@ -0,0 +1,69 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+)
+
+// Reply is an answer on its way to a caller.
+type Reply struct {
+	status int
+	body   []byte
+	// written is nil or told once whether the whole answer was written to the caller.
+	written func(whole bool)
+}
+
+// NewReply returns a reply; written may be nil.
+func NewReply(status int, body []byte, written func(whole bool)) Reply {
+	return Reply{status, body, written}
+}
+
+// Refuse returns the reply to err.
+func Refuse(err error, submission string) Reply {
+	return Reply{status: fault.KindOf(err).Status(), body: fault.Marshal(err, submission)}
+}
+
+// Status returns the HTTP status.
+func (r Reply) Status() int { return r.status }
+
+// Body returns the JSON body.
+func (r Reply) Body() []byte { return r.body }
+
+// Written tells the holder of the answer whether all of it was written.
+func (r Reply) Written(whole bool) {
+	if r.written != nil {
+		r.written(whole)
+	}
+}
+
+// progress is the state of a submission that has not ended.
+type progress struct {
+	Submission string `json:"submission"`
+	State      string `json:"state"`
+	Ended      int    `json:"ended"`
+	Total      int    `json:"total"`
+}
+
+// States of a submission in answers.
+const (
+	stateRunning  = "running"
+	stateComplete = "complete"
+	stateFailed   = "failed"
+)
+
+func stateOf(status int) string {
+	if status == http.StatusOK {
+		return stateComplete
+	}
+
+	return stateFailed
+}
+
+func running(id string, h Held) Reply {
+	ended, total := h.Progress()
+	body, _ := json.Marshal(progress{id, stateRunning, ended, total})
+
+	return Reply{status: http.StatusAccepted, body: body}
+}
