--- a/entry/caller/local.go
+++ b/entry/caller/local.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/json"
 	"sync"
 	"time"
@@ -18,7 +17,6 @@
 type Held interface {
 	Done() <-chan struct{}
 	Answer() (status int, body []byte)
-	Digest() [sha256.Size]byte
 	Cancel()
 	Delivered()
 	Progress() (ended, total int)
@@ -113,17 +111,18 @@
 	l.gate.RLock()
 	defer l.gate.RUnlock()
 
-	if h, found := l.table.Find(id); found {
-		if h.Digest() != s.Digest() {
-			return nil, fault.New(fault.Conflict, "the submission exists with another body")
-		}
+	// The record of a submission may be dropped once its ticket has expired, and must not be entered anew then.
+	if !time.Now().Before(t.Expiry()) {
+		return nil, fault.New(fault.TicketExpired, "the ticket expired while the request was decided")
+	}
 
-		return h, nil
+	if _, found := l.table.Find(id); found {
+		return l.table.Submit(s)
 	}
 
 	switch {
 	case t.Incarnation() != l.mint.Incarnation():
-		// A submission that was handed over ends here once its record has expired.
+		// Only submissions that were handed over are answered for another home; none is entered.
 		return nil, fault.New(fault.TicketExpired, "the submission is no longer held")
 	case l.leaving:
 		return nil, fault.New(fault.Leaving, "the entry is leaving")
--- /dev/null
+++ b/entry/caller/router.go
@@ -0,0 +1,166 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+)
+
+const (
+	// forwardGrace is how long past the deadline a home may take to answer: it waits up to 5 s for the outcomes of
+	// tasks on a lost worker.
+	forwardGrace = 10 * time.Second
+	// stateWait bounds operations that do not wait for the submission to end.
+	stateWait = 5 * time.Second
+	// maxSuccessors bounds a chain of homes that each handed over to the next.
+	maxSuccessors = 8
+)
+
+// Peers reaches the other entries.
+type Peers interface {
+	// Forward carries out f at the given entry. An error means that the entry is lost, unless the context has ended.
+	// The second result is false if the entry that answered is not the home.
+	Forward(ctx context.Context, to *wire.Entry, f *wire.Forward) (Reply, bool, error)
+	// Successor returns the entry that took over the submissions of an entry that left.
+	Successor(incarnation uint64) (*wire.Entry, bool)
+}
+
+// Lost finds out what became of submissions whose home is lost.
+type Lost interface {
+	// Kept returns the result that was found before.
+	Kept(id string) (error, bool)
+	// Resolve closes the submission at the sidecars and returns the error that states what ran.
+	Resolve(ctx context.Context, id string, t ticket.Ticket, cancel bool) error
+}
+
+// Router carries out operations where the submission's home is.
+type Router struct {
+	local *Local
+	peers Peers
+	lost  Lost
+}
+
+// NewRouter returns a router.
+func NewRouter(local *Local, peers Peers, lost Lost) *Router {
+	return &Router{local, peers, lost}
+}
+
+// Submit enters the submission at its home; raw is the body that b was decoded from.
+func (r *Router) Submit(ctx context.Context, id string, t ticket.Ticket, b Body, raw []byte) Reply {
+	if r.local.Holds(id, t) {
+		return r.local.Submit(ctx, id, t, b)
+	}
+
+	return r.remote(ctx, t, r.forward(Submit, id, t, b.form, raw), b.Deadline()+forwardGrace)
+}
+
+// State returns the state or the answer of the submission.
+func (r *Router) State(ctx context.Context, id string, t ticket.Ticket) Reply {
+	if r.local.Holds(id, t) {
+		return r.local.State(id)
+	}
+
+	return r.remote(ctx, t, r.forward(State, id, t, "", nil), stateWait)
+}
+
+// Cancel ends the submission.
+func (r *Router) Cancel(ctx context.Context, id string, t ticket.Ticket) Reply {
+	if r.local.Holds(id, t) {
+		return r.local.Cancel(id)
+	}
+
+	return r.remote(ctx, t, r.forward(Cancel, id, t, "", nil), stateWait)
+}
+
+// Explain tells operators what the home knows about the submission, or what this entry knows if the home is lost.
+func (r *Router) Explain(ctx context.Context, id string) Reply {
+	t, err := r.local.mint.key.Parse(id)
+	if err != nil {
+		return Refuse(err, id)
+	}
+
+	if r.local.Holds(id, t) {
+		return r.local.Explain(id, t)
+	}
+
+	reply := r.remote(ctx, t, r.forward(Explain, id, t, "", nil), stateWait)
+	if reply.Status() != 200 {
+		return r.local.Explain(id, t)
+	}
+
+	return reply
+}
+
+func (r *Router) forward(o Operation, id string, t ticket.Ticket, form string, raw []byte) *wire.Forward {
+	f := &wire.Forward{}
+	f.SetOperation(string(o))
+	f.SetSubmission(id)
+	f.SetMember(t.Member())
+	f.SetForm(form)
+	f.SetBody(raw)
+
+	return f
+}
+
+// remote forwards to the home, or to the entry that took over from it, and asks the sidecars if there is none.
+func (r *Router) remote(ctx context.Context, t ticket.Ticket, f *wire.Forward, limit time.Duration) Reply {
+	id := f.GetSubmission()
+	if err, kept := r.lost.Kept(id); kept {
+		return Refuse(err, id)
+	}
+
+	bounded, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+
+	home := &wire.Entry{}
+	home.SetAddress(t.Home().String())
+	home.SetIncarnation(t.Incarnation())
+
+	for range maxSuccessors {
+		if next, found := r.peers.Successor(home.GetIncarnation()); found {
+			home = next
+
+			continue
+		}
+
+		if home.GetIncarnation() == r.local.mint.Incarnation() {
+			// The submissions of that home were handed over to this entry, and this one was not among them.
+			break
+		}
+
+		f.SetIncarnation(home.GetIncarnation())
+
+		reply, isHome, err := r.peers.Forward(bounded, home, f)
+		if err == nil && isHome {
+			return reply
+		}
+
+		if bounded.Err() != nil {
+			err := fault.New(fault.DeadlineExceeded, "the home has not answered within %s", limit)
+
+			return Refuse(fault.WithRan(err, fault.RanUnknown), id)
+		}
+
+		// The home may have left meanwhile.
+		if _, found := r.peers.Successor(home.GetIncarnation()); !found {
+			break
+		}
+	}
+
+	return Refuse(r.resolve(ctx, id, t, Operation(f.GetOperation())), id)
+}
+
+// resolve closes the submission only for a caller that asks for its answer or its end: a question must not end it.
+func (r *Router) resolve(ctx context.Context, id string, t ticket.Ticket, o Operation) error {
+	switch o {
+	case Submit, Cancel:
+		return r.lost.Resolve(context.WithoutCancel(ctx), id, t, o == Cancel)
+	default:
+		err := fault.New(fault.HomeLost, "the home of the submission is lost; a resubmission tells what ran")
+
+		return fault.WithRan(err, fault.RanUnknown)
+	}
+}
--- /dev/null
+++ b/entry/caller/server.go
@@ -0,0 +1,404 @@
+// Package caller serves the callers' HTTP API of section 9 of docs/design.md.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const (
+	// maxTicketCount bounds one batch of tickets.
+	maxTicketCount = 1000
+	// bodyWait bounds how long a caller may take to send its body.
+	bodyWait = 30 * time.Second
+	// eventInterval is how often the progress of a submission is compared with the last event.
+	eventInterval = 100 * time.Millisecond
+	// remoteEventInterval is longer, since each comparison is a message to the home.
+	remoteEventInterval = 500 * time.Millisecond
+	keyHeader           = "Idempotency-Key"
+	uuidLength          = 36
+)
+
+// Binder binds keys chosen by callers to tickets.
+type Binder interface {
+	// Bind returns the ticket that the key of the member is bound to, and binds it to a new one if there is none.
+	Bind(ctx context.Context, member string, key uuid.UUID) (id string, err error)
+}
+
+// Server serves the callers.
+type Server struct {
+	mint     *Mint
+	local    *Local
+	router   *Router
+	binder   Binder
+	book     *ledger.Book
+	maxBody  int64
+	registry gometrics.Registry
+	log      zerolog.Logger
+	// draining is true once callers should move to other entries.
+	draining atomic.Bool
+}
+
+// NewServer returns a server that refuses bodies of more than maxBody bytes.
+func NewServer(mint *Mint, local *Local, router *Router, binder Binder, book *ledger.Book, maxBody int64, registry gometrics.Registry, log zerolog.Logger) *Server {
+	return &Server{
+		mint: mint, local: local, router: router, binder: binder, book: book, maxBody: maxBody, registry: registry, log: log,
+	}
+}
+
+// Drain asks callers to close their connections after each answer and issues no more batches of tickets, since this
+// entry will not be there to serve them. Submissions are accepted until Local.Leave.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.UseEncodedPath()
+	m.Handle("/v1/tickets", s.route("tickets", s.tickets)).Methods(http.MethodPost)
+	m.Handle("/v1/jobs", s.route("jobs", s.submit(formJob))).Methods(http.MethodPost)
+	m.Handle("/v1/requests", s.route("requests", s.submit(formRequest))).Methods(http.MethodPost)
+	m.Handle("/v1/submissions/{id}", s.route("state", s.state)).Methods(http.MethodGet)
+	m.Handle("/v1/submissions/{id}", s.route("cancel", s.cancel)).Methods(http.MethodDelete)
+	m.Handle("/v1/submissions/{id}/events", s.route("events", s.events)).Methods(http.MethodGet)
+	m.NotFoundHandler = s.route("unknown", func(_ http.ResponseWriter, r *http.Request, _ string) Reply {
+		return Refuse(fault.New(fault.InvalidRequest, "path %s is not known", r.URL.Path), "")
+	})
+	m.MethodNotAllowedHandler = s.route("unknown", func(_ http.ResponseWriter, r *http.Request, _ string) Reply {
+		return Refuse(fault.New(fault.InvalidRequest, "method %s is not allowed for %s", r.Method, r.URL.Path), "")
+	})
+
+	return m
+}
+
+// operation handles a request of an authenticated member. A reply without status was written already.
+type operation func(w http.ResponseWriter, r *http.Request, member string) Reply
+
+func (s *Server) route(name string, o operation) http.Handler {
+	timer := gometrics.GetOrRegisterTimer(metrics.Name("weir_entry_caller_seconds", "operation", name), s.registry)
+
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		start := time.Now()
+
+		if s.draining.Load() {
+			// Idle connections are not closed at once, since a caller may be sending a request on one of them.
+			w.Header().Set("Connection", "close")
+		}
+
+		member, err := s.authenticate(r)
+		if err != nil {
+			s.write(w, name, Refuse(err, ""))
+
+			return
+		}
+
+		if reply := o(w, r, member); reply.Status() != 0 {
+			s.write(w, name, reply)
+		}
+
+		timer.UpdateSince(start)
+	})
+}
+
+func (s *Server) authenticate(r *http.Request) (string, error) {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return "", fault.New(fault.Unauthenticated, "the header Authorization holds no bearer token")
+	}
+
+	state := s.book.State()
+	if !state.Ready() {
+		return "", fault.New(fault.NoAgreement, "no agreement has been read yet")
+	}
+
+	m, found := state.Agreement().MemberByToken(token)
+	if !found {
+		return "", fault.New(fault.Unauthenticated, "the token belongs to no member")
+	}
+
+	return m.Name(), nil
+}
+
+func (s *Server) write(w http.ResponseWriter, name string, reply Reply) {
+	code := "ok"
+
+	if reply.Status() >= http.StatusBadRequest {
+		code = s.refusal(w, reply)
+	}
+
+	gometrics.GetOrRegisterCounter(metrics.Name("weir_entry_answers_total", "operation", name, "code", code), s.registry).Inc(1)
+
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(reply.Body())))
+	w.WriteHeader(reply.Status())
+
+	n, err := w.Write(reply.Body())
+	if err == nil {
+		// Only a flush tells whether the connection took the whole answer.
+		err = http.NewResponseController(w).Flush()
+	}
+
+	reply.Written(err == nil && n == len(reply.Body()))
+}
+
+// refusal sets the header Retry-After and returns the code of the error.
+func (s *Server) refusal(w http.ResponseWriter, reply Reply) string {
+	var e struct {
+		Error struct {
+			Code         string `json:"code"`
+			RetryAfterMS int64  `json:"retry_after_ms"`
+		} `json:"error"`
+	}
+
+	if json.Unmarshal(reply.Body(), &e) != nil {
+		return fault.Internal.Code()
+	}
+
+	if e.Error.RetryAfterMS > 0 {
+		// The header has whole seconds; the body states the exact time.
+		w.Header().Set("Retry-After", strconv.FormatInt((e.Error.RetryAfterMS+999)/1000, 10))
+	}
+
+	return e.Error.Code
+}
+
+func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(time.Now().Add(bodyWait))
+
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBody))
+
+	_ = c.SetReadDeadline(time.Time{})
+
+	if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
+		return nil, fault.New(fault.TooLarge, "the body has more than %d bytes", s.maxBody)
+	}
+
+	if err != nil {
+		return nil, fault.Wrap(fault.InvalidRequest, err, "read the body")
+	}
+
+	return data, nil
+}
+
+func (s *Server) tickets(w http.ResponseWriter, r *http.Request, member string) Reply {
+	data, err := s.body(w, r)
+	if err != nil {
+		return Refuse(err, "")
+	}
+
+	if s.draining.Load() {
+		return Refuse(fault.New(fault.Leaving, "the entry is leaving"), "")
+	}
+
+	count, err := DecodeCount(data, maxTicketCount)
+	if err != nil {
+		return Refuse(err, "")
+	}
+
+	var issued struct {
+		Tickets []string `json:"tickets"`
+	}
+
+	for range count {
+		id, _ := s.mint.Issue(member)
+		issued.Tickets = append(issued.Tickets, id)
+	}
+
+	out, _ := json.Marshal(issued)
+
+	return NewReply(http.StatusOK, out, nil)
+}
+
+func (s *Server) submit(form string) operation {
+	return func(w http.ResponseWriter, r *http.Request, member string) Reply {
+		data, err := s.body(w, r)
+		if err != nil {
+			return Refuse(err, "")
+		}
+
+		b, err := s.local.Decode(r.Context(), form, data)
+		if err != nil {
+			return Refuse(err, "")
+		}
+
+		id, t, err := s.identify(r, member)
+		if err != nil {
+			return Refuse(err, id)
+		}
+
+		return s.router.Submit(r.Context(), id, t, b, data)
+	}
+}
+
+// identify returns the identity of a submission: a ticket of the caller, one bound to its key, or a new one. The id
+// is empty if the caller must not learn it.
+func (s *Server) identify(r *http.Request, member string) (string, ticket.Ticket, error) {
+	key := r.Header.Get(keyHeader)
+	if key == "" {
+		id, t := s.mint.Issue(member)
+
+		return id, t, nil
+	}
+
+	if len(key) != uuidLength {
+		t, err := s.mint.Verify(key, member)
+
+		return key, t, onKey(err)
+	}
+
+	u, err := uuid.Parse(key)
+	if err != nil {
+		return "", ticket.Ticket{}, onKey(fault.Wrap(fault.InvalidRequest, err, "%s %q is no UUID", keyHeader, key))
+	}
+
+	id, err := s.binder.Bind(r.Context(), member, u)
+	if err != nil {
+		return "", ticket.Ticket{}, onKey(err)
+	}
+
+	t, err := s.mint.Verify(id, member)
+
+	return id, t, err
+}
+
+// onKey names the header as the field at fault where the request is at fault.
+func onKey(err error) error {
+	if err == nil || fault.KindOf(err) != fault.InvalidRequest {
+		return err
+	}
+
+	return fault.WithField(err, keyHeader)
+}
+
+func (s *Server) known(r *http.Request, member string) (string, ticket.Ticket, error) {
+	id := mux.Vars(r)["id"]
+	t, err := s.mint.Verify(id, member)
+
+	return id, t, err
+}
+
+func (s *Server) state(_ http.ResponseWriter, r *http.Request, member string) Reply {
+	id, t, err := s.known(r, member)
+	if err != nil {
+		return Refuse(err, id)
+	}
+
+	return s.router.State(r.Context(), id, t)
+}
+
+func (s *Server) cancel(_ http.ResponseWriter, r *http.Request, member string) Reply {
+	id, t, err := s.known(r, member)
+	if err != nil {
+		return Refuse(err, id)
+	}
+
+	return s.router.Cancel(r.Context(), id, t)
+}
+
+type event struct {
+	progress
+	Status int             `json:"status,omitempty"`
+	Error  json.RawMessage `json:"error,omitempty"`
+}
+
+// events writes a line for each change of the progress, until the submission ends or the caller has gone.
+func (s *Server) events(w http.ResponseWriter, r *http.Request, member string) Reply {
+	id, t, err := s.known(r, member)
+	if err != nil {
+		return Refuse(err, id)
+	}
+
+	interval := remoteEventInterval
+	if s.local.Holds(id, t) {
+		interval = eventInterval
+	}
+
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+
+	var last event
+
+	for first := true; ; first = false {
+		reply := s.router.State(r.Context(), id, t)
+		if first && reply.Status() >= http.StatusBadRequest && !ended(reply) {
+			return reply
+		}
+
+		if first {
+			w.Header().Set("Content-Type", "application/x-ndjson")
+		}
+
+		e := eventOf(id, reply, last)
+		if first || e.progress != last.progress {
+			if json.NewEncoder(w).Encode(e) != nil || http.NewResponseController(w).Flush() != nil {
+				return Reply{}
+			}
+		}
+
+		if e.State != stateRunning {
+			return Reply{}
+		}
+
+		last = e
+
+		select {
+		case <-tick.C:
+		case <-r.Context().Done():
+			return Reply{}
+		}
+	}
+}
+
+// ended tells apart a submission that has failed from a question that could not be answered.
+func ended(r Reply) bool {
+	switch r.Status() {
+	case fault.UnknownSubmission.Status(), fault.Unauthenticated.Status(), fault.Forbidden.Status():
+		return false
+	default:
+		return true
+	}
+}
+
+func eventOf(id string, reply Reply, last event) event {
+	e := event{progress: progress{id, stateOf(reply.Status()), last.Ended, last.Total}}
+
+	if reply.Status() == http.StatusAccepted {
+		_ = json.Unmarshal(reply.Body(), &e.progress)
+
+		return e
+	}
+
+	e.Status = reply.Status()
+
+	if reply.Status() != http.StatusOK {
+		var failed struct {
+			Error json.RawMessage `json:"error"`
+		}
+
+		_ = json.Unmarshal(reply.Body(), &failed)
+		e.Error = failed.Error
+
+		return e
+	}
+
+	e.Ended = e.Total
+
+	return e
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,10 @@
-// Command entry is described in docs/design.md.
+// Command entry takes submissions from callers and dispatches their tasks to the sidecars.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/skylarkweir/skylarkweir/entry/process"
+)
+
+func main() { os.Exit(process.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/entry/operator/server.go
@@ -0,0 +1,135 @@
+// Package operator serves operators on the admin address.
+//
+// The endpoints are:
+//
+//   - GET /healthz answers 200 while the process runs.
+//   - GET /readyz answers 200 while the entry takes submissions, and otherwise 503 with the reason as text.
+//   - GET /metrics answers with all metrics in the text form that Prometheus-like scrapers read.
+//   - GET /v1/status answers with the addresses, the log position, the connected workers and the reached entries.
+//   - GET /v1/show answers with the agreement in force and with the registered workers and entries.
+//   - GET /v1/explain/{id} answers with what the home knows about a submission.
+//   - POST /v1/drain starts the graceful shutdown, as SIGTERM does, and answers 202.
+//
+// The admin address has no authentication; it belongs on a network that only operators reach.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkweir/skylarkweir/entry/caller"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Peers tells which entries are reached; *peer.Peers implements it.
+type Peers interface {
+	Reached() []*wire.Entry
+}
+
+// Explainer tells what is known about a submission; *caller.Router implements it.
+type Explainer interface {
+	Explain(ctx context.Context, id string) caller.Reply
+}
+
+// Log tells whether the log answers.
+type Log interface {
+	Healthy() bool
+}
+
+// Server serves operators.
+type Server struct {
+	self      *wire.Entry
+	book      *ledger.Book
+	workers   *fleet.Fleet
+	peers     Peers
+	explainer Explainer
+	log       Log
+	registry  gometrics.Registry
+	readiness *Readiness
+	drain     func()
+	start     time.Time
+}
+
+// NewServer returns a server that calls drain to start the graceful shutdown.
+func NewServer(self *wire.Entry, book *ledger.Book, workers *fleet.Fleet, peers Peers, explainer Explainer, log Log, registry gometrics.Registry, readiness *Readiness, drain func()) *Server {
+	return &Server{self, book, workers, peers, explainer, log, registry, readiness, drain, time.Now()}
+}
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.UseEncodedPath()
+	m.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
+	m.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	m.Handle("/metrics", metrics.Handler(s.registry)).Methods(http.MethodGet)
+	m.HandleFunc("/v1/status", s.status).Methods(http.MethodGet)
+	m.HandleFunc("/v1/show", s.show).Methods(http.MethodGet)
+	m.HandleFunc("/v1/explain/{id}", s.explain).Methods(http.MethodGet)
+	m.HandleFunc("/v1/drain", s.leave).Methods(http.MethodPost)
+	m.NotFoundHandler = http.HandlerFunc(s.unknown)
+	m.MethodNotAllowedHandler = http.HandlerFunc(s.unknown)
+
+	return m
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") }
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if reason := s.readiness.Reason(); reason != "" {
+		writeText(w, http.StatusServiceUnavailable, reason)
+
+		return
+	}
+
+	writeText(w, http.StatusOK, "ready")
+}
+
+func (s *Server) leave(w http.ResponseWriter, _ *http.Request) {
+	s.drain()
+	writeJSON(w, http.StatusAccepted, map[string]bool{"draining": true})
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	reply := s.explainer.Explain(r.Context(), mux.Vars(r)["id"])
+	defer reply.Written(false)
+
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(reply.Status())
+	w.Write(reply.Body())
+}
+
+func (s *Server) unknown(w http.ResponseWriter, r *http.Request) {
+	err := fault.New(fault.InvalidRequest, "%s %s is not known", r.Method, r.URL.Path)
+
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(fault.KindOf(err).Status())
+	w.Write(fault.Marshal(err, ""))
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	w.Write([]byte(text + "\n"))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+
+		return
+	}
+
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(append(body, '\n'))
+}
--- /dev/null
+++ b/entry/peer/peers.go
@@ -0,0 +1,238 @@
+// Package peer connects an entry to the other entries.
+package peer
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/entry/caller"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const (
+	// linkIdle is how long a link is kept to an address that neither the settings nor the ledger name.
+	linkIdle = time.Minute
+	// syncInterval is how often such links are looked for.
+	syncInterval = 10 * time.Second
+	// maxDeparted bounds the departures in memory; the ledger has the older ones.
+	maxDeparted = 1024
+)
+
+// Home carries out operations that other entries forward; *caller.Local implements it.
+type Home interface {
+	// Serve returns false if this entry is not the home that the sender means.
+	Serve(ctx context.Context, f *wire.Forward) (caller.Reply, bool)
+}
+
+// Importer takes submissions over from an entry that leaves.
+type Importer interface {
+	Import(held []*wire.HeldSubmission)
+}
+
+// Peers is the set of the other entries.
+type Peers struct {
+	node     *quic.Node
+	self     *wire.Entry
+	book     *ledger.Book
+	home     Home
+	importer Importer
+	silence  *Silence
+	log      zerolog.Logger
+	// fixed holds the addresses of the settings.
+	fixed []string
+
+	mu sync.Mutex
+	// links holds a link for each address other than the own one.
+	links map[string]*link
+	// departed holds the successors that leaving entries have named, by the incarnation that left.
+	departed map[uint64]*wire.Entry
+	// running is set by Run; links are started only then. stopped ends them all.
+	running context.Context
+	stopped bool
+	// forwards counts operations being carried out for other entries; group waits for the goroutines of links.
+	forwards, group sync.WaitGroup
+}
+
+// NewPeers returns a set that connects to the given addresses and to the entries that the ledger names.
+func NewPeers(node *quic.Node, self *wire.Entry, book *ledger.Book, importer Importer, silence *Silence, addresses []string, log zerolog.Logger) *Peers {
+	return &Peers{
+		node: node, self: self, book: book, importer: importer, silence: silence, log: log, fixed: addresses,
+		links: map[string]*link{}, departed: map[uint64]*wire.Entry{},
+	}
+}
+
+// Use sets what carries out forwarded operations. It is called once, before Run and Serve.
+func (p *Peers) Use(h Home) { p.home = h }
+
+// Run keeps the links until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	p.mu.Lock()
+	p.running = ctx
+	p.mu.Unlock()
+
+	tick := time.NewTicker(syncInterval)
+	defer tick.Stop()
+
+	for {
+		changed := p.book.Changed()
+		p.sync(time.Now())
+
+		select {
+		case <-changed:
+		case <-tick.C:
+		case <-ctx.Done():
+			p.mu.Lock()
+			p.stopped = true
+			p.mu.Unlock()
+			p.group.Wait()
+
+			return
+		}
+	}
+}
+
+// sync starts links to all wanted addresses and stops the others.
+func (p *Peers) sync(now time.Time) {
+	wanted := map[string]bool{}
+	for _, a := range p.fixed {
+		wanted[a] = true
+	}
+
+	for _, e := range p.book.State().Entries() {
+		wanted[e.Address()] = true
+	}
+
+	delete(wanted, p.self.GetAddress())
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for a := range wanted {
+		p.start(a)
+	}
+
+	for a, l := range p.links {
+		if !wanted[a] && l.idle(now) > linkIdle {
+			l.stop()
+			delete(p.links, a)
+		}
+	}
+}
+
+// start returns the link to the address, or nil if there can be none. p.mu is held.
+func (p *Peers) start(address string) *link {
+	if l, found := p.links[address]; found {
+		return l
+	}
+
+	if p.running == nil || p.stopped || address == p.self.GetAddress() || address == "" {
+		return nil
+	}
+
+	ctx, stop := context.WithCancel(p.running)
+	l := newLink(p, address, stop)
+	p.links[address] = l
+
+	p.group.Add(1)
+
+	go l.run(ctx)
+
+	return l
+}
+
+func (p *Peers) link(address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	l := p.start(address)
+	if l != nil {
+		l.touch()
+	}
+
+	return l
+}
+
+// all returns the links in the order of their addresses.
+func (p *Peers) all() []*link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	all := make([]*link, 0, len(p.links))
+	for _, a := range slices.Sorted(maps.Keys(p.links)) {
+		all = append(all, p.links[a])
+	}
+
+	return all
+}
+
+// Reached returns the entries that a connection exists to.
+func (p *Peers) Reached() []*wire.Entry {
+	var reached []*wire.Entry
+
+	for _, l := range p.all() {
+		if c, e := l.current(); c != nil {
+			reached = append(reached, e)
+		}
+	}
+
+	return reached
+}
+
+// Successor returns the entry that took over from an entry that left.
+func (p *Peers) Successor(incarnation uint64) (*wire.Entry, bool) {
+	p.mu.Lock()
+	e, found := p.departed[incarnation]
+	p.mu.Unlock()
+
+	if found {
+		return e, true
+	}
+
+	if s, found := p.book.State().Successor(incarnation); found {
+		return s.Wire(), true
+	}
+
+	return nil, false
+}
+
+// depart notes that the submissions of an entry are at its successor now.
+func (p *Peers) depart(d *wire.Departed) {
+	if d.GetSuccessor().GetIncarnation() == 0 {
+		return
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for i := range p.departed {
+		if len(p.departed) < maxDeparted {
+			break
+		}
+
+		delete(p.departed, i)
+	}
+
+	p.departed[d.GetEntry().GetIncarnation()] = d.GetSuccessor()
+}
+
+// Forward carries out f at the given entry. An error means that the entry is lost, unless the context has ended. The
+// second result is false if the entry that answered is not the home.
+func (p *Peers) Forward(ctx context.Context, to *wire.Entry, f *wire.Forward) (caller.Reply, bool, error) {
+	l := p.link(to.GetAddress())
+	if l == nil {
+		return caller.Reply{}, false, merry.Errorf("%s is no other entry", to.GetAddress())
+	}
+
+	return l.forward(ctx, to.GetIncarnation(), f)
+}
+
+// Drain waits until no operation is being carried out for another entry.
+func (p *Peers) Drain() { p.forwards.Wait() }
--- /dev/null
+++ b/entry/peer/serve.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// writtenWait bounds how long a home waits to learn whether the caller has its answer.
+const writtenWait = 30 * time.Second
+
+// Serve handles the connection of another entry until it ends.
+func (p *Peers) Serve(ctx context.Context, c *quic.Conn, control *quic.Stream, hello *wire.Hello) {
+	w := &wire.Welcome{}
+	w.SetEntry(p.self)
+	w.SetPosition(p.book.State().Position())
+
+	f := &wire.Frame{}
+	f.SetWelcome(w)
+
+	if err := control.Send(f); err != nil {
+		return
+	}
+
+	// Entries learn of each other this way while the log is down.
+	p.link(hello.GetEntry().GetAddress())
+
+	for {
+		s, err := c.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		x := &exchange{peers: p, from: hello.GetEntry(), stream: s}
+		go x.run(ctx)
+	}
+}
+
+// exchange is one exchange that another entry has started.
+type exchange struct {
+	peers  *Peers
+	from   *wire.Entry
+	stream *quic.Stream
+}
+
+func (x *exchange) run(ctx context.Context) {
+	defer x.stream.Close()
+
+	x.stream.SetDeadline(time.Now().Add(writtenWait))
+
+	f, err := x.stream.Receive()
+	if err != nil {
+		return
+	}
+
+	switch f.WhichBody() {
+	case wire.Frame_Forward_case:
+		x.forward(ctx, f.GetForward())
+	case wire.Frame_Exchange_case:
+		err = x.exchange(f.GetExchange())
+	case wire.Frame_Handover_case:
+		err = x.handover(f.GetHandover())
+	case wire.Frame_Departed_case:
+		x.peers.depart(f.GetDeparted())
+
+		reply := &wire.Frame{}
+		reply.SetDepartedReply(&wire.DepartedReply{})
+		err = x.stream.Send(reply)
+	default:
+		err = merry.Errorf("an exchange between entries starts with frame %v", f.WhichBody())
+	}
+
+	if err != nil {
+		x.peers.log.Warn().Str("event", "exchange_failed").Str("peer", x.from.GetName()).Err(err).Msg("an exchange of another entry failed")
+	}
+}
+
+func (x *exchange) forward(ctx context.Context, f *wire.Forward) {
+	x.peers.forwards.Add(1)
+	defer x.peers.forwards.Done()
+
+	answer := &wire.ForwardReply{}
+
+	r, isHome := x.peers.home.Serve(ctx, f)
+	answer.SetNotHome(!isHome)
+	answer.SetStatus(int32(r.Status())) //nolint:gosec // an HTTP status
+	answer.SetBody(r.Body())
+
+	reply := &wire.Frame{}
+	reply.SetForwardReply(answer)
+
+	x.stream.SetDeadline(time.Now().Add(writtenWait))
+
+	if err := x.stream.Send(reply); err != nil {
+		r.Written(false)
+
+		return
+	}
+
+	_, err := x.stream.Receive()
+	r.Written(errors.Is(err, io.EOF))
+}
+
+func (x *exchange) exchange(theirs *wire.Exchange) error {
+	if l := x.peers.link(theirs.GetEntry().GetAddress()); l != nil {
+		l.touch()
+	}
+
+	own := x.peers.exchange(x.peers.silence.Confirm(theirs.GetSilentWorkers()))
+
+	f := &wire.Frame{}
+	f.SetExchange(own)
+
+	if err := x.stream.Send(f); err != nil {
+		return err
+	}
+
+	return x.peers.level(x.stream, own.GetPosition(), theirs.GetPosition())
+}
+
+func (p *Peers) exchange(silent []string) *wire.Exchange {
+	e := &wire.Exchange{}
+	e.SetEntry(p.self)
+	e.SetPosition(p.book.State().Position())
+	e.SetSilentWorkers(silent)
+
+	return e
+}
+
+// level passes the records that one side lacks: the side that is ahead sends them and the other one receives.
+func (p *Peers) level(s *quic.Stream, own, theirs int64) error {
+	switch {
+	case own > theirs:
+		r := p.book.Since(theirs)
+		if r == nil {
+			r = &wire.Records{}
+		}
+
+		f := &wire.Frame{}
+		f.SetRecords(r)
+
+		return s.Send(f)
+	case own < theirs:
+		f, err := s.Receive()
+		if err != nil {
+			return merry.Prepend(err, "receive records")
+		}
+
+		if r := f.GetRecords(); r.GetThrough() > own || len(r.GetSnapshot()) > 0 {
+			return p.book.Receive(r)
+		}
+
+		return nil
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/entry/process/process.go
@@ -0,0 +1,225 @@
+// Package process wires the parts of the entry and runs them.
+package process
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/skylarkweir/skylarkweir/entry/binding"
+	"github.com/skylarkweir/skylarkweir/entry/caller"
+	"github.com/skylarkweir/skylarkweir/entry/home"
+	"github.com/skylarkweir/skylarkweir/entry/operator"
+	"github.com/skylarkweir/skylarkweir/entry/peer"
+	"github.com/skylarkweir/skylarkweir/entry/sidecar"
+	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const (
+	// startWait bounds the start, and what a shutdown takes beyond its own waits.
+	startWait = 15 * time.Second
+	// headerWait bounds how long a caller may take to send the header of a request.
+	headerWait = 10 * time.Second
+	// idleWait is how long an idle connection of a caller is kept.
+	idleWait = 2 * time.Minute
+	// helloWait bounds how long a new connection may take to say what it is.
+	helloWait = 2 * time.Second
+	// joinRetry is the wait between attempts to append the own registration while the log is down.
+	joinRetry = 2 * time.Second
+	// leaveWait bounds each of the last steps of a shutdown: the record in the log and the end of the HTTP servers.
+	leaveWait = 3 * time.Second
+)
+
+// Process is a running entry.
+type Process struct {
+	parts
+
+	callers, admin         *http.Server
+	callersAddr, adminAddr net.Addr
+	// cancel ends the loops.
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+// parts are what the process runs.
+type parts struct {
+	fx.In
+
+	Settings   Settings
+	Log        zerolog.Logger
+	Node       *quic.Node
+	Self       *wire.Entry
+	Book       *ledger.Book
+	Follower   *logservice.Follower
+	Appender   *logservice.Appender
+	Fleet      *fleet.Fleet
+	Table      *home.Table
+	Hub        *sidecar.Hub
+	Local      *caller.Local
+	Binder     *binding.Binder
+	Peers      *peer.Peers
+	Silence    *peer.Silence
+	Callers    *caller.Server
+	Operator   *operator.Server
+	Readiness  *operator.Readiness
+	Registry   gometrics.Registry
+	Shutdowner fx.Shutdowner
+}
+
+func newProcess(p parts) *Process { return &Process{parts: p} }
+
+// Callers returns the address of the callers' HTTP API.
+func (p *Process) Callers() string { return p.callersAddr.String() }
+
+// Admin returns the address of the admin HTTP API.
+func (p *Process) Admin() string { return p.adminAddr.String() }
+
+// Address returns the address at which other processes reach this entry.
+func (p *Process) Address() string { return p.Self.GetAddress() }
+
+func (p *Process) start(ctx context.Context) error {
+	f := p.Settings.file
+
+	callers, err := listen(ctx, f.Callers)
+	if err != nil {
+		return err
+	}
+
+	admin, err := listen(ctx, f.Admin)
+	if err != nil {
+		callers.Close()
+
+		return err
+	}
+
+	p.callersAddr, p.adminAddr = callers.Addr(), admin.Addr()
+	p.callers = &http.Server{Handler: p.parts.Callers.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+	p.admin = &http.Server{Handler: p.Operator.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+
+	running, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+
+	p.gauges()
+
+	for _, loop := range []func(context.Context){
+		p.Follower.Run, p.Appender.Run, p.Table.Run, p.Peers.Run, p.watch, p.accept, p.join,
+	} {
+		p.group.Go(func() { loop(running) })
+	}
+
+	p.group.Go(func() { p.serve(p.callers, callers) })
+	p.group.Go(func() { p.serve(p.admin, admin) })
+	p.Readiness.Start()
+
+	p.Log.Info().Str("event", "listening").Str("callers", p.Callers()).Str("admin", p.Admin()).
+		Str("quic", p.Address()).Uint64("incarnation", p.Self.GetIncarnation()).Msg("the entry is listening")
+
+	return nil
+}
+
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var c net.ListenConfig
+
+	l, err := c.Listen(ctx, "tcp", address.String())
+
+	return l, merry.Prependf(err, "listen on %s", address)
+}
+
+func (p *Process) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		p.Log.Error().Err(err).Str("event", "http_failed").Msg("an HTTP server ended")
+		_ = p.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+	}
+}
+
+func (p *Process) watch(ctx context.Context) { p.Silence.Run(ctx, p.Peers) }
+
+// accept hands each connection to the package of its peer.
+func (p *Process) accept(ctx context.Context) {
+	for {
+		c, err := p.Node.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		n := &newcomer{process: p, conn: c}
+		go n.run(ctx)
+	}
+}
+
+// newcomer is a connection that has not said yet what it is.
+type newcomer struct {
+	process *Process
+	conn    *quic.Conn
+}
+
+func (n *newcomer) run(ctx context.Context) {
+	waiting, stop := context.WithTimeout(ctx, helloWait)
+	defer stop()
+
+	s, err := n.conn.Accept(waiting)
+	if err != nil {
+		n.conn.Close("no control stream")
+
+		return
+	}
+
+	s.SetDeadline(time.Now().Add(helloWait))
+
+	f, err := s.Receive()
+	if err != nil || !f.HasHello() {
+		n.conn.Close("no hello")
+
+		return
+	}
+
+	s.SetDeadline(time.Time{})
+
+	hello := f.GetHello()
+
+	switch hello.GetRole() {
+	case wire.Role_ROLE_SIDECAR:
+		n.process.Hub.Serve(ctx, n.conn, s, hello)
+	case wire.Role_ROLE_ENTRY:
+		n.process.Peers.Serve(ctx, n.conn, s, hello)
+	default:
+		n.conn.Close("unknown role")
+	}
+}
+
+// join registers this entry in the log. Other entries and the sidecars find it there; until then they find it through
+// their settings.
+func (p *Process) join(ctx context.Context) {
+	record := ledger.EntryJoinedRecord(p.Self)
+
+	for ctx.Err() == nil {
+		attempt, stop := context.WithTimeout(ctx, startWait)
+		err := p.Appender.Append(attempt, record)
+
+		stop()
+
+		if err == nil {
+			p.Log.Info().Str("event", "registered").Msg("the entry is registered in the log")
+
+			return
+		}
+
+		select {
+		case <-time.After(joinRetry):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/entry/process/settings.go
@@ -0,0 +1,157 @@
+package process
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/settings"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+)
+
+// minTicketKey is the length of the HMAC in a ticket: a shorter key would be easier to guess than the HMAC.
+const minTicketKey = 16
+
+// file is the settings file. Its fields are exported for the decoder.
+type file struct {
+	Name           string            `json:"name" doc:"name of the entry, unique in the system"`
+	FailureDomain  string            `json:"failure_domain" doc:"failure domain of the entry" default:""`
+	Callers        netip.AddrPort    `json:"callers" doc:"TCP address of the callers' HTTP API; port 0 lets the kernel choose" default:"127.0.0.1:0"`
+	Admin          netip.AddrPort    `json:"admin" doc:"TCP address of the admin HTTP API; port 0 lets the kernel choose" default:"127.0.0.1:0"`
+	Listen         netip.AddrPort    `json:"listen" doc:"UDP address for QUIC; port 0 lets the kernel choose" default:"127.0.0.1:0"`
+	Advertise      string            `json:"advertise" doc:"UDP address at which other processes reach this entry; empty means the address of listen" default:""`
+	Peers          []netip.AddrPort  `json:"peers" doc:"QUIC addresses of other entries to begin with" default:"[]"`
+	LogService     string            `json:"log_service" doc:"address of the log service"`
+	LogRetention   settings.Duration `json:"log_retention" doc:"how long the log keeps records" default:"1h" range:"1m.."`
+	AppendBudget   int               `json:"append_budget" doc:"appends to the log" unit:"appends/s" default:"20" range:"1..1000"`
+	TicketKey      string            `json:"ticket_key" doc:"key that all entries sign tickets with, at least 16 bytes; either this or ticket_key_file" default:""`
+	TicketKeyFile  string            `json:"ticket_key_file" doc:"file that holds the ticket key" default:""`
+	TicketLifetime settings.Duration `json:"ticket_lifetime" doc:"lifetime of tickets; answers are kept that long" default:"5m" range:"1s..1h"`
+	KeyLifetime    settings.Duration `json:"key_lifetime" doc:"oldest accepted key of a caller" default:"10m" range:"1s..14m"`
+	Slots          int               `json:"slots" doc:"processors used, and requests decoded and decided at once" unit:"processors" default:"8" range:"1..1024"`
+	Connections    int               `json:"connections" doc:"sidecar connections" unit:"connections" default:"64" range:"1..4096"`
+	MaxTasks       int               `json:"max_tasks" doc:"largest job" unit:"tasks" default:"1000" range:"1..100000"`
+	MaxBody        settings.Bytes    `json:"max_body" doc:"largest body of a request" default:"32MB" range:"1KB..60MB"`
+	QueueTasks     int               `json:"queue_tasks" doc:"tasks that may wait" unit:"tasks" default:"20000" range:"1..1000000"`
+	Submissions    int               `json:"submissions" doc:"submissions held at most" unit:"submissions" default:"200000" range:"1..10000000"`
+	AnswerMemory   settings.Bytes    `json:"answer_memory" doc:"memory for inputs and answers" default:"96MB" range:"1MB..64GB"`
+	DrainDelay     settings.Duration `json:"drain_delay" doc:"time between the end of readiness and the refusal of new submissions" default:"2s" range:"0s..1m"`
+	DrainLimit     settings.Duration `json:"drain_limit" doc:"longest wait for submissions in flight at shutdown" default:"150s" range:"0s..1h"`
+	LogLevel       string            `json:"log_level" doc:"least severe level that is logged" default:"info" range:"debug|info|warn|error"`
+	Keys           keysFile          `json:"keys"`
+}
+
+type keysFile struct {
+	Certificate string `json:"certificate" doc:"PEM file of the certificate"`
+	Key         string `json:"key" doc:"PEM file of the private key"`
+	Authority   string `json:"authority" doc:"PEM file of the authority that signs all certificates"`
+}
+
+// Check refuses values that the decoder accepts.
+func (f *file) Check() error {
+	switch {
+	case f.Name == "":
+		return settings.At("name", "the name is empty")
+	case f.LogService == "":
+		return settings.At("log_service", "the address is empty")
+	case (f.TicketKey == "") == (f.TicketKeyFile == ""):
+		return settings.At("ticket_key", "either ticket_key or ticket_key_file has to be given")
+	case f.TicketKey != "" && len(f.TicketKey) < minTicketKey:
+		return settings.At("ticket_key", "the key has %d bytes, at least %d are needed", len(f.TicketKey), minTicketKey)
+	case f.KeyLifetime >= f.LogRetention:
+		return settings.At("key_lifetime", "%s is not below log_retention, %s", f.KeyLifetime, f.LogRetention)
+	}
+
+	if f.Advertise != "" {
+		if _, err := netip.ParseAddrPort(f.Advertise); err != nil {
+			return settings.At("advertise", "%q is not an IP address and port", f.Advertise)
+		}
+	}
+
+	return nil
+}
+
+// Settings are the checked settings of an entry.
+type Settings struct{ file file }
+
+// Load reads a settings file.
+func Load(name string) (Settings, error) {
+	var s Settings
+
+	err := settings.Load(name, &s.file)
+
+	return s, err
+}
+
+// Parse reads settings from text; name stands for the file in errors.
+func Parse(name string, text []byte) (Settings, error) {
+	var s Settings
+
+	err := settings.Parse(name, text, &s.file)
+
+	return s, err
+}
+
+// Name returns the name of the entry.
+func (s Settings) Name() string { return s.file.Name }
+
+// FailureDomain returns the failure domain.
+func (s Settings) FailureDomain() string { return s.file.FailureDomain }
+
+// Peers returns the QUIC addresses of other entries.
+func (s Settings) Peers() []string {
+	all := make([]string, 0, len(s.file.Peers))
+	for _, p := range s.file.Peers {
+		all = append(all, p.String())
+	}
+
+	return all
+}
+
+// TicketKey returns the key that tickets are signed with. White space at the end of the file is not part of it.
+func (s Settings) TicketKey() (ticket.Key, error) {
+	if s.file.TicketKeyFile == "" {
+		return ticket.Key(s.file.TicketKey), nil
+	}
+
+	text, err := os.ReadFile(s.file.TicketKeyFile)
+	if err != nil {
+		return nil, merry.Prepend(err, "read the ticket key")
+	}
+
+	key := bytes.TrimRight(text, " \t\r\n")
+	if len(key) < minTicketKey {
+		return nil, merry.Errorf("%s: the ticket key has %d bytes, at least %d are needed", s.file.TicketKeyFile, len(key), minTicketKey)
+	}
+
+	return key, nil
+}
+
+// KeyLifetime returns the age of the oldest accepted key of a caller.
+func (s Settings) KeyLifetime() time.Duration { return s.file.KeyLifetime.Value() }
+
+// TicketLifetime returns the lifetime of tickets.
+func (s Settings) TicketLifetime() time.Duration { return s.file.TicketLifetime.Value() }
+
+// Slots returns the number of processors to use, and of requests to decide at once.
+func (s Settings) Slots() int { return s.file.Slots }
+
+// DrainDelay returns how long new submissions are accepted after the end of readiness.
+func (s Settings) DrainDelay() time.Duration { return s.file.DrainDelay.Value() }
+
+// DrainLimit returns the longest wait for submissions in flight.
+func (s Settings) DrainLimit() time.Duration { return s.file.DrainLimit.Value() }
+
+// LogLevel returns the least severe level that is logged.
+func (s Settings) LogLevel() zerolog.Level {
+	l, err := zerolog.ParseLevel(s.file.LogLevel)
+	if err != nil {
+		return zerolog.InfoLevel
+	}
+
+	return l
+}
--- /dev/null
+++ b/entry/process/wiring.go
@@ -0,0 +1,189 @@
+package process
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net/netip"
+	"runtime"
+
+	"github.com/ansel1/merry/v2"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/skylarkweir/skylarkweir/entry/binding"
+	"github.com/skylarkweir/skylarkweir/entry/caller"
+	"github.com/skylarkweir/skylarkweir/entry/home"
+	"github.com/skylarkweir/skylarkweir/entry/homelost"
+	"github.com/skylarkweir/skylarkweir/entry/operator"
+	"github.com/skylarkweir/skylarkweir/entry/peer"
+	"github.com/skylarkweir/skylarkweir/entry/sidecar"
+	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Options returns the parts of an entry for fx.
+func Options(s Settings, log zerolog.Logger) fx.Option {
+	f := s.file
+
+	return fx.Options(
+		fx.Supply(s, log),
+		fx.Provide(
+			gometrics.NewRegistry,
+			s.TicketKey,
+			newNode,
+			newSelf,
+			newMint,
+			newTable,
+			newHub,
+			newSilence,
+			newPeers,
+			newLocal,
+			newRouter,
+			newBinder,
+			newCallers,
+			newOperator,
+			newProcess,
+			operator.NewReadiness,
+			func() *ledger.Book { return &ledger.Book{} },
+			func() *fleet.Fleet { return &fleet.Fleet{} },
+			func() *logservice.Client { return logservice.NewClient(f.LogService) },
+			func(c *logservice.Client, b *ledger.Book) *logservice.Follower {
+				return logservice.NewFollower(c, b, f.LogRetention.Value(), log)
+			},
+			func(c *logservice.Client, b *ledger.Book) *logservice.Appender {
+				return logservice.NewAppender(c, b, f.AppendBudget)
+			},
+			func(h *sidecar.Hub, b *ledger.Book) *homelost.Resolver { return homelost.NewResolver(h, b, log) },
+		),
+		fx.Invoke(func(l fx.Lifecycle, p *Process) { l.Append(fx.Hook{OnStart: p.start, OnStop: p.stop}) }),
+		fx.StartTimeout(startWait),
+		fx.StopTimeout(s.DrainDelay()+s.DrainLimit()+2*startWait),
+		fx.NopLogger,
+	)
+}
+
+// newNode opens the QUIC socket, since the address that the kernel chooses is part of the entry's identity.
+func newNode(s Settings) (*quic.Node, error) {
+	k := s.file.Keys
+
+	keys, err := quic.LoadKeys(k.Certificate, k.Key, k.Authority)
+	if err != nil {
+		return nil, err
+	}
+
+	n := &quic.Node{}
+
+	return n, n.Listen(s.file.Listen.String(), keys)
+}
+
+func newSelf(s Settings, n *quic.Node) (*wire.Entry, error) {
+	var random [8]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return nil, merry.Prepend(err, "choose the incarnation")
+	}
+
+	address := s.file.Advertise
+	if address == "" {
+		address = n.Address().String()
+	}
+
+	e := &wire.Entry{}
+	e.SetName(s.Name())
+	// Zero means no incarnation.
+	e.SetIncarnation(binary.BigEndian.Uint64(random[:]) | 1)
+	e.SetAddress(address)
+	e.SetFailureDomain(s.FailureDomain())
+
+	return e, nil
+}
+
+func newMint(s Settings, key ticket.Key, self *wire.Entry, book *ledger.Book) (*caller.Mint, error) {
+	address, err := netip.ParseAddrPort(self.GetAddress())
+	if err != nil {
+		return nil, merry.Prepend(err, "own address")
+	}
+
+	return caller.NewMint(key, address, self.GetIncarnation(), book, s.TicketLifetime()), nil
+}
+
+func newTable(s Settings, workers *fleet.Fleet, hub *sidecar.Hub, self *wire.Entry, registry gometrics.Registry, log zerolog.Logger) *home.Table {
+	t := &home.Table{}
+	t.Use(workers, hub, log)
+
+	return t
+}
+
+func newHub(self *wire.Entry, workers *fleet.Fleet, appender *logservice.Appender, log zerolog.Logger) *sidecar.Hub {
+	h := &sidecar.Hub{}
+	h.Use(self, workers, registrar{appender}, log)
+
+	return h
+}
+
+// registrar appends the registrations of sidecars.
+type registrar struct{ appender *logservice.Appender }
+
+// Register returns once the record was read back.
+func (r registrar) Register(ctx context.Context, w *wire.Worker) error {
+	return r.appender.Append(ctx, ledger.WorkerJoinedRecord(w))
+}
+
+func newSilence(s Settings, workers *fleet.Fleet, book *ledger.Book, appender *logservice.Appender, log zerolog.Logger) *peer.Silence {
+	return peer.NewSilence(workers, book, appender, s.file.Connections, log)
+}
+
+func newPeers(s Settings, n *quic.Node, self *wire.Entry, book *ledger.Book, t *home.Table, silence *peer.Silence, log zerolog.Logger) *peer.Peers {
+	return peer.NewPeers(n, self, book, t, silence, s.Peers(), log)
+}
+
+// held adapts the home table to the interface of the callers' API, since methods that return a concrete type do not
+// implement it.
+type held struct{ table *home.Table }
+
+// Submit enters a submission.
+func (h held) Submit(s submission.Submission) (caller.Held, error) {
+	found, err := h.table.Submit(s)
+	if err != nil {
+		return nil, err
+	}
+
+	return found, nil
+}
+
+// Find returns a held submission.
+func (h held) Find(id string) (caller.Held, bool) {
+	found, ok := h.table.Find(id)
+
+	return found, ok
+}
+
+func newLocal(s Settings, mint *caller.Mint, t *home.Table, book *ledger.Book, peers *peer.Peers) *caller.Local {
+	slots := caller.NewSlots(min(s.Slots(), runtime.GOMAXPROCS(0)))
+	l := caller.NewLocal(mint, held{t}, book, slots, s.file.MaxTasks)
+	peers.Use(l)
+
+	return l
+}
+
+func newRouter(l *caller.Local, p *peer.Peers, r *homelost.Resolver) *caller.Router {
+	return caller.NewRouter(l, p, r)
+}
+
+func newBinder(s Settings, mint *caller.Mint, a *logservice.Appender, book *ledger.Book, log zerolog.Logger) *binding.Binder {
+	return binding.NewBinder(mint, a, book, s.KeyLifetime(), log)
+}
+
+func newCallers(s Settings, mint *caller.Mint, l *caller.Local, r *caller.Router, b *binding.Binder, book *ledger.Book, registry gometrics.Registry, log zerolog.Logger) *caller.Server {
+	return caller.NewServer(mint, l, r, b, book, s.file.MaxBody.Value(), registry, log)
+}
+
+func newOperator(self *wire.Entry, book *ledger.Book, workers *fleet.Fleet, p *peer.Peers, r *caller.Router, f *logservice.Follower, registry gometrics.Registry, readiness *operator.Readiness, s fx.Shutdowner) *operator.Server {
+	return operator.NewServer(self, book, workers, p, r, f, registry, readiness, func() { _ = s.Shutdown() })
+}
