Add the caller with open-loop load, the relay's command and process handling

Response times have to be measured without coordinated omission, so the generator starts each submission at a random time that no answer influences and counts the response from when it was due. A closed loop with a fixed number of callers was ruled out: it slows down with the system. Each submission has its own random source, so that one seed gives the same submissions in any order of events. The caller resubmits with the same ticket through another entry after a broken connection or a timeout; net/http repeats requests with an Idempotency-Key by itself, which is turned off, since such attempts would go to the same entry and not be counted. Tickets are used within 1 s, below the drain delay of an entry.

go test -race -count=3 ./caller passes.

--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,277 @@
+package caller_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/weir/process/settings"
+)
+
+// seed fixes arrivals and run times; failures print it.
+const seed = 20261204
+
+// fakeEntry answers every submission with an output that repeats its input.
+type fakeEntry struct {
+	*httptest.Server
+	issued  atomic.Int64
+	mutex   sync.Mutex
+	inputs  map[string]string
+	before  func(w http.ResponseWriter) bool
+	falsify func(answer map[string]any)
+}
+
+func newFakeEntry(t *testing.T) *fakeEntry {
+	f := &fakeEntry{inputs: map[string]string{}}
+	m := http.NewServeMux()
+	m.HandleFunc("/v1/tickets", func(w http.ResponseWriter, r *http.Request) {
+		var q struct{ Count int }
+		json.NewDecoder(r.Body).Decode(&q)
+		var tickets []string
+		for range q.Count {
+			tickets = append(tickets, fmt.Sprintf("%s-%d", f.URL, f.issued.Add(1)))
+		}
+		json.NewEncoder(w).Encode(map[string]any{"tickets": tickets})
+	})
+	m.HandleFunc("/v1/", f.submit)
+	f.Server = httptest.NewServer(m)
+	t.Cleanup(f.Close)
+
+	return f
+}
+
+func (f *fakeEntry) submit(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Kind  string
+		Input []byte
+		Tasks []struct{ Input []byte }
+	}
+	json.NewDecoder(r.Body).Decode(&q)
+
+	if q.Input != nil {
+		q.Tasks = append(q.Tasks, struct{ Input []byte }{q.Input})
+	}
+
+	if f.before != nil && !f.before(w) {
+		return
+	}
+
+	var longest time.Duration
+	digest, length, results := sha256.New(), 0, []map[string]any{}
+
+	for i, task := range q.Tasks {
+		var in struct {
+			RunMS float64 `json:"run_ms"`
+		}
+		json.Unmarshal(task.Input, &in)
+		longest = max(longest, time.Duration(in.RunMS*1e6))
+		digest.Write(task.Input)
+		length += len(task.Input)
+		results = append(results, map[string]any{"index": i, "output": task.Input})
+	}
+
+	key := r.Header.Get("Idempotency-Key")
+	f.mutex.Lock()
+	f.inputs[string(q.Tasks[0].Input)] = key
+	f.mutex.Unlock()
+	time.Sleep(longest)
+
+	a := map[string]any{
+		"submission": key, "state": "complete", "length": length, "digest": hex.EncodeToString(digest.Sum(nil)), "results": results,
+	}
+	if f.falsify != nil {
+		f.falsify(a)
+	}
+	json.NewEncoder(w).Encode(a)
+}
+
+func load(t *testing.T, rate float64, mix string, entries ...*fakeEntry) *caller.Load {
+	t.Helper()
+
+	urls := []string{}
+	for _, e := range entries {
+		urls = append(urls, e.URL)
+	}
+
+	list, _ := json.Marshal(urls)
+	text := fmt.Sprintf(`{"entries": %s, "token": "t", "rate": %g, "duration": "500ms", "seed": %d, "mix": %s}`, list, rate, seed, mix)
+
+	l := &caller.Load{}
+	if err := settings.Parse("load", []byte(text), l); err != nil {
+		t.Fatal(err)
+	}
+
+	return l
+}
+
+// Guards against a generator that waits for answers, which would hide a stall: of the submissions that are due while
+// the entry stalls, each has to show its own part of the stall.
+func TestNoCoordinatedOmission(t *testing.T) {
+	is := is.New(t)
+	f := newFakeEntry(t)
+	start := time.Now()
+	f.before = func(http.ResponseWriter) bool {
+		time.Sleep(time.Until(start.Add(400 * time.Millisecond)))
+
+		return true
+	}
+
+	var slow atomic.Int64
+
+	report := caller.NewGenerator(load(t, 400, `[{"kind": "k", "run": "fixed 1ms"}]`, f), func(r *caller.Record) {
+		if r.Response() > 200*time.Millisecond {
+			slow.Add(1)
+		}
+	}).Run(context.Background())
+
+	is.Equal(report.All().Complete(), report.All().Submitted())
+	is.True(report.All().Submitted() > 120) // 200 are expected in 500 ms
+	is.True(slow.Load() > 50)               // 80 are due in the first 200 ms
+	is.True(report.All().Response(50) > 50*time.Millisecond)
+}
+
+// Guards against figures that are not relative to the longest task.
+func TestRatioToIdeal(t *testing.T) {
+	is := is.New(t)
+	f := newFakeEntry(t)
+	l := load(t, 50, `[{"kind": "j", "form": "job", "tasks_least": 2, "tasks_most": 5, "run": "uniform 30ms 60ms"},
+		{"kind": "r", "run": "fixed 40ms"}]`, f)
+	report := caller.NewGenerator(l, nil).Run(context.Background())
+	report.Print(testWriter{t})
+
+	is.Equal(report.All().Wrong(), 0)
+	is.Equal(report.All().Complete(), report.Kind("j").Complete()+report.Kind("r").Complete())
+	is.True(report.Kind("j").Complete() > 0)
+	is.True(report.All().Ratio(50) >= 1)
+	is.True(report.All().Ratio(50) < 2)
+
+	text, err := json.Marshal(report)
+	is.NoErr(err)
+	var b struct{ All struct{ Complete int } }
+	is.NoErr(json.Unmarshal(text, &b))
+	is.Equal(b.All.Complete, report.All().Complete())
+}
+
+// Guards against runs that cannot be repeated.
+func TestSeedDecidesSubmissions(t *testing.T) {
+	is := is.New(t)
+
+	var runs [2]map[string]string
+	for i := range runs {
+		f := newFakeEntry(t)
+		caller.NewGenerator(load(t, 100, `[{"kind": "k", "run": "exponential 5ms"}]`, f), nil).Run(context.Background())
+		runs[i] = f.inputs
+	}
+
+	is.True(len(runs[0]) > 10)
+	for input := range runs[0] {
+		_, both := runs[1][input]
+		is.True(both)
+	}
+}
+
+// Guards against a second run: after a broken connection the same ticket has to go to another entry.
+func TestBrokenConnectionKeepsTicket(t *testing.T) {
+	is := is.New(t)
+	a, b := newFakeEntry(t), newFakeEntry(t)
+	broken := atomic.Int64{}
+	// Whichever entry is asked first breaks the connection.
+	cut := func(http.ResponseWriter) bool {
+		if broken.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+
+		return true
+	}
+	a.before, b.before = cut, cut
+
+	c := caller.NewClient(load(t, 1, `[{"kind": "k"}]`, a, b))
+	defer c.Close()
+
+	r := c.Submit(context.Background(), caller.NewRequest("k", false, caller.Input(0, 1, "")))
+	is.True(r.Complete())
+	is.Equal(r.Attempts(), 2)
+	is.Equal(a.issued.Load()*b.issued.Load(), int64(0)) // one batch of tickets only
+}
+
+// Guards against a lost submission while an entry leaves.
+func TestLeavingEntryIsReplaced(t *testing.T) {
+	is := is.New(t)
+	a, b := newFakeEntry(t), newFakeEntry(t)
+	left := atomic.Int64{}
+	refuse := func(w http.ResponseWriter) bool {
+		if left.Add(1) > 1 {
+			return true
+		}
+
+		w.WriteHeader(http.StatusServiceUnavailable)
+		w.Write([]byte(`{"error": {"code": "leaving", "message": "m", "ran": "none"}}`))
+
+		return false
+	}
+	a.before, b.before = refuse, refuse
+
+	c := caller.NewClient(load(t, 1, `[{"kind": "k"}]`, a, b))
+	defer c.Close()
+
+	r := c.Submit(context.Background(), caller.NewRequest("k", false, caller.Input(0, 1, "")))
+	is.True(r.Complete())
+	is.True(a.issued.Load() > 0)
+	is.True(b.issued.Load() > 0)
+}
+
+// Guards against answers that are accepted although they are not whole or not the caller's own.
+func TestWrongAnswersAreNoticed(t *testing.T) {
+	for title, falsify := range map[string]func(map[string]any){
+		"other submission": func(a map[string]any) { a["submission"] = "x" },
+		"digest":           func(a map[string]any) { a["digest"] = hex.EncodeToString(make([]byte, 32)) },
+		"length":           func(a map[string]any) { a["length"] = 1 },
+		"missing result":   func(a map[string]any) { a["results"] = a["results"].([]map[string]any)[:1] },
+		"order":            func(a map[string]any) { a["results"].([]map[string]any)[0]["index"] = 1 },
+		"state":            func(a map[string]any) { a["state"] = "running" },
+	} {
+		t.Run(title, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeEntry(t)
+			f.falsify = falsify
+			c := caller.NewClient(load(t, 1, `[{"kind": "k"}]`, f))
+			defer c.Close()
+
+			r := c.Submit(context.Background(), caller.NewJob("k", caller.Input(0, 1, ""), caller.Input(0, 2, "")))
+			is.True(!r.Complete())
+			is.True(r.Wrong())
+			is.Equal(r.Code(), "wrong_answer")
+		})
+	}
+}
+
+func TestLoadRefusesBadMix(t *testing.T) {
+	is := is.New(t)
+
+	for _, mix := range []string{
+		`[]`, `[{"kind": "k", "weight": 0}]`, `[{"kind": "k", "run": "uniform 2s 1s"}]`, `[{"kind": "k", "run": "gauss 1s"}]`,
+		`[{"kind": "k", "tasks_most": 2}]`, `[{"kind": "k", "form": "job", "tasks_least": 3, "tasks_most": 2}]`,
+	} {
+		text := fmt.Sprintf(`{"entries": ["http://x"], "token": "t", "rate": 1, "mix": %s}`, mix)
+		is.True(settings.Parse("load", []byte(text), &caller.Load{}) != nil)
+	}
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(text []byte) (int, error) {
+	w.t.Logf("%s", text)
+
+	return len(text), nil
+}
--- /dev/null
+++ b/standin/caller/client.go
@@ -0,0 +1,246 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// maxAnswer bounds an answer in bytes.
+	maxAnswer = 256 << 20
+	// ticketAge is below an entry's drain_delay, so that no ticket of an entry that leaves is used after it left.
+	ticketAge = time.Second
+	// avoidTime is how long an entry gets no new submissions after it could not be reached or was leaving.
+	avoidTime = time.Second
+	// maxConnections is the number of idle connections kept to each entry.
+	maxConnections = 512
+)
+
+// Client submits to several entries with one member's token.
+type Client struct {
+	token    string
+	attempts int
+	patience time.Duration
+	batch    int
+	entries  []*entry
+	http     *http.Client
+	next     atomic.Uint64
+}
+
+// entry is what a client knows of one entry.
+type entry struct {
+	url string
+	// avoidUntil is a time in nanoseconds since the epoch.
+	avoidUntil atomic.Int64
+
+	mutex   sync.Mutex
+	tickets []string
+	issued  time.Time
+}
+
+// NewClient returns a client with the limits of the load.
+func NewClient(l *Load) *Client {
+	c := &Client{
+		token: l.Token, attempts: max(l.Attempts, 1), patience: l.Patience.Value(), batch: max(l.Batch, 1),
+		http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxConnections,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+	}
+
+	for _, e := range l.Entries {
+		c.entries = append(c.entries, &entry{url: strings.TrimSuffix(e, "/")})
+	}
+
+	return c
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Submit sends s until it is answered: through another entry with the same ticket after a broken connection or a
+// timeout, and with a new ticket if an entry that is leaving refused it as not run.
+func (c *Client) Submit(ctx context.Context, s Submission) *Record {
+	r := &Record{submission: s, arrived: time.Now()}
+	c.submit(ctx, r)
+	r.answered = time.Now()
+
+	return r
+}
+
+// Resubmit sends s again under a ticket through the entry of that number.
+func (c *Client) Resubmit(ctx context.Context, s Submission, ticket string, number int) *Record {
+	r := &Record{submission: s, arrived: time.Now(), ticket: ticket}
+	c.attempt(ctx, r, c.entries[number%len(c.entries)])
+	r.answered = time.Now()
+
+	return r
+}
+
+func (c *Client) submit(ctx context.Context, r *Record) {
+	first := int(c.next.Add(1))
+
+	var e *entry
+
+	for n := range c.attempts {
+		if r.ticket == "" {
+			e = c.choose(first+n, nil)
+
+			ticket, err := c.ticket(ctx, e)
+			if err != nil {
+				r.add(Attempt{entry: e.url, at: time.Now(), err: merry.Prepend(err, "no ticket"), neverSent: true})
+				e.avoid()
+
+				continue
+			}
+
+			r.ticket = ticket
+		} else {
+			e = c.choose(first+n, e)
+		}
+
+		if a := c.attempt(ctx, r, e); a.final() {
+			return
+		} else if a.moved() {
+			r.ticket = ""
+		}
+
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// choose returns an entry that is not avoided, other than the last one if there are several.
+func (c *Client) choose(number int, last *entry) *entry {
+	now := time.Now().UnixNano()
+
+	var fallback *entry
+
+	for i := range c.entries {
+		e := c.entries[(number+i)%len(c.entries)]
+
+		switch {
+		case e == last:
+		case e.avoidUntil.Load() <= now:
+			return e
+		case fallback == nil:
+			fallback = e
+		}
+	}
+
+	if fallback == nil {
+		return last
+	}
+
+	return fallback
+}
+
+func (e *entry) avoid() { e.avoidUntil.Store(time.Now().Add(avoidTime).UnixNano()) }
+
+func (c *Client) attempt(ctx context.Context, r *Record, e *entry) Attempt {
+	limit := r.submission.deadline + c.patience
+
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+
+	a := Attempt{entry: e.url, at: time.Now()}
+	body, status, err := c.post(ctx, e, r.submission.path(), r.ticket, r.submission.body())
+
+	switch {
+	case err != nil:
+		a.err = err
+		e.avoid()
+	case status == http.StatusOK:
+		a.status = status
+		r.outputs, a.err = verify(r.submission, r.ticket, body)
+		a.wrong = a.err != nil
+	default:
+		a.status = status
+		a.refuse(body)
+
+		if a.moved() {
+			e.avoid()
+		}
+	}
+
+	a.took = time.Since(a.at)
+	r.add(a)
+
+	return a
+}
+
+// ticketsBody is the JSON form of a batch of tickets.
+type ticketsBody struct {
+	Count   int      `json:"count,omitempty"`
+	Tickets []string `json:"tickets,omitempty"`
+}
+
+func (c *Client) ticket(ctx context.Context, e *entry) (string, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+
+	if len(e.tickets) == 0 || time.Since(e.issued) > ticketAge {
+		ctx, cancel := context.WithTimeout(ctx, c.patience)
+		defer cancel()
+
+		e.issued = time.Now()
+		question, _ := json.Marshal(ticketsBody{Count: c.batch})
+
+		text, status, err := c.post(ctx, e, "/v1/tickets", "", question)
+		if err != nil {
+			return "", err
+		}
+
+		var b ticketsBody
+		if err := json.Unmarshal(text, &b); err != nil || len(b.Tickets) == 0 {
+			return "", merry.Errorf("tickets refused with status %d: %s", status, text)
+		}
+
+		e.tickets = b.Tickets
+	}
+
+	ticket := e.tickets[0]
+	e.tickets = e.tickets[1:]
+
+	return ticket, nil
+}
+
+func (c *Client) post(ctx context.Context, e *entry, path, key string, body []byte) ([]byte, int, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, merry.Wrap(err)
+	}
+
+	q.Header.Set("Content-Type", "application/json")
+	q.Header.Set("Authorization", "Bearer "+c.token)
+
+	if key != "" {
+		// Without GetBody, net/http does not repeat a request with this header by itself; attempts have to be counted.
+		q.GetBody = nil
+		q.Header.Set("Idempotency-Key", key)
+	}
+
+	a, err := c.http.Do(q)
+	if err != nil {
+		return nil, 0, merry.Wrap(err)
+	}
+	defer a.Body.Close()
+
+	text, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
+	if err != nil {
+		return nil, 0, merry.Prepend(err, "answer broken off")
+	}
+
+	return text, a.StatusCode, nil
+}
--- /dev/null
+++ b/standin/caller/record.go
@@ -0,0 +1,174 @@
+package caller
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Record is what became of one submission.
+type Record struct {
+	submission Submission
+	// arrived is the time at which the submission had to be sent, which may be before the first attempt.
+	arrived, answered time.Time
+	// ticket is the last one used; it changes only if nothing ran under the one before.
+	ticket   string
+	attempts []Attempt
+	outputs  [][]byte
+}
+
+// Attempt is one time that a submission was sent.
+type Attempt struct {
+	entry string
+	at    time.Time
+	took  time.Duration
+	// status is zero if no answer came.
+	status    int
+	code, ran string
+	message   string
+	err       error
+	// wrong means an answer that is not whole or not the caller's own.
+	wrong bool
+	// neverSent means that not even a ticket was obtained.
+	neverSent bool
+}
+
+func (r *Record) add(a Attempt) { r.attempts = append(r.attempts, a) }
+
+// last returns the decisive attempt.
+func (r *Record) last() Attempt {
+	if len(r.attempts) == 0 {
+		return Attempt{neverSent: true}
+	}
+
+	return r.attempts[len(r.attempts)-1]
+}
+
+// Submission returns what was submitted.
+func (r *Record) Submission() Submission { return r.submission }
+
+// Ticket returns the ticket of the last attempt.
+func (r *Record) Ticket() string { return r.ticket }
+
+// Attempts returns how often the submission was sent.
+func (r *Record) Attempts() int { return len(r.attempts) }
+
+// Complete reports a whole answer that passed the checks.
+func (r *Record) Complete() bool { return r.last().status == 200 && !r.last().wrong }
+
+// Wrong reports an answer that did not pass the checks.
+func (r *Record) Wrong() bool {
+	for _, a := range r.attempts {
+		if a.wrong {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Code returns the error code of the last answer; "unanswered" if there was none.
+func (r *Record) Code() string {
+	switch a := r.last(); {
+	case a.wrong:
+		return "wrong_answer"
+	case a.status == 200:
+		return ""
+	case a.status == 0:
+		return "unanswered"
+	default:
+		return a.code
+	}
+}
+
+// Ran returns what the last answer said about started tasks.
+func (r *Record) Ran() string {
+	a := r.last()
+	if a.status == 0 && !a.neverSent {
+		return "unknown"
+	}
+
+	return a.ran
+}
+
+// Outputs returns the outputs of a complete answer, in the order of the tasks.
+func (r *Record) Outputs() [][]byte { return r.outputs }
+
+// Response returns the time from the arrival to the last answer.
+func (r *Record) Response() time.Duration { return r.answered.Sub(r.arrived) }
+
+// Error returns a text about the last attempt for people, empty for a complete answer.
+func (r *Record) Error() string {
+	a := r.last()
+	if a.err != nil {
+		return a.err.Error()
+	}
+
+	return a.message
+}
+
+// final reports that the answer needs no other attempt.
+func (a Attempt) final() bool { return a.status != 0 && !a.moved() }
+
+// moved reports a refusal by a leaving entry, after which a new ticket of another entry is safe.
+func (a Attempt) moved() bool { return a.code == "leaving" && a.ran == "none" }
+
+// refusalBody is the JSON form of errors of section 9 of docs/design.md.
+type refusalBody struct {
+	Error struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+		Ran     string `json:"ran"`
+	} `json:"error"`
+}
+
+func (a *Attempt) refuse(body []byte) {
+	var b refusalBody
+	if json.Unmarshal(body, &b) != nil || b.Error.Code == "" {
+		a.code, a.ran, a.message = "not_json", "unknown", string(body)
+
+		return
+	}
+
+	a.code, a.ran, a.message = b.Error.Code, b.Error.Ran, b.Error.Message
+}
+
+// recordBody is the JSON form of a record.
+type recordBody struct {
+	Kind     string        `json:"kind"`
+	Form     string        `json:"form"`
+	Tasks    int           `json:"tasks"`
+	Ticket   string        `json:"ticket"`
+	Arrived  time.Time     `json:"arrived"`
+	Answered time.Time     `json:"answered"`
+	IdealMS  float64       `json:"ideal_ms"`
+	Code     string        `json:"code,omitempty"`
+	Ran      string        `json:"ran,omitempty"`
+	Error    string        `json:"error,omitempty"`
+	Attempts []attemptBody `json:"attempts"`
+}
+
+type attemptBody struct {
+	Entry  string    `json:"entry"`
+	Sent   time.Time `json:"sent"`
+	TookMS float64   `json:"took_ms"`
+	Status int       `json:"status"`
+	Code   string    `json:"code,omitempty"`
+	Ran    string    `json:"ran,omitempty"`
+}
+
+// MarshalJSON returns the form that is written to a file of records.
+func (r *Record) MarshalJSON() ([]byte, error) {
+	b := recordBody{
+		Kind: r.submission.kind, Form: r.submission.form, Tasks: len(r.submission.inputs), Ticket: r.ticket,
+		Arrived: r.arrived, Answered: r.answered, IdealMS: milliseconds(r.submission.ideal),
+		Code: r.Code(), Ran: r.Ran(), Error: r.Error(),
+	}
+
+	for _, a := range r.attempts {
+		b.Attempts = append(b.Attempts, attemptBody{a.entry, a.at, milliseconds(a.took), a.status, a.code, a.ran})
+	}
+
+	return json.Marshal(b)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/standin/caller/submission.go
@@ -0,0 +1,127 @@
+package caller
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// The forms of a submission.
+const (
+	formJob        = "job"
+	formRequest    = "request"
+	formRepeatable = "repeatable"
+)
+
+// Submission is what a caller submits. It is immutable.
+type Submission struct {
+	kind, form string
+	inputs     [][]byte
+	cores      int
+	memoryMB   int
+	deadline   time.Duration
+	// ideal is the largest run time of the tasks.
+	ideal time.Duration
+	// work is the sum over the tasks of run time and cores.
+	work time.Duration
+}
+
+// NewJob returns a job with one task for each input.
+func NewJob(kind string, inputs ...[]byte) Submission {
+	return Submission{kind: kind, form: formJob, inputs: inputs, cores: 1, deadline: 30 * time.Second}
+}
+
+// NewRequest returns a request.
+func NewRequest(kind string, repeatable bool, input []byte) Submission {
+	s := NewJob(kind, input)
+	if s.form = formRequest; repeatable {
+		s.form = formRepeatable
+	}
+
+	return s
+}
+
+// WithDeadline returns s with another deadline.
+func (s Submission) WithDeadline(d time.Duration) Submission { s.deadline = d; return s }
+
+// WithSize returns s with other declared sizes of each task.
+func (s Submission) WithSize(cores, memoryMB int) Submission {
+	s.cores, s.memoryMB = cores, memoryMB
+
+	return s
+}
+
+// Kind returns the kind of work.
+func (s Submission) Kind() string { return s.kind }
+
+// Inputs returns one input for each task.
+func (s Submission) Inputs() [][]byte { return s.inputs }
+
+// Ideal returns the time that the submission needs on an idle system of endless size.
+func (s Submission) Ideal() time.Duration { return s.ideal }
+
+// generate returns a random submission of the kind.
+func (k Kind) generate(r *rand.Rand) Submission {
+	s := Submission{
+		kind: k.Kind, form: k.Form, cores: k.Cores, memoryMB: k.MemoryMB, deadline: k.Deadline.Value(),
+	}
+
+	padding := strings.Repeat("x", k.Padding)
+
+	for range k.TasksLeast + r.IntN(k.TasksMost-k.TasksLeast+1) {
+		d := k.Run
+		if r.Float64() < k.TailShare {
+			d = k.Tail
+		}
+
+		run := max(d.Draw(r).Round(time.Microsecond), 0)
+		s.inputs = append(s.inputs, Input(run, r.Uint64(), padding))
+		s.ideal = max(s.ideal, run)
+		s.work += run * time.Duration(k.Cores)
+	}
+
+	return s
+}
+
+// submissionBody is the JSON form of section 9 of docs/design.md.
+type submissionBody struct {
+	Kind       string     `json:"kind"`
+	Tasks      []taskBody `json:"tasks,omitempty"`
+	Input      *[]byte    `json:"input,omitempty"`
+	Repeatable bool       `json:"repeatable,omitempty"`
+	Cores      int        `json:"cores"`
+	MemoryMB   int        `json:"memory_mb"`
+	DeadlineMS int64      `json:"deadline_ms"`
+}
+
+type taskBody struct {
+	Input []byte `json:"input"`
+}
+
+func (s Submission) path() string {
+	if s.form == formJob {
+		return "/v1/jobs"
+	}
+
+	return "/v1/requests"
+}
+
+func (s Submission) body() []byte {
+	b := submissionBody{
+		Kind: s.kind, Repeatable: s.form == formRepeatable, Cores: s.cores, MemoryMB: s.memoryMB,
+		DeadlineMS: s.deadline.Milliseconds(),
+	}
+
+	if s.form == formJob {
+		for _, i := range s.inputs {
+			b.Tasks = append(b.Tasks, taskBody{i})
+		}
+	} else {
+		b.Input = &s.inputs[0]
+	}
+
+	text, _ := json.Marshal(b)
+
+	return text
+}
--- /dev/null
+++ b/standin/cluster/process.go
@@ -0,0 +1,137 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Process is a program that was started. It is ended by its id only.
+type Process struct {
+	name, log string
+	command   *exec.Cmd
+	// done is closed when the process has ended; err is set before.
+	done chan struct{}
+	err  error
+}
+
+// Start starts a program whose output goes to the log file.
+func Start(name, log, program string, args ...string) (*Process, error) {
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, merry.Prependf(err, "open the log of %s", name)
+	}
+	defer func() { _ = out.Close() }()
+
+	// The process outlives any context of its starter; End and Close of the cluster end it.
+	c := exec.CommandContext(context.Background(), program, args...)
+	c.Stdout, c.Stderr = out, out
+	c.SysProcAttr = attributes()
+
+	if err := c.Start(); err != nil {
+		return nil, merry.Prependf(err, "start %s", name)
+	}
+
+	p := &Process{name: name, log: log, command: c, done: make(chan struct{})}
+	go p.run()
+
+	return p, nil
+}
+
+func (p *Process) run() {
+	p.err = p.command.Wait()
+	close(p.done)
+}
+
+// Name returns the name of the process in messages.
+func (p *Process) Name() string { return p.name }
+
+// ID returns the process id.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
+// Log returns the file with the output.
+func (p *Process) Log() string { return p.log }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Terminate sends SIGTERM, which asks for a graceful shutdown.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Kill sends SIGKILL.
+func (p *Process) Kill() error { return p.signal(syscall.SIGKILL) }
+
+// Pause sends SIGSTOP.
+func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+
+// Resume sends SIGCONT.
+func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+
+// Wait waits for the end and returns an error unless the exit status was 0.
+func (p *Process) Wait(ctx context.Context) error {
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return merry.Errorf("%s has not ended: %w", p.name, ctx.Err())
+	}
+
+	if p.err != nil {
+		return merry.Errorf("%s: %w\n%s", p.name, p.err, p.Tail(20))
+	}
+
+	return nil
+}
+
+// End ends the process, also a paused one, by SIGTERM and after the given time by SIGKILL.
+func (p *Process) End(within time.Duration) {
+	_ = p.Resume()
+	_ = p.Terminate()
+
+	select {
+	case <-p.done:
+	case <-time.After(within):
+		_ = p.Kill()
+		<-p.done
+	}
+}
+
+// Tail returns the last lines of the output.
+func (p *Process) Tail(lines int) string {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return fmt.Sprintf("no output of %s: %v", p.name, err)
+	}
+
+	all := strings.Split(string(bytes.TrimSpace(text)), "\n")
+
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+func (p *Process) signal(s os.Signal) error {
+	if !p.Running() {
+		return merry.Errorf("%s has ended", p.name)
+	}
+
+	if err := p.command.Process.Signal(s); err != nil {
+		return merry.Prependf(err, "signal %s", p.name)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/standin/command/caller.go
@@ -0,0 +1,145 @@
+package command
+
+import (
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/weir/process/settings"
+)
+
+// callerCommand generates load.
+type callerCommand struct {
+	console  *console
+	Load     string        `long:"load" required:"yes" value-name:"FILE" description:"Settings file of the load"`
+	Entries  []string      `long:"entry" value-name:"URL" description:"Entry, in place of those of the file; repeatable"`
+	Rate     float64       `long:"rate" description:"Arrivals per second, in place of that of the file"`
+	Duration time.Duration `long:"duration" description:"Time during which submissions arrive, in place of that of the file"`
+	Seed     *uint64       `long:"seed" description:"Random seed, in place of that of the file"`
+	Records  string        `long:"records" value-name:"FILE" description:"File for one JSON line about each submission"`
+	JSON     bool          `long:"json" description:"Print the report as JSON"`
+}
+
+func newCaller(c *console) noun {
+	return noun{
+		"caller", "Submit jobs and requests at a given rate",
+		"Submits at random times that do not depend on the answers, and prints a report when all are answered. The exit\n" +
+			"code is 1 if an answer was not whole or not the caller's own.\n\n" +
+			"Example:\n  standin caller --load load.jsonc --rate 50 --duration 30s --records records.jsonl",
+		&callerCommand{console: c},
+	}
+}
+
+// Execute runs the command.
+func (c *callerCommand) Execute([]string) error {
+	ctx, cancel := interrupted()
+	defer cancel()
+
+	var l caller.Load
+	if err := settings.Load(c.Load, &l); err != nil {
+		return err
+	}
+
+	c.override(&l)
+
+	w, err := newRecorder(c.Records)
+	if err != nil {
+		return err
+	}
+
+	r := caller.NewGenerator(&l, w.add).Run(ctx)
+
+	if err := w.close(); err != nil {
+		return err
+	}
+
+	if c.JSON {
+		e := json.NewEncoder(c.console.out)
+		e.SetIndent("", "  ")
+
+		if err := e.Encode(r); err != nil {
+			return merry.Prepend(err, "write report")
+		}
+	} else {
+		r.Print(c.console.out)
+	}
+
+	if n := r.All().Wrong(); n > 0 {
+		return merry.Errorf("%d answers were not whole or not the caller's own", n)
+	}
+
+	return nil
+}
+
+func (c *callerCommand) override(l *caller.Load) {
+	if len(c.Entries) > 0 {
+		l.Entries = c.Entries
+	}
+
+	if c.Rate > 0 {
+		l.Rate = c.Rate
+	}
+
+	if c.Duration > 0 {
+		l.Duration = settings.Duration(c.Duration)
+	}
+
+	if c.Seed != nil {
+		l.Seed = *c.Seed
+	}
+}
+
+// recorder writes records to a file, or nowhere if there is none.
+type recorder struct {
+	mutex sync.Mutex
+	file  *os.File
+	err   error
+}
+
+func newRecorder(file string) (*recorder, error) {
+	if file == "" {
+		return &recorder{}, nil
+	}
+
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, merry.Prepend(err, "create file of records")
+	}
+
+	return &recorder{file: f}, nil
+}
+
+func (r *recorder) add(rec *caller.Record) {
+	if r.file == nil {
+		return
+	}
+
+	line, err := json.Marshal(rec)
+
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if err == nil {
+		_, err = r.file.Write(append(line, '\n'))
+	}
+
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *recorder) close() error {
+	if r.file == nil {
+		return nil
+	}
+
+	if err := r.file.Close(); r.err == nil {
+		r.err = err
+	}
+
+	return r.err
+}
--- /dev/null
+++ b/standin/command/relay.go
@@ -0,0 +1,43 @@
+package command
+
+import "github.com/skylarkweir/skylarkweir/standin/relay"
+
+// relayCommand forwards one address and injects faults.
+type relayCommand struct {
+	console *console
+	Network string `long:"network" choice:"tcp" choice:"udp" default:"udp" description:"What is forwarded"`
+	Listen  string `long:"listen" default:"127.0.0.1:0" value-name:"ADDRESS" description:"Where clients connect"`
+	Target  string `long:"target" required:"yes" value-name:"ADDRESS" description:"Where their traffic goes"`
+	Admin   string `long:"admin" default:"127.0.0.1:0" value-name:"ADDRESS" description:"Where the HTTP admin endpoint listens"`
+}
+
+func newRelay(c *console) noun {
+	return noun{
+		"relay", "Forward TCP or UDP and inject faults",
+		"Forwards one address to another. PUT /v1/faults at the admin address delays, cuts, loses or duplicates.\n\n" +
+			"Examples:\n  standin relay --network udp --target 127.0.0.1:7200\n" +
+			"  curl -X PUT -d '{\"cut_up\": true}' http://ADMIN/v1/faults\n" +
+			"  curl -X PUT -d '{\"drop_answers\": 1}' http://ADMIN/v1/faults", &relayCommand{console: c},
+	}
+}
+
+// Execute runs the command.
+func (r *relayCommand) Execute([]string) error {
+	ctx, cancel := interrupted()
+	defer cancel()
+
+	l, err := listen(ctx, r.Admin)
+	if err != nil {
+		return err
+	}
+
+	f := &relay.Relay{}
+	if err := f.Open(r.Network, r.Listen, r.Target); err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+
+	r.console.announce(map[string]string{"listen": f.Address(), "admin": l.Addr().String()})
+
+	return serve(ctx, l, f.Handler())
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,12 @@
-// Command standin is described in docs/design.md.
+// Command standin holds stand-ins for everything around skylarkweir, for tests and for the demo.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/skylarkweir/skylarkweir/standin/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/weirctl/command/check.go
@@ -0,0 +1,75 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+)
+
+// check collects and checks the short files.
+type check struct {
+	console *console
+	Args    struct {
+		Directory string `positional-arg-name:"DIR" description:"Directory with agreement.weir.jsonc and service.weir.jsonc files"`
+	} `positional-args:"yes" required:"yes"`
+	Print bool `long:"print" description:"Print the collected form"`
+}
+
+// checkBody is the JSON output.
+type checkBody struct {
+	Members []string    `json:"members"`
+	Kinds   []checkKind `json:"kinds"`
+}
+
+type checkKind struct {
+	Name     string `json:"name"`
+	Service  string `json:"service"`
+	Share    int    `json:"share_percent"`
+	Urgent   bool   `json:"urgent"`
+	MaxCores int    `json:"max_cores"`
+}
+
+func newCheck(c *console) noun {
+	return noun{
+		"check", "Collect and check the agreement files",
+		"Collects the short files below a directory into one agreement and checks it, without publishing it.\n\n" +
+			"Example:\n  weirctl check ./agreements", &check{console: c},
+	}
+}
+
+// Execute runs the command.
+func (c *check) Execute([]string) error {
+	a, err := agreement.Collect(c.Args.Directory)
+	if err != nil {
+		return err
+	}
+
+	if c.Print {
+		fmt.Fprintf(c.console.out, "%s\n", a.Marshal())
+
+		return nil
+	}
+
+	b := checkBody{}
+	for _, m := range a.Members() {
+		b.Members = append(b.Members, m.Name())
+	}
+
+	for _, k := range a.Kinds() {
+		b.Kinds = append(b.Kinds, checkKind{k.Name(), k.Service(), k.Share(), k.Urgent(), k.MaxCores()})
+	}
+
+	return c.console.print(b, func(w io.Writer) {
+		rows := make([][]string, 0, len(b.Kinds))
+		for _, k := range b.Kinds {
+			rows = append(rows, []string{
+				k.Name, k.Service, strconv.Itoa(k.Share) + "%", strconv.FormatBool(k.Urgent), strconv.Itoa(k.MaxCores),
+			})
+		}
+
+		table(w, []string{"kind", "service", "share", "urgent", "max cores"}, rows)
+		fmt.Fprintf(w, "the agreement is valid: %d members, %d kinds\n", len(b.Members), len(b.Kinds))
+	})
+}
--- /dev/null
+++ b/weirctl/command/completion.go
@@ -0,0 +1,39 @@
+package command
+
+import "fmt"
+
+// completion prints a script for a shell.
+type completion struct {
+	console *console
+	Args    struct {
+		Shell string `positional-arg-name:"SHELL" choice:"bash" description:"bash"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// bashScript asks the program itself, whose parser completes if GO_FLAGS_COMPLETION is set.
+const bashScript = `_weirctl() {
+    local IFS=$'\n'
+    COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
+    return 0
+}
+complete -o default -F _weirctl weirctl
+`
+
+func newCompletion(c *console) noun {
+	return noun{
+		"completion", "Print a completion script for the shell",
+		"Prints a script that completes commands and options.\n\nExample:\n  source <(weirctl completion bash)",
+		&completion{console: c},
+	}
+}
+
+// Execute runs the command.
+func (c *completion) Execute([]string) error {
+	if c.Args.Shell != "bash" {
+		return usageError{"the only shell is bash"}
+	}
+
+	fmt.Fprint(c.console.out, bashScript)
+
+	return nil
+}
--- /dev/null
+++ b/weirctl/command/keys.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+)
+
+// keys writes a set of keys for entries and sidecars.
+type keys struct {
+	console *console
+	Valid   time.Duration `long:"valid" default:"8760h" description:"How long the certificate is valid"`
+	Args    struct {
+		Directory string `positional-arg-name:"DIR" description:"Directory for the files"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// keysBody is the JSON output.
+type keysBody struct {
+	Directory string   `json:"directory"`
+	Files     []string `json:"files"`
+}
+
+func newKeys(c *console) noun {
+	return noun{
+		"keys", "Generate the keys of a system",
+		"Writes a new authority and a certificate with its key, which all entries and sidecars of one system use.\n\n" +
+			"Example:\n  weirctl keys ./keys --valid 720h", &keys{console: c},
+	}
+}
+
+// Execute runs the command.
+func (k *keys) Execute([]string) error {
+	if k.Valid <= 0 {
+		return usageError{"--valid has to be positive"}
+	}
+
+	if err := quic.IssueKeys(k.Args.Directory, k.Valid); err != nil {
+		return err
+	}
+
+	b := keysBody{k.Args.Directory, []string{quic.AuthorityFile, quic.CertificateFile, quic.KeyFile}}
+
+	return k.console.print(b, func(w io.Writer) {
+		for _, f := range b.Files {
+			fmt.Fprintf(w, "wrote %s/%s\n", b.Directory, f)
+		}
+	})
+}
