--- a/entry/homelost/resolver.go
+++ b/entry/homelost/resolver.go
@@ -50,21 +50,21 @@
 	return &Resolver{closer: closer, book: book, log: log, results: map[string]*result{}}
 }
 
-// Kept returns the result that was found before.
-func (r *Resolver) Kept(id string) (error, bool) {
+// Kept returns the result that was found before, or nil.
+func (r *Resolver) Kept(id string) error {
 	r.mu.Lock()
 	found, ok := r.results[id]
 	r.mu.Unlock()
 
 	if !ok {
-		return nil, false
+		return nil
 	}
 
 	select {
 	case <-found.done:
-		return found.err, true
+		return found.err
 	default:
-		return nil, false
+		return nil
 	}
 }
 
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -28,7 +28,8 @@
 type link struct {
 	peers   *Peers
 	address string
-	stop    context.CancelFunc
+	// stop ends the link. It is nil until Run has started the link, and guarded by the mutex of peers.
+	stop context.CancelFunc
 	// wake asks for an exchange, or for an attempt to connect, without further delay.
 	wake chan struct{}
 	// waiting is the number of forwards without an answer.
@@ -46,8 +47,8 @@
 	silent map[string]bool
 }
 
-func newLink(p *Peers, address string, stop context.CancelFunc) *link {
-	l := &link{peers: p, address: address, stop: stop, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+func newLink(p *Peers, address string) *link {
+	l := &link{peers: p, address: address, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 	l.touch()
 
 	return l
@@ -55,7 +56,13 @@
 
 func (l *link) touch() { l.used.Store(time.Now().UnixNano()) }
 
-func (l *link) idle(now time.Time) time.Duration { return now.Sub(time.Unix(0, l.used.Load())) }
+func (l *link) idle(now time.Time) time.Duration {
+	if l.waiting.Load() > 0 {
+		return 0
+	}
+
+	return now.Sub(time.Unix(0, l.used.Load()))
+}
 
 func (l *link) kick() {
 	select {
--- a/entry/peer/peers.go
+++ b/entry/peer/peers.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -22,6 +23,8 @@
 	linkIdle = time.Minute
 	// syncInterval is how often such links are looked for.
 	syncInterval = 10 * time.Second
+	// drainInterval is how often Drain looks.
+	drainInterval = 10 * time.Millisecond
 	// maxDeparted bounds the departures in memory; the ledger has the older ones.
 	maxDeparted = 1024
 )
@@ -54,18 +57,20 @@
 	links map[string]*link
 	// departed holds the successors that leaving entries have named, by the incarnation that left.
 	departed map[uint64]*wire.Entry
-	// running is set by Run; links are started only then. stopped ends them all.
-	running context.Context
-	stopped bool
-	// forwards counts operations being carried out for other entries; group waits for the goroutines of links.
-	forwards, group sync.WaitGroup
+	// fresh holds the links that Run has not started yet, and wake has room for one signal that there are some.
+	fresh []*link
+	wake  chan struct{}
+	// forwards counts operations that are carried out for other entries and whose answers are not known to be delivered.
+	forwards atomic.Int64
+	// group waits for the goroutines of links.
+	group sync.WaitGroup
 }
 
 // NewPeers returns a set that connects to the given addresses and to the entries that the ledger names.
 func NewPeers(node *quic.Node, self *wire.Entry, book *ledger.Book, importer Importer, silence *Silence, addresses []string, log zerolog.Logger) *Peers {
 	return &Peers{
 		node: node, self: self, book: book, importer: importer, silence: silence, log: log, fixed: addresses,
-		links: map[string]*link{}, departed: map[uint64]*wire.Entry{},
+		links: map[string]*link{}, departed: map[uint64]*wire.Entry{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -74,24 +79,19 @@
 
 // Run keeps the links until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
-	p.mu.Lock()
-	p.running = ctx
-	p.mu.Unlock()
-
 	tick := time.NewTicker(syncInterval)
 	defer tick.Stop()
 
 	for {
 		changed := p.book.Changed()
 		p.sync(time.Now())
+		p.launch(ctx)
 
 		select {
 		case <-changed:
 		case <-tick.C:
+		case <-p.wake:
 		case <-ctx.Done():
-			p.mu.Lock()
-			p.stopped = true
-			p.mu.Unlock()
 			p.group.Wait()
 
 			return
@@ -99,7 +99,24 @@
 	}
 }
 
-// sync starts links to all wanted addresses and stops the others.
+// launch runs the links that were added since.
+func (p *Peers) launch(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, l := range p.fresh {
+		own, stop := context.WithCancel(ctx)
+		l.stop = stop
+
+		p.group.Add(1)
+
+		go l.run(own)
+	}
+
+	p.fresh = nil
+}
+
+// sync adds links to all wanted addresses and stops the others.
 func (p *Peers) sync(now time.Time) {
 	wanted := map[string]bool{}
 	for _, a := range p.fixed {
@@ -116,34 +133,35 @@
 	defer p.mu.Unlock()
 
 	for a := range wanted {
-		p.start(a)
+		p.add(a)
 	}
 
 	for a, l := range p.links {
-		if !wanted[a] && l.idle(now) > linkIdle {
+		if !wanted[a] && l.stop != nil && l.idle(now) > linkIdle {
 			l.stop()
 			delete(p.links, a)
 		}
 	}
 }
 
-// start returns the link to the address, or nil if there can be none. p.mu is held.
-func (p *Peers) start(address string) *link {
+// add returns the link to the address, or nil if it is the own one. p.mu is held.
+func (p *Peers) add(address string) *link {
 	if l, found := p.links[address]; found {
 		return l
 	}
 
-	if p.running == nil || p.stopped || address == p.self.GetAddress() || address == "" {
+	if address == p.self.GetAddress() || address == "" {
 		return nil
 	}
 
-	ctx, stop := context.WithCancel(p.running)
-	l := newLink(p, address, stop)
+	l := newLink(p, address)
 	p.links[address] = l
+	p.fresh = append(p.fresh, l)
 
-	p.group.Add(1)
-
-	go l.run(ctx)
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
 
 	return l
 }
@@ -152,7 +170,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	l := p.start(address)
+	l := p.add(address)
 	if l != nil {
 		l.touch()
 	}
@@ -234,5 +252,18 @@
 	return l.forward(ctx, to.GetIncarnation(), f)
 }
 
-// Drain waits until no operation is being carried out for another entry.
-func (p *Peers) Drain() { p.forwards.Wait() }
+// Drain waits until no operation is carried out for another entry.
+func (p *Peers) Drain(ctx context.Context) error {
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+
+	for p.forwards.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return merry.Prependf(ctx.Err(), "%d answers to other entries are not delivered", p.forwards.Load())
+		}
+	}
+
+	return nil
+}
--- a/entry/peer/serve.go
+++ b/entry/peer/serve.go
@@ -83,7 +83,7 @@
 
 func (x *exchange) forward(ctx context.Context, f *wire.Forward) {
 	x.peers.forwards.Add(1)
-	defer x.peers.forwards.Done()
+	defer x.peers.forwards.Add(-1)
 
 	answer := &wire.ForwardReply{}
 
--- a/entry/process/leave.go
+++ b/entry/process/leave.go
@@ -12,7 +12,7 @@
 func (p *Process) stop(ctx context.Context) error {
 	p.Log.Info().Str("event", "leaving").Msg("the entry is leaving")
 	p.Readiness.Leave()
-	p.parts.Callers.Drain()
+	p.Callers.Drain()
 
 	select {
 	case <-time.After(p.Settings.DrainDelay()):
@@ -72,13 +72,15 @@
 		p.callers.Close()
 	}
 
-	p.Peers.Drain()
-
-	p.cancel()
-
 	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), leaveWait)
 	defer stop()
 
+	if err := p.Peers.Drain(closing); err != nil {
+		p.Log.Warn().Err(err).Str("event", "peers_cut").Msg("answers were still being delivered")
+	}
+
+	p.cancel()
+
 	if err := p.admin.Shutdown(closing); err != nil {
 		p.admin.Close()
 	}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -81,11 +81,11 @@
 
 func newProcess(p parts) *Process { return &Process{parts: p} }
 
-// Callers returns the address of the callers' HTTP API.
-func (p *Process) Callers() string { return p.callersAddr.String() }
+// CallersAddress returns the address of the callers' HTTP API.
+func (p *Process) CallersAddress() string { return p.callersAddr.String() }
 
-// Admin returns the address of the admin HTTP API.
-func (p *Process) Admin() string { return p.adminAddr.String() }
+// AdminAddress returns the address of the admin HTTP API.
+func (p *Process) AdminAddress() string { return p.adminAddr.String() }
 
 // Address returns the address at which other processes reach this entry.
 func (p *Process) Address() string { return p.Self.GetAddress() }
@@ -106,7 +106,7 @@
 	}
 
 	p.callersAddr, p.adminAddr = callers.Addr(), admin.Addr()
-	p.callers = &http.Server{Handler: p.parts.Callers.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+	p.callers = &http.Server{Handler: p.Callers.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
 	p.admin = &http.Server{Handler: p.Operator.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
 
 	running, cancel := context.WithCancel(context.Background())
@@ -124,7 +124,7 @@
 	p.group.Go(func() { p.serve(p.admin, admin) })
 	p.Readiness.Start()
 
-	p.Log.Info().Str("event", "listening").Str("callers", p.Callers()).Str("admin", p.Admin()).
+	p.Log.Info().Str("event", "listening").Str("callers", p.CallersAddress()).Str("admin", p.AdminAddress()).
 		Str("quic", p.Address()).Uint64("incarnation", p.Self.GetIncarnation()).Msg("the entry is listening")
 
 	return nil
