--- /dev/null
+++ b/entry/binding/binder_test.go
@@ -0,0 +1,340 @@
+package binding_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/entry/binding"
+	"github.com/skylarkweir/skylarkweir/entry/caller"
+	standin "github.com/skylarkweir/skylarkweir/standin/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const lifetime = 10 * time.Minute
+
+var key = ticket.Key("0123456789abcdef")
+
+// entry is what binds keys in one entry.
+type entry struct {
+	book   *ledger.Book
+	mint   *caller.Mint
+	binder *binding.Binder
+}
+
+type system struct {
+	log     *httptest.Server
+	entries []*entry
+}
+
+func newSystem(t *testing.T, entries int) *system {
+	t.Helper()
+
+	s := &system{log: httptest.NewServer(&standin.Log{})}
+	ctx, stop := context.WithCancel(context.Background())
+
+	var group sync.WaitGroup
+
+	t.Cleanup(func() {
+		stop()
+		s.log.CloseClientConnections()
+		group.Wait()
+		s.log.Close()
+	})
+
+	for i := range entries {
+		client, book := logservice.NewClient(s.log.URL), &ledger.Book{}
+		follower := logservice.NewFollower(client, book, time.Hour, zerolog.Nop())
+		appender := logservice.NewAppender(client, book, 100)
+
+		group.Go(func() { follower.Run(ctx) })
+		group.Go(func() { appender.Run(ctx) })
+
+		mint := caller.NewMint(key, netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+1)), uint64(i+1), book, time.Minute)
+		s.entries = append(s.entries, &entry{book, mint, binding.NewBinder(mint, appender, book, lifetime, zerolog.Nop())})
+	}
+
+	return s
+}
+
+// fault replaces the faults of the log.
+func (s *system) fault(is *is.I, body string) {
+	is.Helper()
+
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.log.URL+"/admin/faults", bytes.NewBufferString(body))
+	is.NoErr(err)
+
+	w, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	w.Body.Close()
+	is.Equal(w.StatusCode, 200)
+}
+
+func (s *system) ready(is *is.I) {
+	is.Helper()
+
+	for _, e := range s.entries {
+		eventually(is, func() bool {
+			_, known := e.book.State().BindingsSince()
+
+			return known
+		})
+	}
+}
+
+func eventually(is *is.I, done func() bool) {
+	is.Helper()
+
+	for range 1000 {
+		if done() {
+			return
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	is.Fail() // condition did not come true within 10 s
+}
+
+// seed makes the log hold a record, since an empty one has been read to no position.
+func (s *system) seed(is *is.I) {
+	is.Helper()
+
+	_, err := logservice.NewClient(s.log.URL).Append(context.Background(), ledger.BindingRecord("x", "y", "z", nil))
+	is.NoErr(err)
+	s.ready(is)
+}
+
+func keyAt(at time.Time) uuid.UUID {
+	u := uuid.Must(uuid.NewV7())
+
+	ms := at.UnixMilli()
+	for i := range 6 {
+		u[5-i] = byte(ms >> (8 * i))
+	}
+
+	return u
+}
+
+// Guards against two entries that both become home of one key, which would run its work twice. Answers of the log are
+// lost in half of the runs.
+func TestRace(t *testing.T) {
+	const seed = 20261204
+	t.Logf("seed %d", uint64(seed))
+
+	random := rand.New(rand.NewPCG(seed, 1))
+	is := is.New(t)
+	s := newSystem(t, 4)
+	s.seed(is)
+
+	for round := range 12 {
+		lost := random.IntN(2) == 0
+		s.fault(is, fmt.Sprintf(`{"lose_answers":%t,"delay_ms":%d}`, lost, random.IntN(20)))
+
+		u := keyAt(time.Now())
+		results := make(chan string, 12)
+
+		for i := range cap(results) {
+			pause := time.Duration(random.IntN(15)) * time.Millisecond
+			e := s.entries[i%len(s.entries)]
+
+			go func() {
+				time.Sleep(pause)
+
+				id, err := e.binder.Bind(context.Background(), "m", u)
+				if err != nil {
+					id = "refused: " + err.Error()
+				}
+				results <- id
+			}()
+		}
+
+		first := <-results
+		_, err := key.Parse(first)
+		is.NoErr(err) // the key was bound
+
+		for range cap(results) - 1 {
+			is.Equal(<-results, first)
+		}
+
+		t.Logf("round %d, answers lost: %t", round, lost)
+	}
+}
+
+// Guards against a wait beyond 2 s while the log is down, and against a binding that lands late and is not found by the
+// next submission with the key, or that another entry overrides.
+func TestLogDownAndLateBinding(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 2)
+	s.seed(is)
+
+	u := keyAt(time.Now())
+
+	// The append takes effect after the caller was refused.
+	s.fault(is, `{"delay_ms":2500}`)
+
+	start := time.Now()
+	_, err := s.entries[0].binder.Bind(t.Context(), "m", u)
+	is.Equal(fault.KindOf(err), fault.LogUnavailable)
+	is.Equal(fault.RanOf(err), fault.RanNone)
+	is.True(time.Since(start) < 2*time.Second)
+
+	s.fault(is, `{}`)
+
+	second, err := s.entries[1].binder.Bind(t.Context(), "m", u)
+	is.NoErr(err)
+
+	// Whichever record was first, both entries name the same home from now on.
+	time.Sleep(time.Second)
+
+	for range 3 {
+		for _, e := range s.entries {
+			id, err := e.binder.Bind(t.Context(), "m", u)
+			is.NoErr(err)
+			is.Equal(id, second)
+		}
+	}
+
+	s.fault(is, `{"down":true}`)
+
+	start = time.Now()
+	_, err = s.entries[0].binder.Bind(t.Context(), "m", keyAt(time.Now()))
+	is.Equal(fault.KindOf(err), fault.LogUnavailable)
+	is.True(time.Since(start) < 2*time.Second)
+
+	// A key that is bound needs no log.
+	id, err := s.entries[0].binder.Bind(t.Context(), "m", u)
+	is.NoErr(err)
+	is.Equal(id, second)
+}
+
+// Guards against a lost answer that is taken for a failure: the binding of the refused caller wins, and the next
+// submission gets exactly that ticket, which nobody has used.
+func TestRefusedBindingIsUsedNext(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 2)
+	s.seed(is)
+
+	slow := &slowAppender{book: s.entries[0].book, client: logservice.NewClient(s.log.URL)}
+	b := binding.NewBinder(s.entries[0].mint, slow, s.entries[0].book, lifetime, zerolog.Nop())
+	u := keyAt(time.Now())
+
+	_, err := b.Bind(t.Context(), "m", u)
+	is.Equal(fault.KindOf(err), fault.LogUnavailable)
+
+	// The record lands only now.
+	is.NoErr(slow.land())
+	eventually(is, func() bool {
+		_, bound := s.entries[1].book.State().Binding("m", u.String())
+
+		return bound
+	})
+
+	id, err := s.entries[1].binder.Bind(t.Context(), "m", u)
+	is.NoErr(err)
+
+	home, err := key.Parse(id)
+	is.NoErr(err)
+	is.Equal(home.Incarnation(), uint64(1)) // the entry that refused is home
+}
+
+// slowAppender lets records land when the test says so.
+type slowAppender struct {
+	book   *ledger.Book
+	client *logservice.Client
+	record []byte
+}
+
+func (a *slowAppender) Append(ctx context.Context, record []byte) error {
+	a.record = record
+	<-ctx.Done()
+
+	return ctx.Err()
+}
+
+func (a *slowAppender) land() error {
+	_, err := a.client.Append(context.Background(), a.record)
+
+	return err
+}
+
+// Guards against keys whose earlier binding may be forgotten, or that never expire.
+func TestKeysOutOfTime(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1)
+	s.seed(is)
+
+	b, now := s.entries[0].binder, time.Now()
+
+	for _, c := range []struct {
+		key  uuid.UUID
+		kind fault.Kind
+	}{
+		{keyAt(now.Add(-lifetime - time.Second)), fault.KeyExpired},
+		{keyAt(now.Add(11 * time.Second)), fault.InvalidRequest},
+		{uuid.New(), fault.InvalidRequest},
+		{uuid.UUID{}, fault.InvalidRequest},
+	} {
+		_, err := b.Bind(t.Context(), "m", c.key)
+		is.Equal(fault.KindOf(err), c.kind)
+	}
+
+	for _, at := range []time.Time{now.Add(-lifetime + time.Minute), now.Add(8 * time.Second)} {
+		_, err := b.Bind(t.Context(), "m", keyAt(at))
+		is.NoErr(err)
+	}
+}
+
+// Guards against keys that are bound although earlier bindings may be missing: after a gap in the log, and before
+// anything was read.
+func TestIncompleteBindings(t *testing.T) {
+	is := is.New(t)
+	book := &ledger.Book{}
+	mint := caller.NewMint(key, netip.MustParseAddrPort("127.0.0.1:1"), 1, book, time.Minute)
+	b := binding.NewBinder(mint, &slowAppender{}, book, lifetime, zerolog.Nop())
+	start := time.Now()
+
+	_, err := b.Bind(t.Context(), "m", keyAt(start))
+	is.Equal(fault.KindOf(err), fault.LogUnavailable)
+
+	// The record of offset 0 was dropped from the log; an older binding of the key may have been there.
+	book.Advance([]ledger.Record{ledger.NewRecord(1, start, ledger.BindingRecord("m", "other", "t", nil))}, 2)
+
+	_, err = b.Bind(t.Context(), "m", keyAt(start))
+	is.Equal(fault.KindOf(err), fault.LogUnavailable)
+	is.True(time.Since(start) < time.Second) // refused without an append
+}
+
+// Guards against an entry that becomes home of new keys while it leaves.
+func TestLeave(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1)
+	s.seed(is)
+
+	b, u := s.entries[0].binder, keyAt(time.Now())
+
+	id, err := b.Bind(t.Context(), "m", u)
+	is.NoErr(err)
+	b.Leave()
+
+	again, err := b.Bind(t.Context(), "m", u)
+	is.NoErr(err)
+	is.Equal(again, id)
+
+	_, err = b.Bind(t.Context(), "m", keyAt(time.Now()))
+	is.Equal(fault.KindOf(err), fault.Leaving)
+}
--- /dev/null
+++ b/entry/caller/server_test.go
@@ -0,0 +1,597 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/entry/caller"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const (
+	ownIncarnation   = 7
+	otherIncarnation = 3
+	oneTask          = `{"kind":"k","input":"YQ=="}`
+)
+
+var key = ticket.Key("0123456789abcdef")
+
+func agreementOf(members ...string) *agreement.Agreement {
+	var list []string
+
+	for _, m := range members {
+		sum := sha256.Sum256([]byte("token-" + m))
+		list = append(list, fmt.Sprintf(`{"name":%q,"limit_slots":8,"credential_sha256":%q}`, m, hex.EncodeToString(sum[:])))
+	}
+
+	text := `{"agreement":"test","members":[` + strings.Join(list, ",") + `],"kinds":[{"name":"k","service":"s","share_percent":50,"urgent":false}]}`
+
+	a, err := agreement.Parse([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+
+	return a
+}
+
+// held is a submission whose end the test decides.
+type held struct {
+	mu        sync.Mutex
+	done      chan struct{}
+	status    int
+	body      []byte
+	cancelled bool
+	delivered int
+	ended     int
+}
+
+func (h *held) end(status int, body string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.status, h.body = status, []byte(body)
+	close(h.done)
+}
+
+func (h *held) Done() <-chan struct{} { return h.done }
+
+func (h *held) Answer() (int, []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.status, h.body
+}
+
+func (h *held) Cancel() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.cancelled = true
+}
+
+func (h *held) Delivered() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.delivered++
+}
+
+func (h *held) deliveries() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.delivered
+}
+
+func (h *held) Progress() (int, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.ended, 2
+}
+
+// table is a home table without dispatch.
+type table struct {
+	mu     sync.Mutex
+	held   map[string]*held
+	bodies map[string][sha256.Size]byte
+	refuse error
+}
+
+func (t *table) Submit(s submission.Submission) (caller.Held, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.refuse != nil {
+		return nil, t.refuse
+	}
+
+	if h, found := t.held[s.ID()]; found {
+		if t.bodies[s.ID()] != s.Digest() {
+			return nil, fault.New(fault.Conflict, "another body")
+		}
+
+		return h, nil
+	}
+
+	h := &held{done: make(chan struct{})}
+	t.held[s.ID()], t.bodies[s.ID()] = h, s.Digest()
+
+	return h, nil
+}
+
+func (t *table) Find(id string) (caller.Held, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	h, found := t.held[id]
+
+	return h, found
+}
+
+// only waits for the one submission that is held.
+func (t *table) only(is *is.I) (string, *held) {
+	is.Helper()
+
+	for range 200 {
+		t.mu.Lock()
+		for id, h := range t.held {
+			t.mu.Unlock()
+
+			return id, h
+		}
+		t.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	is.Fail() // nothing was submitted
+
+	return "", nil
+}
+
+type forwarder struct {
+	forward   func(to *wire.Entry, f *wire.Forward) (caller.Reply, bool, error)
+	successor map[uint64]*wire.Entry
+}
+
+func (p *forwarder) Forward(_ context.Context, to *wire.Entry, f *wire.Forward) (caller.Reply, bool, error) {
+	return p.forward(to, f)
+}
+
+func (p *forwarder) Successor(incarnation uint64) (*wire.Entry, bool) {
+	e, found := p.successor[incarnation]
+
+	return e, found
+}
+
+type resolver struct{ resolved []string }
+
+func (r *resolver) Kept(string) error { return nil }
+
+func (r *resolver) Resolve(_ context.Context, id string, _ ticket.Ticket, cancel bool) error {
+	r.resolved = append(r.resolved, fmt.Sprintf("%s %t", id, cancel))
+
+	return fault.WithRan(fault.New(fault.HomeLost, "lost"), fault.RanNone)
+}
+
+type binder struct {
+	id  string
+	err error
+}
+
+func (b *binder) Bind(context.Context, string, uuid.UUID) (string, error) { return b.id, b.err }
+
+type fixture struct {
+	table  *table
+	peers  *forwarder
+	lost   *resolver
+	binder *binder
+	mint   *caller.Mint
+	local  *caller.Local
+	server *caller.Server
+	http   *httptest.Server
+}
+
+func newIs(t *testing.T) *is.I { return is.New(t) }
+
+func newFixture(t *testing.T, ready bool) *fixture {
+	t.Helper()
+
+	book := &ledger.Book{}
+	if ready {
+		record := ledger.PublicationRecord(0, []byte("n"), "op", agreementOf("a", "b"))
+		book.Advance([]ledger.Record{ledger.NewRecord(0, time.Now(), record)}, 1)
+	}
+
+	f := &fixture{
+		table: &table{held: map[string]*held{}, bodies: map[string][sha256.Size]byte{}}, peers: &forwarder{},
+		lost: &resolver{}, binder: &binder{},
+	}
+	f.mint = caller.NewMint(key, netip.MustParseAddrPort("127.0.0.1:9"), ownIncarnation, book, time.Minute)
+	f.local = caller.NewLocal(f.mint, f.table, book, caller.NewSlots(2), 10)
+	router := caller.NewRouter(f.local, f.peers, f.lost)
+	f.server = caller.NewServer(f.mint, f.local, router, f.binder, book, 1<<10, gometrics.NewRegistry(), zerolog.Nop())
+	f.http = httptest.NewServer(f.server.Handler())
+	t.Cleanup(f.http.Close)
+
+	return f
+}
+
+func (f *fixture) request(method, path, token, idempotency, body string) *http.Request {
+	r, err := http.NewRequestWithContext(context.Background(), method, f.http.URL+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+
+	if idempotency != "" {
+		r.Header.Set("Idempotency-Key", idempotency)
+	}
+
+	return r
+}
+
+type failure struct {
+	Error struct {
+		Code, Message, Field, Ran, Submission string
+		RetryAfterMS                          int64 `json:"retry_after_ms"`
+	}
+}
+
+// answered is a response without its body.
+type answered struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
+func (f *fixture) do(is *is.I, r *http.Request) (answered, []byte) {
+	is.Helper()
+
+	w, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer w.Body.Close()
+
+	body, err := io.ReadAll(w.Body)
+	is.NoErr(err)
+
+	return answered{w.StatusCode, w.Header, w.Close}, body
+}
+
+func foreign(expiry time.Time) string {
+	return key.Sign(ticket.New(netip.MustParseAddrPort("127.0.0.1:8"), otherIncarnation, 1, "a", 0, expiry))
+}
+
+// Guards against error kinds that reach callers with another status, shape or retry time than the table says.
+func TestEveryErrorKind(t *testing.T) {
+	for _, k := range fault.Kinds() {
+		t.Run(k.Code(), func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, true)
+			f.table.refuse = fault.New(k, "no")
+
+			w, body := f.do(is, f.request("POST", "/v1/requests", "token-a", "", oneTask))
+			is.Equal(w.StatusCode, k.Status())
+
+			var e failure
+			is.NoErr(json.Unmarshal(body, &e))
+			is.Equal(e.Error.Code, k.Code())
+			is.Equal(e.Error.Ran, string(fault.RanOf(f.table.refuse)))
+
+			after := fault.RetryAfterOf(f.table.refuse)
+			is.Equal(e.Error.RetryAfterMS, after.Milliseconds())
+
+			seconds := ""
+			if after > 0 {
+				seconds = strconv.Itoa(int((after + time.Second - 1) / time.Second))
+			}
+
+			is.Equal(w.Header.Get("Retry-After"), seconds)
+		})
+	}
+}
+
+// Guards against requests that pass a check of the edge which they should not pass.
+func TestRefusalsOfTheEdge(t *testing.T) {
+	now := time.Now()
+	expired := key.Sign(ticket.New(netip.MustParseAddrPort("127.0.0.1:9"), ownIncarnation, 1, "a", 0, now.Add(-time.Second)))
+
+	for _, c := range []struct {
+		name, method, path, token, key, body string
+		kind                                 fault.Kind
+		field                                string
+	}{
+		{"no token", "POST", "/v1/jobs", "", "", oneTask, fault.Unauthenticated, ""},
+		{"unknown token", "POST", "/v1/jobs", "x", "", oneTask, fault.Unauthenticated, ""},
+		{"other member's ticket", "POST", "/v1/requests", "token-b", foreign(now.Add(time.Minute)), oneTask, fault.Forbidden, ""},
+		{"other member's submission", "GET", "/v1/submissions/" + foreign(now.Add(time.Minute)), "token-b", "", "", fault.Forbidden, ""},
+		{"expired ticket", "POST", "/v1/requests", "token-a", expired, oneTask, fault.TicketExpired, ""},
+		{"forged ticket", "POST", "/v1/requests", "token-a", foreign(now) + "x", oneTask, fault.InvalidRequest, "Idempotency-Key"},
+		{"key that is no UUID", "POST", "/v1/requests", "token-a", strings.Repeat("z", 36), oneTask, fault.InvalidRequest, "Idempotency-Key"},
+		{"large body", "POST", "/v1/requests", "token-a", "", strings.Repeat(" ", 1025), fault.TooLarge, ""},
+		{"ticket count", "POST", "/v1/tickets", "token-a", "", `{"count":1001}`, fault.InvalidRequest, "count"},
+		{"ticket field", "POST", "/v1/tickets", "token-a", "", `{"Count":1}`, fault.InvalidRequest, "Count"},
+		{"unknown submission", "GET", "/v1/submissions/" + key.Sign(ticket.New(netip.MustParseAddrPort("127.0.0.1:9"), ownIncarnation, 5, "a", 0, now.Add(time.Minute))), "token-a", "", "", fault.UnknownSubmission, ""},
+		{"unknown path", "GET", "/v2", "token-a", "", "", fault.InvalidRequest, ""},
+		{"wrong method", "PUT", "/v1/jobs", "token-a", "", "", fault.InvalidRequest, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, true)
+
+			w, body := f.do(is, f.request(c.method, c.path, c.token, c.key, c.body))
+
+			var e failure
+			is.NoErr(json.Unmarshal(body, &e))
+			is.Equal(e.Error.Code, c.kind.Code())
+			is.Equal(e.Error.Field, c.field)
+			is.Equal(w.StatusCode, c.kind.Status())
+			is.Equal(len(f.table.held), 0)
+		})
+	}
+}
+
+func TestNoAgreement(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, false)
+
+	w, body := f.do(is, f.request("POST", "/v1/requests", "token-a", "", oneTask))
+	is.Equal(w.StatusCode, 503)
+	is.True(bytes.Contains(body, []byte("no_agreement")))
+}
+
+// Guards against answers that are altered, delivered twice, or reported as delivered before they were written.
+func TestAnswerAndResubmission(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true)
+	answers := make(chan string, 1)
+
+	go func() {
+		// The helper type of the tests is not safe for two goroutines.
+		w, body := f.do(newIs(t), f.request("POST", "/v1/requests", "token-a", "", oneTask))
+		answers <- strconv.Itoa(w.StatusCode) + string(body)
+	}()
+
+	id, h := f.table.only(is)
+	is.Equal(h.deliveries(), 0)
+	h.end(200, `{"x":1}`)
+	is.Equal(<-answers, `200{"x":1}`)
+	eventually(is, func() bool { return h.deliveries() == 1 })
+
+	w, body := f.do(is, f.request("POST", "/v1/requests", "token-a", id, oneTask))
+	is.Equal(strconv.Itoa(w.StatusCode)+string(body), `200{"x":1}`)
+
+	w, _ = f.do(is, f.request("POST", "/v1/requests", "token-a", id, `{"kind":"k","input":"Yg=="}`))
+	is.Equal(w.StatusCode, 409) // another body
+}
+
+func eventually(is *is.I, done func() bool) {
+	is.Helper()
+
+	for range 500 {
+		if done() {
+			return
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	is.Fail() // condition did not come true within 5 s
+}
+
+// Guards against a job that ends with its caller's connection, and against an answer that counts as delivered then.
+func TestCallerGone(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true)
+
+	ctx, leave := context.WithCancel(context.Background())
+	r := f.request("POST", "/v1/requests", "token-a", "", oneTask).WithContext(ctx)
+	gone := make(chan error, 1)
+
+	go func() {
+		w, err := http.DefaultClient.Do(r)
+		if err == nil {
+			w.Body.Close()
+		}
+		gone <- err
+	}()
+
+	id, h := f.table.only(is)
+	leave()
+	is.True(errors.Is(<-gone, context.Canceled))
+	time.Sleep(50 * time.Millisecond)
+	h.end(200, `{}`)
+	is.True(!h.cancelled)
+	is.Equal(h.deliveries(), 0)
+
+	w, _ := f.do(is, f.request("POST", "/v1/requests", "token-a", id, oneTask))
+	is.Equal(w.StatusCode, 200)
+}
+
+// Guards against wait=false that waits, and against events that miss the end.
+func TestStateEventsAndCancel(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true)
+
+	w, body := f.do(is, f.request("POST", "/v1/jobs", "token-a", "", `{"kind":"k","tasks":[{"input":""},{"input":""}],"wait":false}`))
+	is.Equal(w.StatusCode, 202)
+
+	id, h := f.table.only(is)
+	is.Equal(string(body), fmt.Sprintf(`{"submission":%q,"state":"running","ended":0,"total":2}`, id))
+
+	w, _ = f.do(is, f.request("GET", "/v1/submissions/"+id, "token-a", "", ""))
+	is.Equal(w.StatusCode, 202)
+
+	r, err := http.DefaultClient.Do(f.request("GET", "/v1/submissions/"+id+"/events", "token-a", "", ""))
+	is.NoErr(err)
+	defer r.Body.Close()
+
+	lines := bufio.NewScanner(r.Body)
+	is.True(lines.Scan())
+	is.True(strings.Contains(lines.Text(), `"ended":0`))
+
+	h.mu.Lock()
+	h.ended = 1
+	h.mu.Unlock()
+	is.True(lines.Scan())
+	is.True(strings.Contains(lines.Text(), `"ended":1`))
+
+	w, _ = f.do(is, f.request("DELETE", "/v1/submissions/"+id, "token-a", "", ""))
+	is.Equal(w.StatusCode, 202)
+	is.True(h.cancelled)
+
+	h.end(409, string(fault.Marshal(fault.New(fault.Cancelled, "ended"), id)))
+	is.True(lines.Scan())
+	is.True(strings.Contains(lines.Text(), `"state":"failed"`) && strings.Contains(lines.Text(), `"code":"cancelled"`))
+	is.True(!lines.Scan())
+}
+
+// Guards against submissions that enter after the gate was closed, and against a resubmission that is refused then.
+func TestLeaving(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true)
+
+	known, _ := f.mint.Issue("a")
+	f.do(is, f.request("POST", "/v1/requests", "token-a", known, `{"kind":"k","input":"YQ==","wait":false}`))
+	_, h := f.table.only(is)
+	h.end(200, `{}`)
+
+	f.server.Drain()
+
+	w, _ := f.do(is, f.request("POST", "/v1/tickets", "token-a", "", `{}`))
+	is.Equal(w.StatusCode, 503)
+	is.True(w.Close) // the header Connection says close
+
+	w, _ = f.do(is, f.request("POST", "/v1/requests", "token-a", "", `{"kind":"k","input":"","wait":false}`))
+	is.Equal(w.StatusCode, 202) // still accepted during drain_delay
+
+	f.local.Leave()
+
+	w, body := f.do(is, f.request("POST", "/v1/requests", "token-a", "", oneTask))
+	is.Equal(w.StatusCode, 503)
+	is.True(bytes.Contains(body, []byte(`"ran":"none"`)))
+
+	w, _ = f.do(is, f.request("POST", "/v1/requests", "token-a", known, oneTask))
+	is.Equal(w.StatusCode, 200)
+}
+
+// Guards against a submission of another home that is started here, and against an altered answer of the home.
+func TestForwarding(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true)
+	id := foreign(time.Now().Add(time.Minute))
+
+	var (
+		sent    *wire.Forward
+		written = make(chan bool, 2)
+	)
+
+	f.peers.forward = func(_ *wire.Entry, w *wire.Forward) (caller.Reply, bool, error) {
+		sent = w
+
+		return caller.NewReply(418, []byte("from home"), func(whole bool) { written <- whole }), true, nil
+	}
+
+	w, body := f.do(is, f.request("POST", "/v1/requests", "token-a", id, oneTask))
+	is.Equal(w.StatusCode, 418)
+	is.Equal(string(body), "from home")
+	is.Equal(string(sent.GetBody()), oneTask)
+	is.Equal([]string{sent.GetSubmission(), sent.GetMember(), sent.GetOperation(), sent.GetForm()}, []string{id, "a", "submit", "request"})
+	is.Equal(sent.GetIncarnation(), uint64(3))
+	is.True(<-written)
+	is.Equal(len(written), 0)
+	is.Equal(len(f.table.held), 0)
+}
+
+// Guards against a verdict while the successor has the submission, against none when nobody has it, and against a
+// question about the state that closes the submission.
+func TestHomeLost(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true)
+	id := foreign(time.Now().Add(time.Minute))
+
+	next := &wire.Entry{}
+	next.SetIncarnation(4)
+	next.SetAddress("127.0.0.1:7")
+
+	asked := []uint64{}
+	f.peers.forward = func(to *wire.Entry, _ *wire.Forward) (caller.Reply, bool, error) {
+		asked = append(asked, to.GetIncarnation())
+
+		if to.GetIncarnation() == 3 {
+			// The departure becomes known while the forward to the home fails.
+			f.peers.successor = map[uint64]*wire.Entry{3: next}
+
+			return caller.Reply{}, false, errors.New("lost")
+		}
+
+		return caller.NewReply(200, []byte("{}"), nil), true, nil
+	}
+
+	w, _ := f.do(is, f.request("POST", "/v1/requests", "token-a", id, oneTask))
+	is.Equal(w.StatusCode, 200)
+	is.Equal(asked, []uint64{3, 4})
+	is.Equal(len(f.lost.resolved), 0)
+
+	f.peers.successor = nil
+	f.peers.forward = func(*wire.Entry, *wire.Forward) (caller.Reply, bool, error) { return caller.Reply{}, false, nil }
+
+	w, _ = f.do(is, f.request("GET", "/v1/submissions/"+id, "token-a", "", ""))
+	is.Equal(w.StatusCode, 502)
+	is.Equal(len(f.lost.resolved), 0)
+
+	w, body := f.do(is, f.request("POST", "/v1/requests", "token-a", id, oneTask))
+	is.Equal(w.StatusCode, 502)
+	is.True(bytes.Contains(body, []byte(`"ran":"none"`)))
+	is.Equal(f.lost.resolved, []string{id + " false"})
+	is.Equal(len(f.table.held), 0)
+}
+
+// Guards against a submission that starts although its binding is not certain, and against one that starts under
+// another ticket than the one bound to its key.
+func TestKeyOfCaller(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true)
+	u := uuid.Must(uuid.NewV7()).String()
+
+	f.binder.err = fault.New(fault.LogUnavailable, "down")
+	w, body := f.do(is, f.request("POST", "/v1/requests", "token-a", u, oneTask))
+	is.Equal(w.StatusCode, 503)
+	is.True(bytes.Contains(body, []byte(`"ran":"none"`)))
+	is.Equal(len(f.table.held), 0)
+
+	f.binder.err = nil
+	f.binder.id, _ = f.mint.Issue("a")
+
+	f.do(is, f.request("POST", "/v1/requests", "token-a", u, `{"kind":"k","input":"","wait":false}`))
+	id, _ := f.table.only(is)
+	is.Equal(id, f.binder.id)
+}
--- /dev/null
+++ b/entry/homelost/resolver_test.go
@@ -0,0 +1,173 @@
+package homelost_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/entry/homelost"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// sidecars answers closes by the name of the worker.
+type sidecars struct {
+	mu    sync.Mutex
+	asked []string
+	calls atomic.Int64
+	// replies holds what each worker started; a worker without a reply stays silent.
+	replies map[string]*wire.CloseReply
+}
+
+func (s *sidecars) Close(ctx context.Context, worker string, _ uint64, _ []string, _ bool) (*wire.CloseReply, error) {
+	s.calls.Add(1)
+
+	s.mu.Lock()
+	s.asked = append(s.asked, worker)
+	r := s.replies[worker]
+	s.mu.Unlock()
+
+	if r == nil {
+		<-ctx.Done()
+
+		return nil, ctx.Err()
+	}
+
+	return r, nil
+}
+
+func reply(incarnation uint64, submission string, started int) *wire.CloseReply {
+	c := &wire.Closed{}
+	c.SetSubmission(submission)
+
+	for range started {
+		c.SetStarted(append(c.GetStarted(), &wire.TaskId{}))
+	}
+
+	r := &wire.CloseReply{}
+	r.SetIncarnation(incarnation)
+	r.SetClosed([]*wire.Closed{c})
+
+	return r
+}
+
+func worker(name string, incarnation uint64) *wire.Worker {
+	w := &wire.Worker{}
+	w.SetName(name)
+	w.SetIncarnation(incarnation)
+	w.SetSlots(4)
+
+	return w
+}
+
+// book has workers a and b at offsets 0 and 1, the departure of a at 2 and worker c at 3.
+func book() *ledger.Book {
+	b := &ledger.Book{}
+	now := time.Now()
+	b.Advance([]ledger.Record{
+		ledger.NewRecord(0, now, ledger.WorkerJoinedRecord(worker("a", 1))),
+		ledger.NewRecord(1, now, ledger.WorkerJoinedRecord(worker("b", 2))),
+		ledger.NewRecord(2, now, ledger.WorkerLeftRecord("a", 1, false)),
+		ledger.NewRecord(3, now, ledger.WorkerJoinedRecord(worker("c", 3))),
+	}, 4)
+
+	return b
+}
+
+func at(position int64) ticket.Ticket {
+	return ticket.New(netip.MustParseAddrPort("127.0.0.1:8"), 9, 1, "m", position, time.Now().Add(time.Minute))
+}
+
+// Guards against "ran none" without an answer of every sidecar that the home could have used, which would let a caller
+// run its work twice.
+func TestVerdicts(t *testing.T) {
+	const id = "s"
+
+	for _, c := range []struct {
+		name     string
+		position int64
+		replies  map[string]*wire.CloseReply
+		ran      fault.Ran
+		asked    int64
+	}{
+		{"nothing started", 2, map[string]*wire.CloseReply{"a": reply(1, id, 0), "b": reply(2, id, 0)}, fault.RanNone, 2},
+		{"some started", 2, map[string]*wire.CloseReply{"a": reply(1, id, 0), "b": reply(2, id, 1)}, fault.RanSome, 2},
+		{"one silent", 2, map[string]*wire.CloseReply{"a": reply(1, id, 0)}, fault.RanUnknown, 2},
+		{"one silent, one started", 2, map[string]*wire.CloseReply{"b": reply(2, id, 3)}, fault.RanSome, 2},
+		{"another incarnation answers", 2, map[string]*wire.CloseReply{"a": reply(7, id, 0), "b": reply(2, id, 0)}, fault.RanUnknown, 2},
+		{"submission missing in the answer", 2, map[string]*wire.CloseReply{"a": reply(1, "other", 0), "b": reply(2, id, 0)}, fault.RanUnknown, 2},
+		{"worker left before the position", 3, map[string]*wire.CloseReply{"b": reply(2, id, 0)}, fault.RanNone, 1},
+		{"worker joined after the position", 1, map[string]*wire.CloseReply{"a": reply(1, id, 0)}, fault.RanNone, 1},
+		{"no worker yet", 0, nil, fault.RanNone, 0},
+		{"position not reached", 9, nil, fault.RanUnknown, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+
+			is := is.New(t)
+			s := &sidecars{replies: c.replies}
+			r := homelost.NewResolver(s, book(), zerolog.Nop())
+			start := time.Now()
+
+			err := r.Resolve(t.Context(), id, at(c.position), false)
+			is.Equal(fault.KindOf(err), fault.HomeLost)
+			is.Equal(fault.RanOf(err), c.ran)
+			is.Equal(s.calls.Load(), c.asked)
+			is.True(time.Since(start) < 2500*time.Millisecond)
+		})
+	}
+}
+
+// Guards against a second result that contradicts the first, and against several closes for one submission.
+func TestResultIsKept(t *testing.T) {
+	is := is.New(t)
+	s := &sidecars{replies: map[string]*wire.CloseReply{"a": reply(1, "s", 0), "b": reply(2, "s", 0)}}
+	r := homelost.NewResolver(s, book(), zerolog.Nop())
+
+	is.Equal(r.Kept("s"), nil)
+
+	results := make(chan fault.Ran, 20)
+	for range cap(results) {
+		go func() { results <- fault.RanOf(r.Resolve(context.Background(), "s", at(2), false)) }()
+	}
+
+	for range cap(results) {
+		is.Equal(<-results, fault.RanNone)
+	}
+
+	s.mu.Lock()
+	s.replies = nil
+	s.mu.Unlock()
+
+	is.Equal(fault.RanOf(r.Resolve(t.Context(), "s", at(2), false)), fault.RanNone)
+	is.Equal(fault.RanOf(r.Kept("s")), fault.RanNone)
+	is.Equal(s.calls.Load(), int64(2))
+}
+
+// Guards against a verdict from a ledger that is about to reach the position of the ticket.
+func TestWaitsForTheLedger(t *testing.T) {
+	is := is.New(t)
+	b := book()
+	s := &sidecars{replies: map[string]*wire.CloseReply{"b": reply(2, "s", 0), "c": reply(3, "s", 0)}}
+	r := homelost.NewResolver(s, b, zerolog.Nop())
+	result := make(chan error, 1)
+
+	go func() { result <- r.Resolve(context.Background(), "s", at(5), false) }()
+
+	time.Sleep(50 * time.Millisecond)
+	b.Advance([]ledger.Record{ledger.NewRecord(4, time.Now(), ledger.EntryJoinedRecord(&wire.Entry{}))}, 5)
+
+	err := <-result
+	is.Equal(fault.RanOf(err), fault.RanNone)
+	is.True(!errors.Is(err, context.DeadlineExceeded))
+	is.Equal(s.calls.Load(), int64(2))
+}
