--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -113,6 +113,7 @@
 	p.cancel = cancel
 
 	p.gauges()
+	p.Table.Follow(running, p.Book)
 
 	for _, loop := range []func(context.Context){
 		p.Follower.Run, p.Appender.Run, p.Table.Run, p.Peers.Run, p.watch, p.accept, p.join,
--- /dev/null
+++ b/entry/process/process_test.go
@@ -0,0 +1,411 @@
+package process_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/skylarkweir/skylarkweir/entry/process"
+	sidecar "github.com/skylarkweir/skylarkweir/sidecar/process"
+	"github.com/skylarkweir/skylarkweir/standin/backend"
+	standin "github.com/skylarkweir/skylarkweir/standin/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// system is a log, entries, and sidecars with backend servers, all in this process.
+type system struct {
+	t        *testing.T
+	dir      string
+	log      *httptest.Server
+	backends []*httptest.Server
+	entries  []*entry
+}
+
+type entry struct {
+	*process.Process
+
+	app *fx.App
+}
+
+func newSystem(t *testing.T, entries, workers int) *system {
+	t.Helper()
+
+	is := is.New(t)
+	s := &system{t: t, dir: t.TempDir(), log: httptest.NewServer(&standin.Log{})}
+	t.Cleanup(s.log.CloseClientConnections)
+	is.NoErr(quic.IssueKeys(s.dir, time.Hour))
+
+	sum := sha256.Sum256([]byte("token"))
+	a, err := agreement.Parse([]byte(fmt.Sprintf(`{"agreement":"test","members":[{"name":"m","limit_slots":64,"credential_sha256":%q}],`+
+		`"kinds":[{"name":"k","service":"s","share_percent":100,"urgent":true}]}`, hex.EncodeToString(sum[:]))))
+	is.NoErr(err)
+
+	_, err = logservice.NewClient(s.log.URL).Append(t.Context(), ledger.PublicationRecord(0, []byte("n"), "op", a))
+	is.NoErr(err)
+
+	for i := range entries {
+		s.startEntry(is, fmt.Sprintf("e%d", i))
+	}
+
+	for i := range workers {
+		s.startWorker(is, fmt.Sprintf("w%d", i))
+	}
+
+	for _, e := range s.entries {
+		s.eventually(fmt.Sprintf("workers and peers of %s", e.Address()), func() bool {
+			if e.Book.State().Position() < int64(1+entries+workers) || len(e.Peers.Reached()) < entries-1 {
+				return false
+			}
+
+			n := 0
+			for _, w := range e.Fleet.View().Workers() {
+				if _, registered := w.Joined(); registered {
+					n++
+				}
+			}
+
+			return n == workers
+		})
+	}
+
+	return s
+}
+
+func (s *system) eventually(what string, done func() bool) {
+	s.t.Helper()
+
+	for range 1500 {
+		if done() {
+			return
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	s.t.Fatalf("%s: not within 15 s", what)
+}
+
+func (s *system) keys() string {
+	return fmt.Sprintf(`"keys":{"certificate":%q,"key":%q,"authority":%q}`, filepath.Join(s.dir, quic.CertificateFile),
+		filepath.Join(s.dir, quic.KeyFile), filepath.Join(s.dir, quic.AuthorityFile))
+}
+
+func (s *system) logger() zerolog.Logger {
+	if os.Getenv("WEIR_TEST_LOG") == "" {
+		return zerolog.Nop()
+	}
+
+	return zerolog.New(zerolog.NewTestWriter(s.t))
+}
+
+func (s *system) startEntry(is *is.I, name string) {
+	is.Helper()
+
+	peers := []string{}
+	for _, e := range s.entries {
+		peers = append(peers, fmt.Sprintf("%q", e.Address()))
+	}
+
+	settings, err := process.Parse(name, []byte(fmt.Sprintf(
+		`{"name":%q,"log_service":%q,"ticket_key":"0123456789abcdef","drain_delay":"500ms","drain_limit":"20s","peers":[%s],%s}`,
+		name, s.log.URL, strings.Join(peers, ","), s.keys())))
+	is.NoErr(err)
+
+	e := &entry{}
+	e.app = fx.New(process.Options(settings, s.logger().With().Str("entry", name).Logger()), fx.Populate(&e.Process))
+	is.NoErr(e.app.Start(context.Background()))
+	s.t.Cleanup(func() { _ = e.app.Stop(context.Background()) })
+	s.entries = append(s.entries, e)
+}
+
+func (s *system) startWorker(is *is.I, name string) {
+	is.Helper()
+
+	b := httptest.NewServer((&backend.Server{}).Handler())
+	s.t.Cleanup(b.Close)
+	s.backends = append(s.backends, b)
+
+	addresses := []string{}
+	for _, e := range s.entries {
+		addresses = append(addresses, fmt.Sprintf("%q", e.Address()))
+	}
+
+	file := filepath.Join(s.dir, name)
+	is.NoErr(os.WriteFile(file, []byte(fmt.Sprintf(`{"name":%q,"backend":%q,"slots":4,"allowance_delay":"0s","entries":[%s],%s}`,
+		name, b.URL, strings.Join(addresses, ","), s.keys())), 0o600))
+
+	settings, err := sidecar.Load(file)
+	is.NoErr(err)
+
+	app := fx.New(sidecar.Options(settings, s.logger().With().Str("worker", name).Logger()))
+	is.NoErr(app.Start(context.Background()))
+	s.t.Cleanup(func() { _ = app.Stop(context.Background()) })
+}
+
+// started returns the number of starts at all backend servers.
+func (s *system) started() int {
+	s.t.Helper()
+
+	sum := 0
+
+	for _, b := range s.backends {
+		_, body, err := call("GET", b.URL+"/admin/counts", "", "")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+
+		var c struct{ Started int }
+		if err := json.Unmarshal(body, &c); err != nil {
+			s.t.Fatal(err)
+		}
+
+		sum += c.Started
+	}
+
+	return sum
+}
+
+func call(method, url, key, body string) (int, []byte, error) {
+	r, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+
+	r.Header.Set("Authorization", "Bearer token")
+
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer w.Body.Close()
+
+	answer, err := io.ReadAll(w.Body)
+
+	return w.StatusCode, answer, err
+}
+
+type result struct {
+	status int
+	body   []byte
+	err    error
+}
+
+func (e *entry) submit(key, body string) result {
+	status, answer, err := call("POST", "http://"+e.CallersAddress()+"/v1/jobs", key, body)
+
+	return result{status, answer, err}
+}
+
+func (e *entry) later(key, body string) <-chan result {
+	c := make(chan result, 1)
+	go func() { c <- e.submit(key, body) }()
+
+	return c
+}
+
+func (e *entry) ticket(is *is.I) string {
+	is.Helper()
+
+	status, body, err := call("POST", "http://"+e.CallersAddress()+"/v1/tickets", "", `{"count":1}`)
+	is.NoErr(err)
+	is.Equal(status, 200)
+
+	var t struct{ Tickets []string }
+	is.NoErr(json.Unmarshal(body, &t))
+
+	return t.Tickets[0]
+}
+
+func job(run time.Duration, tasks int) string {
+	input := base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf(`{"run_ms":%d,"echo":"x"}`, run.Milliseconds())))
+	list := strings.Repeat(fmt.Sprintf(`{"input":%q},`, input), tasks)
+
+	return `{"kind":"k","deadline_ms":20000,"tasks":[` + strings.TrimSuffix(list, ",") + `]}`
+}
+
+// Guards against answers that differ between entries and against second starts by resubmissions.
+func TestResubmissionAtEveryEntry(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 2, 2)
+	id := s.entries[0].ticket(is)
+
+	first := s.entries[0].later(id, job(300*time.Millisecond, 3))
+	second := s.entries[1].later(id, job(300*time.Millisecond, 3))
+
+	a, b := <-first, <-second
+	is.NoErr(a.err)
+	is.Equal(a.status, 200)
+	is.NoErr(b.err)
+	is.Equal(string(a.body), string(b.body))
+	is.Equal(s.started(), 3)
+
+	again := s.entries[1].submit(id, job(300*time.Millisecond, 2))
+	is.Equal(again.status, 409)
+
+	status, body, err := call("GET", "http://"+s.entries[1].AdminAddress()+"/v1/explain/"+id, "", "")
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.True(bytes.Contains(body, []byte(`"state":"complete"`)))
+
+	for _, path := range []string{"/healthz", "/readyz", "/metrics", "/v1/status", "/v1/show"} {
+		status, _, err := call("GET", "http://"+s.entries[0].AdminAddress()+path, "", "")
+		is.NoErr(err)
+		is.Equal(status, 200)
+	}
+}
+
+// Guards against a key that leads to two homes.
+func TestKeyAtEveryEntry(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 3, 1)
+	u := uuid.Must(uuid.NewV7()).String()
+
+	var answers []<-chan result
+	for i := range 9 {
+		answers = append(answers, s.entries[i%3].later(u, job(50*time.Millisecond, 2)))
+	}
+
+	first := <-answers[0]
+	is.NoErr(first.err)
+	is.Equal(first.status, 200)
+
+	for _, a := range answers[1:] {
+		r := <-a
+		is.NoErr(r.err)
+		is.Equal(string(r.body), string(first.body))
+	}
+
+	is.Equal(s.started(), 2)
+}
+
+// Guards against a lost home whose submission is started again, or whose outcome is told wrong. The home is cut off by
+// closing its socket, which its peers see as a loss.
+func TestHomeLost(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 2, 2)
+	used, unused := s.entries[0].ticket(is), s.entries[0].ticket(is)
+
+	s.entries[0].later(used, job(10*time.Second, 2))
+	s.eventually("two starts", func() bool { return s.started() == 2 })
+	s.entries[0].Node.Close()
+
+	for id, ran := range map[string]string{used: "some", unused: "none"} {
+		begin := time.Now()
+		r := s.entries[1].submit(id, job(10*time.Second, 2))
+		is.NoErr(r.err)
+		is.Equal(r.status, 502)
+
+		if !bytes.Contains(r.body, []byte(`"home_lost"`)) || !bytes.Contains(r.body, []byte(`"ran":"`+ran+`"`)) {
+			t.Fatalf("want home_lost, ran %s, got %s", ran, r.body)
+		}
+
+		is.True(time.Since(begin) < 5*time.Second)
+		is.Equal(string(s.entries[1].submit(id, job(10*time.Second, 2)).body), string(r.body))
+	}
+
+	is.Equal(s.started(), 2)
+}
+
+// Guards against requests that a graceful shutdown cuts, and against answers that are lost with the entry.
+func TestShutdownInFlight(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 2, 2)
+	leaving, other := s.entries[0], s.entries[1]
+	id, forwarded := leaving.ticket(is), leaving.ticket(is)
+
+	slow := leaving.later(id, job(1500*time.Millisecond, 2))
+	remote := other.later(forwarded, job(1500*time.Millisecond, 2))
+	s.eventually("four starts", func() bool { return s.started() == 4 })
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- leaving.app.Stop(context.Background()) }()
+
+	s.eventually("readiness off", func() bool {
+		status, _, err := call("GET", "http://"+leaving.AdminAddress()+"/readyz", "", "")
+
+		return err == nil && status == 503
+	})
+
+	during := leaving.submit("", job(10*time.Millisecond, 1))
+	is.NoErr(during.err)
+	is.Equal(during.status, 200) // the load balancer has not noticed yet
+
+	time.Sleep(700 * time.Millisecond)
+
+	after := leaving.submit("", job(10*time.Millisecond, 1))
+	is.NoErr(after.err)
+	is.Equal(after.status, 503)
+	is.True(bytes.Contains(after.body, []byte(`"leaving"`)))
+
+	a, b := <-slow, <-remote
+	is.NoErr(a.err)
+	is.Equal(a.status, 200)
+	is.NoErr(b.err)
+	is.Equal(b.status, 200)
+	is.NoErr(<-stopped)
+
+	r := other.submit(id, job(1500*time.Millisecond, 2))
+	is.NoErr(r.err)
+	is.Equal(string(r.body), string(a.body)) // from the successor
+	is.Equal(s.started(), 5)
+}
+
+// Guards against exit codes that scripts cannot rely on.
+func TestMainExitCodes(t *testing.T) {
+	good := filepath.Join(t.TempDir(), "good.jsonc")
+	bad := filepath.Join(t.TempDir(), "bad.jsonc")
+	text := `{"name":"e","log_service":"127.0.0.1:1","ticket_key":"0123456789abcdef", // comment
+		"keys":{"certificate":"c","key":"k","authority":"a"}}`
+
+	is := is.New(t)
+	is.NoErr(os.WriteFile(good, []byte(text), 0o600))
+	is.NoErr(os.WriteFile(bad, []byte(strings.Replace(text, `"name"`, `"slots":0,"name"`, 1)), 0o600))
+
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"--help"}, 0, "entry --settings /etc"},
+		{[]string{"--version"}, 0, "entry"},
+		{[]string{"--settings", good, "--check-settings"}, 0, "fine"},
+		{[]string{"--settings", bad, "--check-settings"}, 2, "bad.jsonc:1: slots: 0 is outside 1..1024"},
+		{[]string{"--settings", good + "x"}, 2, "read settings"},
+		{[]string{}, 2, "--settings is required"},
+		{[]string{"extra"}, 2, "unexpected argument"},
+		{[]string{"--unknown"}, 2, "unknown flag"},
+		{[]string{"--settings", good}, 1, "start_failed"},
+	} {
+		var out bytes.Buffer
+
+		is.Equal(process.Main(c.args, &out, &out), c.code)
+
+		if !strings.Contains(out.String(), c.want) {
+			t.Errorf("%v: output %q does not contain %q", c.args, out.String(), c.want)
+		}
+	}
+}
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -116,13 +116,16 @@
 func newTable(s Settings, workers *fleet.Fleet, hub *sidecar.Hub, self *wire.Entry, registry gometrics.Registry, log zerolog.Logger) *home.Table {
 	t := &home.Table{}
 	t.Use(workers, hub, log)
+	t.Own(self.GetIncarnation())
+	t.Limit(s.file.QueueTasks, s.file.Submissions, int(s.file.AnswerMemory.Value()))
+	t.Measure(registry)
 
 	return t
 }
 
-func newHub(self *wire.Entry, workers *fleet.Fleet, appender *logservice.Appender, log zerolog.Logger) *sidecar.Hub {
+func newHub(self *wire.Entry, workers *fleet.Fleet, book *ledger.Book, appender *logservice.Appender, log zerolog.Logger) *sidecar.Hub {
 	h := &sidecar.Hub{}
-	h.Use(self, workers, registrar{appender}, log)
+	h.Use(self, workers, book, registrar{appender}, log)
 
 	return h
 }
