Add the cluster, the stand-ins' commands and the rest of weirctl

Tests and the demo have to start, pause, kill and restart real processes. The cluster builds the programs once, starts log, entries and workers on ports that the kernel chose and that the processes report in their "listening" line, keeps the addresses over restarts, and puts relays in between where asked for. Only an entry behind a relay gets a port that was chosen before its start, since the relay has to know it.

weirctl gets publish (exit code 3 for a conflict), show, status, explain, drain and settings. publish uses the appender and the state's outcome by nonce, so a lost answer of the log is resolved by reading back; it tells the book that it loads before the first read, since an empty state would otherwise pass for that of an empty log. The settings table is taken from the programs' own types by reflection, so it cannot differ from the code; settings.Describe follows a type whose only field is the settings struct.

--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -73,12 +73,13 @@
 	for i, task := range q.Tasks {
 		var in struct {
 			RunMS float64 `json:"run_ms"`
+			Echo  string
 		}
 		json.Unmarshal(task.Input, &in)
 		longest = max(longest, time.Duration(in.RunMS*1e6))
-		digest.Write(task.Input)
-		length += len(task.Input)
-		results = append(results, map[string]any{"index": i, "output": task.Input})
+		digest.Write([]byte(in.Echo))
+		length += len(in.Echo)
+		results = append(results, map[string]any{"index": i, "output": []byte(in.Echo)})
 	}
 
 	key := r.Header.Get("Idempotency-Key")
@@ -238,8 +239,12 @@
 		"digest":           func(a map[string]any) { a["digest"] = hex.EncodeToString(make([]byte, 32)) },
 		"length":           func(a map[string]any) { a["length"] = 1 },
 		"missing result":   func(a map[string]any) { a["results"] = a["results"].([]map[string]any)[:1] },
-		"order":            func(a map[string]any) { a["results"].([]map[string]any)[0]["index"] = 1 },
-		"state":            func(a map[string]any) { a["state"] = "running" },
+		"other output": func(a map[string]any) {
+			r := a["results"].([]map[string]any)
+			r[0]["output"], r[1]["output"] = r[1]["output"], r[0]["output"]
+		},
+		"order": func(a map[string]any) { a["results"].([]map[string]any)[0]["index"] = 1 },
+		"state": func(a map[string]any) { a["state"] = "running" },
 	} {
 		t.Run(title, func(t *testing.T) {
 			is := is.New(t)
--- a/standin/caller/task.go
+++ b/standin/caller/task.go
@@ -9,8 +9,8 @@
 // inputBody is what the stand-in backend server understands.
 type inputBody struct {
 	RunMS float64 `json:"run_ms"`
-	// Nonce makes inputs differ, so that an answer to another submission is noticed.
-	Nonce   string `json:"nonce"`
+	// Echo is the output. It is random, so that the output of another task is noticed.
+	Echo    string `json:"echo"`
 	Padding string `json:"padding,omitempty"`
 }
 
@@ -20,3 +20,13 @@
 
 	return text
 }
+
+// expected returns the output of a task, and false if the input is not one that Input made.
+func expected(input []byte) (string, bool) {
+	var b inputBody
+	if err := json.Unmarshal(input, &b); err != nil || b.Echo == "" {
+		return "", false
+	}
+
+	return b.Echo, true
+}
--- a/standin/caller/verify.go
+++ b/standin/caller/verify.go
@@ -47,6 +47,10 @@
 			return nil, merry.Errorf("result %d has index %d", i, r.Index)
 		}
 
+		if want, known := expected(s.inputs[i]); known && want != string(r.Output) {
+			return nil, merry.Errorf("output %d is not that of its input", i)
+		}
+
 		outputs[i] = r.Output
 		length += int64(len(r.Output))
 		digest.Write(r.Output)
--- a/standin/cluster/address.go
+++ b/standin/cluster/address.go
@@ -7,8 +7,6 @@
 	"github.com/ansel1/merry/v2"
 )
 
-const loopback = "127.0.0.1:0"
-
 // freeAddress returns a loopback address that the kernel chose and that was free for TCP and UDP. The process that
 // gets it binds it later, so that a restarted process keeps its address; the time between is short.
 func freeAddress(ctx context.Context) (string, error) {
--- /dev/null
+++ b/standin/cluster/agreement.go
@@ -0,0 +1,48 @@
+package cluster
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+)
+
+// wholePercent is what the kinds of an agreement share.
+const wholePercent = 100
+
+// WriteAgreement writes agreement files with one member, who may use the whole fleet, and with kinds of equal shares
+// that are not urgent and belong to one service. Tests of other agreements write their own files.
+func WriteAgreement(directory, token string, kinds ...string) error {
+	sum := sha256.Sum256([]byte(token))
+	member := map[string]any{"name": "member", "limit_percent": wholePercent, "credential_sha256": hex.EncodeToString(sum[:])}
+
+	list := make([]map[string]any, 0, len(kinds))
+	for _, k := range kinds {
+		list = append(list, map[string]any{"name": k, "share_percent": wholePercent / len(kinds), "urgent": false, "max_cores": 2})
+	}
+
+	for file, body := range map[string]any{
+		agreement.AgreementFile: map[string]any{"agreement": "test", "members": []any{member}},
+		agreement.ServiceFile:   map[string]any{"service": "service", "kinds": list},
+	} {
+		text, err := json.MarshalIndent(body, "", "  ")
+		if err != nil {
+			return merry.Wrap(err)
+		}
+
+		if err := os.MkdirAll(directory, 0o700); err != nil {
+			return merry.Wrap(err)
+		}
+
+		if err := os.WriteFile(filepath.Join(directory, file), text, 0o600); err != nil {
+			return merry.Wrap(err)
+		}
+	}
+
+	return nil
+}
--- /dev/null
+++ b/standin/cluster/cluster.go
@@ -0,0 +1,218 @@
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/process/settings"
+)
+
+const (
+	keysValid    = 24 * time.Hour
+	ticketKeyLen = 32
+	// tailLines is what Tails prints of each process.
+	tailLines = 20
+	loopback  = "127.0.0.1:0"
+)
+
+// Cluster is a running system. Its methods are for one goroutine, but for Close.
+type Cluster struct {
+	programs Programs
+	// directory holds keys, settings and the output of the processes.
+	directory string
+	ticketKey string
+	log       *Log
+	entries   []*Entry
+	workers   []*Worker
+
+	mutex     sync.Mutex
+	processes []*Process
+	closers   []io.Closer
+	closed    bool
+}
+
+// New makes the keys of a cluster in the directory; nothing runs yet.
+func New(programs Programs, directory string) (*Cluster, error) {
+	key := make([]byte, ticketKeyLen)
+	if _, err := rand.Read(key); err != nil {
+		return nil, merry.Prepend(err, "choose a ticket key")
+	}
+
+	c := &Cluster{programs: programs, directory: directory, ticketKey: hex.EncodeToString(key)}
+
+	return c, quic.IssueKeys(c.path("keys"), keysValid)
+}
+
+// Directory returns the directory with keys, settings and output.
+func (c *Cluster) Directory() string { return c.directory }
+
+// Log returns the stand-in log.
+func (c *Cluster) Log() *Log { return c.log }
+
+// Entries returns the entries in the order of their start.
+func (c *Cluster) Entries() []*Entry { return c.entries }
+
+// Workers returns the workers in the order of their start.
+func (c *Cluster) Workers() []*Worker { return c.workers }
+
+// Processes returns all processes that were started.
+func (c *Cluster) Processes() []*Process {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return append([]*Process(nil), c.processes...)
+}
+
+// Close kills all processes that still run, by their ids, and closes the relays.
+func (c *Cluster) Close() {
+	c.mutex.Lock()
+	c.closed = true
+	closers := c.closers
+	c.closers = nil
+	c.mutex.Unlock()
+
+	for _, p := range c.Processes() {
+		if p.Running() {
+			_ = p.Kill()
+		}
+
+		<-p.Done()
+	}
+
+	for _, r := range closers {
+		r.Close()
+	}
+}
+
+// Tails writes the last lines of the output of each process.
+func (c *Cluster) Tails(w io.Writer) {
+	for _, p := range c.Processes() {
+		state := "running"
+		if !p.Running() {
+			state = p.command.ProcessState.String()
+		}
+
+		fmt.Fprintf(w, "== %s (id %d, %s)\n%s\n", p.Name(), p.ID(), state, p.Tail(tailLines))
+	}
+}
+
+// Load returns a load of the member with this token over all entries. Its file form is the rest: rate, mix and so on.
+func (c *Cluster) Load(token, text string) (*caller.Load, error) {
+	l := &caller.Load{}
+
+	urls := ""
+	for i, e := range c.entries {
+		if i > 0 {
+			urls += ", "
+		}
+
+		urls += fmt.Sprintf("%q", e.URL())
+	}
+
+	return l, settings.Parse("load", fmt.Appendf(nil, `{"entries": [%s], "token": %q, %s}`, urls, token, text), l)
+}
+
+// WaitReady waits until every running entry and sidecar says that it is ready.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for _, w := range c.workers {
+		if w.sidecar.Running() {
+			if err := waitReady(ctx, w.sidecar, w.admin); err != nil {
+				return err
+			}
+		}
+	}
+
+	for _, e := range c.entries {
+		if e.process.Running() {
+			if err := waitReady(ctx, e.process, e.admin); err != nil {
+				return err
+			}
+		}
+	}
+
+	return nil
+}
+
+func waitReady(ctx context.Context, p *Process, admin string) error {
+	var last error
+
+	for {
+		if last = get(ctx, admin+"/readyz", nil); last == nil {
+			return nil
+		}
+
+		select {
+		case <-p.Done():
+			return merry.Errorf("%s has ended:\n%s", p.Name(), p.Tail(tailLines))
+		case <-ctx.Done():
+			return merry.Errorf("%s is not ready: %w\n%s", p.Name(), last, p.Tail(tailLines))
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Weirctl runs the operator's command line and returns its output and exit code.
+func (c *Cluster) Weirctl(ctx context.Context, args ...string) (output string, code int, err error) {
+	return run(ctx, c.programs.Path(WeirctlProgram), args...)
+}
+
+// Publish publishes the agreement files below the directory.
+func (c *Cluster) Publish(ctx context.Context, directory string) (string, error) {
+	out, code, err := c.Weirctl(ctx, "publish", directory, "--log", c.log.URL())
+	if err == nil && code != 0 {
+		err = merry.Errorf("publish ended with exit code %d: %s", code, out)
+	}
+
+	return out, err
+}
+
+func (c *Cluster) path(parts ...string) string {
+	return filepath.Join(append([]string{c.directory}, parts...)...)
+}
+
+// start starts a process with its output in the cluster's directory.
+func (c *Cluster) start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if c.closed {
+		return nil, merry.New("the cluster is closed")
+	}
+
+	if err := os.MkdirAll(c.path("output"), 0o700); err != nil {
+		return nil, merry.Wrap(err)
+	}
+
+	// A restarted process continues the file of its predecessor.
+	p, err := Start(ctx, name, c.path("output", name+".log"), c.programs.Path(program), args...)
+	if err != nil {
+		return nil, err
+	}
+
+	c.processes = append(c.processes, p)
+
+	return p, nil
+}
+
+func (c *Cluster) closeLater(r io.Closer) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.closers = append(c.closers, r)
+}
+
+func get(ctx context.Context, url string, into any) error {
+	return call(ctx, http.MethodGet, url, nil, into)
+}
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"syscall"
 	"time"
@@ -16,22 +17,28 @@
 // Process is a program that was started. It is ended by its id only.
 type Process struct {
 	name, log string
-	command   *exec.Cmd
+	// begin is the length of the output file when the process started.
+	begin   int64
+	command *exec.Cmd
 	// done is closed when the process has ended; err is set before.
 	done chan struct{}
 	err  error
 }
 
-// Start starts a program whose output goes to the log file.
-func Start(name, log, program string, args ...string) (*Process, error) {
+// Start starts a program whose output goes to the log file. The process outlives ctx.
+func Start(ctx context.Context, name, log, program string, args ...string) (*Process, error) {
 	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, merry.Prependf(err, "open the log of %s", name)
 	}
 	defer func() { _ = out.Close() }()
 
-	// The process outlives any context of its starter; End and Close of the cluster end it.
-	c := exec.CommandContext(context.Background(), program, args...)
+	before, err := out.Stat()
+	if err != nil {
+		return nil, merry.Prependf(err, "open the log of %s", name)
+	}
+
+	c := exec.CommandContext(context.WithoutCancel(ctx), program, args...)
 	c.Stdout, c.Stderr = out, out
 	c.SysProcAttr = attributes()
 
@@ -39,7 +46,7 @@
 		return nil, merry.Prependf(err, "start %s", name)
 	}
 
-	p := &Process{name: name, log: log, command: c, done: make(chan struct{})}
+	p := &Process{name: name, log: log, begin: before.Size(), command: c, done: make(chan struct{})}
 	go p.run()
 
 	return p, nil
@@ -93,7 +100,7 @@
 	}
 
 	if p.err != nil {
-		return merry.Errorf("%s: %w\n%s", p.name, p.err, p.Tail(20))
+		return merry.Errorf("%s: %w\n%s", p.name, p.err, p.Tail(tailLines))
 	}
 
 	return nil
@@ -124,6 +131,37 @@
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
 
+// await waits for text in the output of this process and returns the match with its groups.
+func (p *Process) await(ctx context.Context, text *regexp.Regexp) ([]string, error) {
+	for {
+		running := p.Running()
+
+		out, err := os.ReadFile(p.log)
+		if err != nil {
+			return nil, merry.Prependf(err, "output of %s", p.name)
+		}
+
+		if found := text.FindSubmatch(out[p.begin:]); found != nil {
+			groups := make([]string, 0, len(found))
+			for _, f := range found {
+				groups = append(groups, string(f))
+			}
+
+			return groups, nil
+		}
+
+		if !running {
+			return nil, merry.Errorf("%s has ended:\n%s", p.name, p.Tail(tailLines))
+		}
+
+		select {
+		case <-ctx.Done():
+			return nil, merry.Errorf("%s has not printed %s: %w\n%s", p.name, text, ctx.Err(), p.Tail(tailLines))
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
 func (p *Process) signal(s os.Signal) error {
 	if !p.Running() {
 		return merry.Errorf("%s has ended", p.name)
--- /dev/null
+++ b/standin/command/backend.go
@@ -0,0 +1,12 @@
+package command
+
+import "github.com/skylarkweir/skylarkweir/standin/backend"
+
+func newBackend() noun {
+	return noun{
+		"backend", "Stand in for a backend server",
+		"Runs tasks by sleeping and records each start. GET /admin/starts lists the starts, POST /admin/faults switches\n" +
+			"faults on: fail_all, slow_factor, refuse.\n\n" +
+			"Example:\n  standin backend --listen 127.0.0.1:8080", &backend.Command{},
+	}
+}
--- a/standin/command/relay.go
+++ b/standin/command/relay.go
@@ -32,7 +32,7 @@
 	}
 
 	f := &relay.Relay{}
-	if err := f.Open(r.Network, r.Listen, r.Target); err != nil {
+	if err := f.Open(ctx, r.Network, r.Listen, r.Target); err != nil {
 		return err
 	}
 	defer func() { _ = f.Close() }()
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -43,15 +43,16 @@
 	up, down, lost atomic.Int64
 }
 
-// Open starts forwarding. Port 0 lets the kernel choose; Address tells the outcome.
-func (r *Relay) Open(network, listen, target string) error {
+// Open starts forwarding, until Close and beyond the end of ctx. Port 0 lets the kernel choose; Address tells the
+// outcome.
+func (r *Relay) Open(ctx context.Context, network, listen, target string) error {
 	r.network, r.target = network, target
 	r.changed = make(chan struct{})
 	r.links = map[*link]struct{}{}
 	r.own = map[string]Faults{}
 	r.random = rand.New(rand.NewPCG(1, 2))
 
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	r.cancel = cancel
 
 	var err error
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 
 	r := &relay.Relay{}
-	if err := r.Open(network, "127.0.0.1:0", target); err != nil {
+	if err := r.Open(t.Context(), network, "127.0.0.1:0", target); err != nil {
 		t.Fatal(err)
 	}
 
--- a/weir/process/settings/describe.go
+++ b/weir/process/settings/describe.go
@@ -30,13 +30,19 @@
 // Doc returns what the key is for.
 func (k Key) Doc() string { return k.doc }
 
-// Describe returns the keys of a settings struct or of a pointer to one, in the order of its fields.
+// Describe returns the keys of a settings struct, of a pointer to one, or of a type whose only field is one, in the
+// order of its fields.
 func Describe(into any) []Key {
 	t := reflect.TypeOf(into)
 	if t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
 
+	// Programs keep the decoded struct in an unexported field of a type with accessors.
+	for t.NumField() == 1 && !t.Field(0).IsExported() && isObject(t.Field(0).Type) {
+		t = t.Field(0).Type
+	}
+
 	return describe("", t)
 }
 
--- a/weirctl/command/admin.go
+++ b/weirctl/command/admin.go
@@ -20,36 +20,52 @@
 	Timeout time.Duration `long:"timeout" default:"5s" description:"Longest wait for an answer"`
 }
 
-// call sends a request without a body to one entry and decodes the JSON answer.
-func (a admin) call(method, entry, path string, into any) error {
+// call sends a request without a body to one process and decodes the JSON answer.
+func (a admin) call(method, address, path string, into any) error {
+	text, err := a.send(method, address, path)
+	if err != nil {
+		return err
+	}
+
+	if err := json.Unmarshal(text, into); err != nil {
+		return merry.Prependf(err, "%s: answer to %s", address, path)
+	}
+
+	return nil
+}
+
+// text gets a text.
+func (a admin) text(address, path string) (string, error) {
+	text, err := a.send(http.MethodGet, address, path)
+
+	return string(text), err
+}
+
+func (a admin) send(method, address, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
 	defer cancel()
 
-	q, err := http.NewRequestWithContext(ctx, method, baseURL(entry)+path, nil)
+	q, err := http.NewRequestWithContext(ctx, method, baseURL(address)+path, nil)
 	if err != nil {
-		return merry.Prependf(err, "entry %s", entry)
+		return nil, merry.Prepend(err, address)
 	}
 
 	r, err := http.DefaultClient.Do(q)
 	if err != nil {
-		return merry.Prependf(err, "entry %s", entry)
+		return nil, merry.Prepend(err, address)
 	}
 	defer r.Body.Close()
 
 	text, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer))
 	if err != nil {
-		return merry.Prependf(err, "entry %s", entry)
+		return nil, merry.Prepend(err, address)
 	}
 
 	if r.StatusCode/100 != 2 {
-		return merry.Errorf("entry %s: %s: %s", entry, r.Status, strings.TrimSpace(string(text)))
+		return nil, merry.Errorf("%s: %s: %s", address, r.Status, strings.TrimSpace(string(text)))
 	}
 
-	if err := json.Unmarshal(text, into); err != nil {
-		return merry.Prependf(err, "entry %s: answer to %s", entry, path)
-	}
-
-	return nil
+	return text, nil
 }
 
 // baseURL adds the scheme to a host and port.
--- /dev/null
+++ b/weirctl/command/drain.go
@@ -0,0 +1,48 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// drain starts the graceful shutdown of entries.
+type drain struct {
+	console *console
+	admin
+}
+
+// drainBody is the JSON output for one entry.
+type drainBody struct {
+	Entry    string `json:"entry"`
+	Draining bool   `json:"draining"`
+}
+
+func newDrain(c *console) noun {
+	return noun{
+		"drain", "Shut entries down gracefully",
+		"Tells each entry to leave: it completes what it holds, hands its answers over and ends.\n\n" +
+			"Example:\n  weirctl drain --entry http://127.0.0.1:7101", &drain{console: c},
+	}
+}
+
+// Execute runs the command.
+func (d *drain) Execute([]string) error {
+	var body []drainBody
+
+	for _, e := range d.Entries {
+		b := drainBody{Entry: e}
+		if err := d.call(http.MethodPost, e, "/v1/drain", &b); err != nil {
+			return err
+		}
+
+		b.Entry = e
+		body = append(body, b)
+	}
+
+	return d.console.print(body, func(w io.Writer) {
+		for _, b := range body {
+			fmt.Fprintf(w, "%s is draining\n", b.Entry)
+		}
+	})
+}
--- /dev/null
+++ b/weirctl/command/explain.go
@@ -0,0 +1,116 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// explainAnswer is the answer of an entry to GET /v1/explain/{id}.
+type explainAnswer struct {
+	Submission  string     `json:"submission"`
+	Home        string     `json:"home"`
+	Incarnation uint64     `json:"incarnation"`
+	Sequence    uint64     `json:"sequence"`
+	Member      string     `json:"member"`
+	Position    int64      `json:"position"`
+	Expiry      time.Time  `json:"expiry"`
+	Workers     []string   `json:"workers"`
+	Held        bool       `json:"held"`
+	State       string     `json:"state"`
+	Status      int        `json:"status"`
+	Ended       int        `json:"ended"`
+	Total       int        `json:"total"`
+	Decisions   []decision `json:"decisions"`
+}
+
+// decision is one decision of the home.
+type decision struct {
+	Time   time.Time `json:"time"`
+	Event  string    `json:"event"`
+	Task   int       `json:"task"`
+	Choice string    `json:"choice"`
+	Reason string    `json:"reason"`
+}
+
+// explain prints what is known about a submission.
+type explain struct {
+	console *console
+	admin
+	Args struct {
+		Submission string `positional-arg-name:"SUBMISSION" description:"Ticket of the submission"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func newExplain(c *console) noun {
+	return noun{
+		"explain", "Explain what became of a submission",
+		"Asks the entries why a submission was refused, or placed where it was.\n\n" +
+			"Example:\n  weirctl explain --entry http://127.0.0.1:7101 SUBMISSION", &explain{console: c},
+	}
+}
+
+// Execute asks one entry after the other until one of them holds the submission.
+func (e *explain) Execute([]string) error {
+	var (
+		found explainAnswer
+		raw   json.RawMessage
+		last  error
+	)
+
+	for _, address := range e.Entries {
+		var text json.RawMessage
+		if last = e.call(http.MethodGet, address, "/v1/explain/"+url.PathEscape(e.Args.Submission), &text); last != nil {
+			continue
+		}
+
+		var a explainAnswer
+		if last = json.Unmarshal(text, &a); last != nil {
+			continue
+		}
+
+		if found, raw = a, text; a.Held {
+			break
+		}
+	}
+
+	if raw == nil {
+		return last
+	}
+
+	return e.console.print(raw, found.print)
+}
+
+func (a explainAnswer) print(w io.Writer) {
+	fmt.Fprintf(w, "home      %s, incarnation %d, sequence %d\n", a.Home, a.Incarnation, a.Sequence)
+	fmt.Fprintf(w, "member    %s\n", a.Member)
+	fmt.Fprintf(w, "position  %d, %d workers may run it\n", a.Position, len(a.Workers))
+	fmt.Fprintf(w, "expiry    %s\n", a.Expiry.Format(time.RFC3339))
+
+	if !a.Held {
+		fmt.Fprintln(w, "state     the home does not hold it, or cannot be reached")
+
+		return
+	}
+
+	fmt.Fprintf(w, "state     %s, %d of %d tasks ended\n", a.State, a.Ended, a.Total)
+
+	rows := make([][]string, 0, len(a.Decisions))
+	for _, d := range a.Decisions {
+		task := "all"
+		if d.Task >= 0 {
+			task = strconv.Itoa(d.Task)
+		}
+
+		rows = append(rows, []string{d.Time.Format("15:04:05.000"), d.Event, task, d.Choice, d.Reason})
+	}
+
+	if len(rows) > 0 {
+		table(w, []string{"time", "event", "task", "choice", "reason"}, slices.Clip(rows))
+	}
+}
--- /dev/null
+++ b/weirctl/command/publish.go
@@ -0,0 +1,169 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"os/user"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+const (
+	nonceSize = 16
+	// noSnapshots is a retention so long that the follower of a short command never appends a snapshot.
+	noSnapshots = 100 * 365 * 24 * time.Hour
+)
+
+// conflictError says that another publication won.
+type conflictError struct {
+	base, version int64
+	operator      string
+}
+
+func (e conflictError) Error() string {
+	return fmt.Sprintf("conflict: version %d by %s came into force instead; this publication was based on version %d",
+		e.version, e.operator, e.base)
+}
+
+// publish appends an agreement to the log.
+type publish struct {
+	console *console
+	Log     string        `long:"log" env:"WEIRCTL_LOG" required:"yes" value-name:"URL" description:"Address of the log service"`
+	As      string        `long:"as" value-name:"NAME" description:"Name of the operator, by default that of the user"`
+	Base    int64         `long:"base" default:"-1" default-mask:"the version in force" description:"Version that the agreement was based on"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"Longest wait for the log"`
+	Args    struct {
+		Directory string `positional-arg-name:"DIR" description:"Directory with agreement.weir.jsonc and service.weir.jsonc files"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// publishBody is the JSON output.
+type publishBody struct {
+	Outcome  string `json:"outcome"`
+	Version  int64  `json:"version"`
+	Base     int64  `json:"base"`
+	Operator string `json:"operator"`
+}
+
+func newPublish(c *console) noun {
+	return noun{
+		"publish", "Put an agreement in force",
+		"Collects and checks the short files, appends the agreement to the log with the version that it was based on, and\n" +
+			"reads it back. It says \"accepted\" only if the record came into force, and exits with 3 if another publication\n" +
+			"won. If the log does not answer in time, the outcome is unknown and the exit code is 1; \"weirctl show\" tells it\n" +
+			"later.\n\nExamples:\n  weirctl publish ./agreements --log http://127.0.0.1:7000\n" +
+			"  weirctl publish ./agreements --log http://127.0.0.1:7000 --base 41", &publish{console: c},
+	}
+}
+
+// Execute runs the command.
+func (p *publish) Execute([]string) error {
+	a, err := agreement.Collect(p.Args.Directory)
+	if err != nil {
+		return err
+	}
+
+	if p.As == "" {
+		p.As = userName()
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), p.Timeout)
+	defer cancel()
+
+	book := &ledger.Book{}
+	client := logservice.NewClient(p.Log)
+	appender := logservice.NewAppender(client, book, 0)
+
+	// Before the first read, an empty state would pass for that of an empty log.
+	book.BeginLoad()
+
+	go logservice.NewFollower(client, book, noSnapshots, zerolog.Nop()).Run(ctx)
+	go appender.Run(ctx)
+
+	if err := await(ctx, book); err != nil {
+		return merry.Prepend(err, "nothing was published: the log could not be read")
+	}
+
+	return p.append(ctx, book, appender, a)
+}
+
+func (p *publish) append(ctx context.Context, book *ledger.Book, appender *logservice.Appender, a *agreement.Agreement) error {
+	base := p.Base
+	if base < 0 {
+		base = book.State().Version()
+	}
+
+	nonce := make([]byte, nonceSize)
+	if _, err := rand.Read(nonce); err != nil {
+		return merry.Prepend(err, "choose a nonce")
+	}
+
+	err := appender.Append(ctx, ledger.PublicationRecord(base, nonce, p.As, a))
+
+	switch {
+	case logservice.Refused(err):
+		return merry.Prepend(err, "nothing was published: the log refused the record")
+	case err != nil:
+		return merry.Prepend(err, "the outcome is unknown")
+	}
+
+	inForce, known := book.State().Outcome(nonce)
+	version := book.State().Version()
+	operator, _ := book.State().Published()
+
+	switch {
+	case !known:
+		return merry.New("the outcome is unknown: the record was read back, but the log state does not hold it")
+	case !inForce:
+		c := conflictError{base, version, operator}
+
+		return p.conflict(c)
+	}
+
+	b := publishBody{"accepted", base + 1, base, p.As}
+
+	return p.console.print(b, func(w io.Writer) { fmt.Fprintf(w, "accepted: version %d\n", b.Version) })
+}
+
+func (p *publish) conflict(c conflictError) error {
+	if p.console.JSON {
+		if err := p.console.print(publishBody{"conflict", c.version, c.base, c.operator}, nil); err != nil {
+			return err
+		}
+	}
+
+	return c
+}
+
+// await waits until the book has been read to the end of the log.
+func await(ctx context.Context, book *ledger.Book) error {
+	for {
+		changed := book.Changed()
+		if book.State().Complete() {
+			return nil
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return merry.Wrap(ctx.Err())
+		}
+	}
+}
+
+func userName() string {
+	u, err := user.Current()
+	if err != nil || u.Username == "" {
+		return "unknown"
+	}
+
+	return u.Username
+}
--- /dev/null
+++ b/weirctl/command/settings.go
@@ -0,0 +1,105 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	entry "github.com/skylarkweir/skylarkweir/entry/process"
+	sidecar "github.com/skylarkweir/skylarkweir/sidecar/process"
+	"github.com/skylarkweir/skylarkweir/weir/process/settings"
+)
+
+// settingsCommand prints the settings keys of the daemons.
+type settingsCommand struct {
+	console  *console
+	Markdown bool `long:"markdown" description:"Print the documentation page"`
+	Args     struct {
+		Program string `positional-arg-name:"PROGRAM" description:"entry or sidecar; both if it is left out"`
+	} `positional-args:"yes"`
+}
+
+// settingsBody is one key in the JSON output.
+type settingsBody struct {
+	Program  string `json:"program"`
+	Key      string `json:"key"`
+	Type     string `json:"type"`
+	Unit     string `json:"unit,omitempty"`
+	Range    string `json:"range,omitempty"`
+	Default  string `json:"default"`
+	Required bool   `json:"required"`
+	Doc      string `json:"doc"`
+}
+
+// program is a daemon with its keys.
+type program struct {
+	name string
+	keys []settings.Key
+}
+
+func programs() []program {
+	return []program{
+		{"entry", settings.Describe(entry.Settings{})},
+		{"sidecar", settings.Describe(sidecar.Settings{})},
+	}
+}
+
+func newSettings(c *console) noun {
+	return noun{
+		"settings", "List the settings keys of the daemons",
+		"Lists every key with its type, unit, range and default, as the code has them.\n\n" +
+			"Examples:\n  weirctl settings entry\n  weirctl settings --markdown > docs/settings.md", &settingsCommand{console: c},
+	}
+}
+
+// Execute runs the command.
+func (s *settingsCommand) Execute([]string) error {
+	var chosen []program
+
+	for _, p := range programs() {
+		if s.Args.Program == "" || s.Args.Program == p.name {
+			chosen = append(chosen, p)
+		}
+	}
+
+	if len(chosen) == 0 {
+		return usageError{fmt.Sprintf("%q is neither entry nor sidecar", s.Args.Program)}
+	}
+
+	if s.Markdown {
+		writeSettingsPage(s.console.out, chosen)
+
+		return nil
+	}
+
+	var body []settingsBody
+
+	for _, p := range chosen {
+		for _, k := range p.keys {
+			body = append(body, settingsBody{p.name, k.Name(), k.Type(), k.Unit(), k.Range(), k.Default(), k.Required(), k.Doc()})
+		}
+	}
+
+	return s.console.print(body, func(w io.Writer) {
+		for _, p := range chosen {
+			rows := make([][]string, 0, len(p.keys))
+			for _, k := range p.keys {
+				rows = append(rows, []string{k.Name(), defaultOf(k), k.Range(), k.Unit(), k.Doc()})
+			}
+
+			fmt.Fprintf(w, "%s:\n", p.name)
+			table(w, []string{"key", "default", "range", "unit", "meaning"}, rows)
+			fmt.Fprintln(w)
+		}
+	})
+}
+
+func defaultOf(k settings.Key) string {
+	switch {
+	case k.Required():
+		return "(required)"
+	case k.Default() == "":
+		return "(empty)"
+	default:
+		return k.Default()
+	}
+}
--- /dev/null
+++ b/weirctl/command/show.go
@@ -0,0 +1,193 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+)
+
+// showAnswer is the answer of an entry to GET /v1/show.
+type showAnswer struct {
+	Version     int64           `json:"version"`
+	Operator    string          `json:"operator"`
+	PublishedAt string          `json:"published_at"`
+	Position    int64           `json:"position"`
+	Agreement   json.RawMessage `json:"agreement,omitempty"`
+	Workers     []registration  `json:"workers"`
+	Entries     []entryBody     `json:"entries"`
+}
+
+type registration struct {
+	Name          string   `json:"name"`
+	Incarnation   uint64   `json:"incarnation,string"`
+	FailureDomain string   `json:"failure_domain"`
+	Rack          string   `json:"rack"`
+	Slots         int      `json:"slots"`
+	MemoryMB      int      `json:"memory_mb"`
+	Services      []string `json:"services,omitempty"`
+	Joined        int64    `json:"joined"`
+}
+
+type entryBody struct {
+	Name          string `json:"name"`
+	Incarnation   uint64 `json:"incarnation,string"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// show prints the version in force at each process.
+type show struct {
+	console *console
+	admin
+	sidecars
+	Agreement bool `long:"agreement" description:"Print the agreement in force as JSON"`
+}
+
+// showBody is the JSON output for one process.
+type showBody struct {
+	Program     string `json:"program"`
+	Name        string `json:"name"`
+	Admin       string `json:"admin"`
+	Version     int64  `json:"version"`
+	Position    int64  `json:"position"`
+	Operator    string `json:"operator,omitempty"`
+	PublishedAt string `json:"published_at,omitempty"`
+	Error       string `json:"error,omitempty"`
+}
+
+func newShow(c *console) noun {
+	return noun{
+		"show", "Show the version in force at each process",
+		"Asks each process for the version of the agreement that it applies and for its log position. The exit code is 1\n" +
+			"if a process does not answer.\n\nExample:\n" +
+			"  weirctl show --entry http://127.0.0.1:7101 --entry http://127.0.0.1:7102 --sidecar http://127.0.0.1:7201",
+		&show{console: c},
+	}
+}
+
+// Execute runs the command.
+func (s *show) Execute([]string) error {
+	if s.Agreement {
+		return s.printAgreement()
+	}
+
+	var (
+		body  []showBody
+		first error
+	)
+
+	for _, e := range s.Entries {
+		b, err := s.entry(e)
+		if err != nil && first == nil {
+			first = err
+		}
+
+		body = append(body, b)
+	}
+
+	for _, address := range s.Sidecars {
+		b := showBody{Program: "sidecar", Admin: address}
+
+		var a sidecarAnswer
+		if err := s.call(http.MethodGet, address, "/v1/status", &a); err != nil {
+			b.Error = err.Error()
+
+			if first == nil {
+				first = err
+			}
+		}
+
+		b.Name, b.Version, b.Position = a.Worker, a.Version, a.Position
+		body = append(body, b)
+	}
+
+	err := s.console.print(body, func(w io.Writer) {
+		rows := make([][]string, 0, len(body))
+		for _, b := range body {
+			rows = append(rows, []string{
+				b.Program, b.Name, b.Admin, strconv.FormatInt(b.Version, 10), strconv.FormatInt(b.Position, 10), b.Operator, b.PublishedAt, b.Error,
+			})
+		}
+
+		table(w, []string{"program", "name", "admin", "version", "position", "operator", "published", "error"}, rows)
+	})
+	if err != nil {
+		return err
+	}
+
+	return first
+}
+
+func (s *show) entry(address string) (showBody, error) {
+	b := showBody{Program: "entry", Admin: address}
+
+	var (
+		a  showAnswer
+		st statusAnswer
+	)
+
+	if err := s.call(http.MethodGet, address, "/v1/show", &a); err != nil {
+		b.Error = err.Error()
+
+		return b, err
+	}
+
+	if err := s.call(http.MethodGet, address, "/v1/status", &st); err != nil {
+		b.Error = err.Error()
+
+		return b, err
+	}
+
+	b.Name, b.Version, b.Position = st.Entry.Name, a.Version, a.Position
+	b.Operator, b.PublishedAt = a.Operator, a.PublishedAt
+
+	return b, nil
+}
+
+// printAgreement prints the newest agreement that the entries have.
+func (s *show) printAgreement() error {
+	var newest showAnswer
+
+	for _, e := range s.Entries {
+		var a showAnswer
+		if err := s.call(http.MethodGet, e, "/v1/show", &a); err != nil {
+			return err
+		}
+
+		if a.Version > newest.Version {
+			newest = a
+		}
+	}
+
+	_, err := fmt.Fprintf(s.console.out, "%s\n", newest.Agreement)
+
+	return err
+}
+
+// limits returns the members' limits in slots of the registered fleet, and the fleet's slots.
+func (a showAnswer) limits() (members []memberLimit, slots int) {
+	for _, w := range a.Workers {
+		slots += w.Slots
+	}
+
+	parsed, err := agreement.Parse(a.Agreement)
+	if err != nil {
+		return nil, slots
+	}
+
+	for _, m := range parsed.Members() {
+		members = append(members, memberLimit{m.Name(), m.Limit(slots)})
+	}
+
+	return slices.Clip(members), slots
+}
+
+type memberLimit struct {
+	name  string
+	slots int
+}
--- /dev/null
+++ b/weirctl/command/status.go
@@ -0,0 +1,233 @@
+package command
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+)
+
+// statusAnswer is the answer of an entry to GET /v1/status.
+type statusAnswer struct {
+	Entry            entryBody      `json:"entry"`
+	Ready            bool           `json:"ready"`
+	Reason           string         `json:"reason,omitempty"`
+	Draining         bool           `json:"draining"`
+	UptimeMS         int64          `json:"uptime_ms"`
+	Position         int64          `json:"position"`
+	LogHealthy       bool           `json:"log_healthy"`
+	AgreementVersion int64          `json:"agreement_version"`
+	Workers          []workerAnswer `json:"workers"`
+	Peers            []entryBody    `json:"peers"`
+}
+
+type workerAnswer struct {
+	Name            string `json:"name"`
+	FailureDomain   string `json:"failure_domain"`
+	Rack            string `json:"rack"`
+	Slots           int    `json:"slots"`
+	MemoryMB        int    `json:"memory_mb"`
+	Registered      bool   `json:"registered"`
+	Leaving         bool   `json:"leaving"`
+	Ejected         bool   `json:"ejected"`
+	Suspect         bool   `json:"suspect"`
+	HeardMS         int64  `json:"heard_ms_ago"`
+	Load            int    `json:"load"`
+	Outstanding     int    `json:"outstanding"`
+	FailurePermille int    `json:"failure_permille"`
+}
+
+// status prints workers, members and queues.
+type status struct {
+	console *console
+	admin
+	sidecars
+}
+
+// statusBody is the JSON output.
+type statusBody struct {
+	Entries []statusAnswer `json:"entries"`
+	Workers []workerRow    `json:"workers"`
+	Members []memberRow    `json:"members"`
+	Queues  []queueRow     `json:"queues"`
+	// Sidecars is the number of sidecars that were asked for the members' use.
+	Sidecars int `json:"sidecars"`
+}
+
+type workerRow struct {
+	workerAnswer
+	// Connected is the number of asked entries that are connected to the worker.
+	Connected int `json:"connected"`
+}
+
+type memberRow struct {
+	Member    string `json:"member"`
+	HeldSlots int    `json:"held_slots"`
+	Limit     int    `json:"limit_slots"`
+}
+
+type queueRow struct {
+	Process string  `json:"process"`
+	Queue   string  `json:"queue"`
+	Value   float64 `json:"value"`
+}
+
+func newStatus(c *console) noun {
+	return noun{
+		"status", "Show workers, members' use and queues",
+		"Shows the entries, the workers that they are connected to, the slots that members hold against their limits, and\n" +
+			"the queues. Members' use is known to the sidecars only; it is shown for those that are named.\n\n" +
+			"Example:\n  weirctl status --entry http://127.0.0.1:7101 --sidecar http://127.0.0.1:7201", &status{console: c},
+	}
+}
+
+// Execute runs the command.
+func (s *status) Execute([]string) error {
+	b := statusBody{Sidecars: len(s.Sidecars)}
+	workers := map[string]*workerRow{}
+
+	for _, e := range s.Entries {
+		var a statusAnswer
+		if err := s.call(http.MethodGet, e, "/v1/status", &a); err != nil {
+			return err
+		}
+
+		b.Entries = append(b.Entries, a)
+		merge(workers, a.Workers)
+
+		queues, err := s.queues(e, a.Entry.Name)
+		if err != nil {
+			return err
+		}
+
+		b.Queues = append(b.Queues, queues...)
+	}
+
+	for _, name := range slices.Sorted(maps.Keys(workers)) {
+		b.Workers = append(b.Workers, *workers[name])
+	}
+
+	if err := s.members(&b); err != nil {
+		return err
+	}
+
+	return s.console.print(b, b.print)
+}
+
+// merge adds up what several entries see; each has only its own starts outstanding.
+func merge(rows map[string]*workerRow, workers []workerAnswer) {
+	for _, w := range workers {
+		r := rows[w.Name]
+		if r == nil {
+			rows[w.Name] = &workerRow{w, 1}
+
+			continue
+		}
+
+		r.Connected++
+		r.Outstanding += w.Outstanding
+
+		// The entry that heard from the worker last knows its load best.
+		if w.HeardMS < r.HeardMS {
+			outstanding := r.Outstanding
+			r.workerAnswer = w
+			r.Outstanding = outstanding
+		}
+	}
+}
+
+// members compares what the sidecars say with the limits that the first entry knows.
+func (s *status) members(b *statusBody) error {
+	var a showAnswer
+	if err := s.call(http.MethodGet, s.Entries[0], "/v1/show", &a); err != nil {
+		return err
+	}
+
+	held := map[string]int{}
+
+	for _, address := range s.Sidecars {
+		var answer sidecarAnswer
+		if err := s.call(http.MethodGet, address, "/v1/status", &answer); err != nil {
+			return err
+		}
+
+		for _, m := range answer.Members {
+			held[m.Member] += m.HeldSlots
+		}
+
+		for _, k := range answer.Kinds {
+			b.Queues = append(b.Queues, queueRow{answer.Worker, k.Kind, float64(k.QueuedSlots)})
+		}
+	}
+
+	limits, _ := a.limits()
+	for _, l := range limits {
+		b.Members = append(b.Members, memberRow{l.name, held[l.name], l.slots})
+	}
+
+	return nil
+}
+
+func (b statusBody) print(w io.Writer) {
+	var rows [][]string
+
+	for _, e := range b.Entries {
+		state := "ready"
+		if !e.Ready {
+			state = e.Reason
+		}
+
+		rows = append(rows, []string{
+			e.Entry.Name, e.Entry.Address, e.Entry.FailureDomain, state, strconv.FormatInt(e.AgreementVersion, 10),
+			strconv.FormatInt(e.Position, 10), strconv.FormatBool(e.LogHealthy), strconv.Itoa(len(e.Peers)),
+		})
+	}
+
+	table(w, []string{"entry", "address", "failure domain", "state", "version", "position", "log", "peers"}, rows)
+	fmt.Fprintln(w)
+
+	rows = nil
+	for _, r := range b.Workers {
+		rows = append(rows, []string{
+			r.Name, r.FailureDomain, r.Rack, strconv.Itoa(r.Slots), strconv.Itoa(r.Load), strconv.Itoa(r.Outstanding),
+			r.state(), strconv.Itoa(r.Connected), strconv.FormatInt(r.HeardMS, 10) + "ms",
+		})
+	}
+
+	table(w, []string{"worker", "failure domain", "rack", "slots", "load", "started by entries", "state", "entries", "heard"}, rows)
+	fmt.Fprintln(w)
+
+	rows = nil
+	for _, m := range b.Members {
+		held := cmp.Or(map[bool]string{true: strconv.Itoa(m.HeldSlots)}[b.Sidecars > 0], "unknown")
+		rows = append(rows, []string{m.Member, held, strconv.Itoa(m.Limit)})
+	}
+
+	table(w, []string{"member", "held slots", "limit"}, rows)
+	fmt.Fprintln(w)
+
+	rows = nil
+	for _, q := range b.Queues {
+		rows = append(rows, []string{q.Process, q.Queue, strconv.FormatFloat(q.Value, 'f', -1, 64)})
+	}
+
+	table(w, []string{"process", "queue", "waiting"}, rows)
+}
+
+func (w workerAnswer) state() string {
+	switch {
+	case w.Leaving:
+		return "leaving"
+	case !w.Registered:
+		return "not registered"
+	case w.Ejected:
+		return "ejected"
+	case w.Suspect:
+		return "suspect"
+	default:
+		return "up"
+	}
+}
