Add the demo

One command shows a whole system: three entries, three workers and a log as processes on loopback, the agreement collected from files beside two services' code, submissions and resubmissions through other entries, and an entry and a sidecar that leave under load. Every step checks what it says, with the backend servers' own records as the witness for "started once".

--- a/standin/caller/client.go
+++ b/standin/caller/client.go
@@ -78,10 +78,19 @@
 	return r
 }
 
-// Resubmit sends s again under a ticket through the entry of that number.
-func (c *Client) Resubmit(ctx context.Context, s Submission, ticket string, number int) *Record {
-	r := &Record{submission: s, arrived: time.Now(), ticket: ticket}
-	c.attempt(ctx, r, c.entries[number%len(c.entries)])
+// Resubmit sends the submission of a record again with its ticket, through another entry than the last one.
+func (c *Client) Resubmit(ctx context.Context, old *Record) *Record {
+	r := &Record{submission: old.submission, arrived: time.Now(), ticket: old.ticket}
+
+	var last *entry
+
+	for _, e := range c.entries {
+		if e.url == old.Entry() {
+			last = e
+		}
+	}
+
+	c.attempt(ctx, r, c.choose(int(c.next.Add(1)), last))
 	r.answered = time.Now()
 
 	return r
--- a/standin/caller/record.go
+++ b/standin/caller/record.go
@@ -49,6 +49,9 @@
 // Ticket returns the ticket of the last attempt.
 func (r *Record) Ticket() string { return r.ticket }
 
+// Entry returns the address of the entry that was asked last.
+func (r *Record) Entry() string { return r.last().entry }
+
 // Attempts returns how often the submission was sent.
 func (r *Record) Attempts() int { return len(r.attempts) }
 
--- /dev/null
+++ b/standin/command/demo.go
@@ -0,0 +1,26 @@
+package command
+
+import "github.com/skylarkweir/skylarkweir/standin/demo"
+
+// demoCommand runs the demo.
+type demoCommand struct {
+	console *console
+}
+
+func newDemo(c *console) noun {
+	return noun{
+		"demo", "Show a whole system at work",
+		"Builds the programs, starts a log, three entries and three workers as processes on loopback, submits a job and\n" +
+			"requests, submits them again through other entries, and ends an entry and a sidecar under load. The exit code is\n" +
+			"1 if anything was lost, partial or run twice.\n\n" +
+			"Example, from the root of the repository:\n  go run ./standin demo", &demoCommand{c},
+	}
+}
+
+// Execute runs the command.
+func (d *demoCommand) Execute([]string) error {
+	ctx, cancel := interrupted()
+	defer cancel()
+
+	return demo.Run(ctx, d.console.out)
+}
--- /dev/null
+++ b/standin/demo/leave.go
@@ -0,0 +1,144 @@
+package demo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+)
+
+// underLoad is a load that keeps 3 workers of 4 slots about half busy.
+const underLoad = `"rate": 30, "duration": "8s", "seed": 7, "mix": [
+	{"kind": "blade-fit", "form": "job", "weight": 1, "tasks_least": 2, "tasks_most": 6, "run": "uniform 50ms 200ms"},
+	{"kind": "stock-lookup", "form": "repeatable", "weight": 2, "run": "uniform 50ms 150ms"},
+	{"kind": "stock-order", "weight": 2, "run": "uniform 50ms 300ms"},
+]`
+
+const (
+	// beforeLeaving lets the load build up; betweenLeaving keeps the two departures apart but under load.
+	beforeLeaving  = 2 * time.Second
+	betweenLeaving = time.Second
+)
+
+// gathered collects the records of a load.
+type gathered struct {
+	mutex   sync.Mutex
+	records []*caller.Record
+}
+
+func (g *gathered) add(r *caller.Record) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	g.records = append(g.records, r)
+}
+
+func (d *Demo) leave(ctx context.Context) error {
+	l, err := d.cluster.Load(token, underLoad)
+	if err != nil {
+		return err
+	}
+
+	var g gathered
+
+	done := make(chan *caller.Report, 1)
+	go func() { done <- caller.NewGenerator(l, g.add).Run(ctx) }()
+
+	left := d.depart(ctx)
+	report := <-done
+
+	if left != nil {
+		return left
+	}
+
+	report.Print(d.out)
+
+	if all := report.All(); all.Complete() != all.Submitted() || all.Wrong() > 0 {
+		return merry.Errorf("%d of %d submissions were answered whole", all.Complete(), all.Submitted())
+	}
+
+	d.records = append(d.records, g.records...)
+
+	starts, err := d.startedOnce(ctx, d.records)
+	if err != nil {
+		return err
+	}
+
+	d.say("%d starts of %d submissions, none twice, none lost", starts, len(d.records))
+
+	return nil
+}
+
+// depart ends an entry and a sidecar with SIGTERM while the load runs.
+func (d *Demo) depart(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTime)
+	defer cancel()
+
+	leaving := []*cluster.Process{d.cluster.Entries()[0].Process(), d.cluster.Workers()[0].Sidecar()}
+
+	if err := pause(ctx, beforeLeaving); err != nil {
+		return err
+	}
+
+	for _, p := range leaving {
+		if err := p.Terminate(); err != nil {
+			return err
+		}
+
+		d.say("sent SIGTERM to %s", p.Name())
+
+		if err := pause(ctx, betweenLeaving); err != nil {
+			return err
+		}
+	}
+
+	for _, p := range leaving {
+		if err := p.Wait(ctx); err != nil {
+			return err
+		}
+
+		d.say("%s has ended with exit code 0", p.Name())
+	}
+
+	return nil
+}
+
+// handover asks for answers that the entry that left had given, which its successor holds now.
+func (d *Demo) handover(ctx context.Context) error {
+	const enough = 3
+
+	asked := 0
+
+	for _, r := range d.records {
+		if r.Entry() != d.cluster.Entries()[0].URL() || asked == enough {
+			continue
+		}
+
+		asked++
+
+		if err := d.same(ctx, r); err != nil {
+			return err
+		}
+	}
+
+	if asked == 0 {
+		return merry.New("the entry that left had given no answers")
+	}
+
+	_, err := d.startedOnce(ctx, d.records)
+
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/standin/demo/services/stock/stock.go
@@ -0,0 +1,29 @@
+// Package stock is the service of the demo that looks stock up and takes orders.
+package stock
+
+import (
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+)
+
+// The kinds of work in service.weir.jsonc.
+const (
+	LookupKind = "stock-lookup"
+	OrderKind  = "stock-order"
+)
+
+const (
+	lookupTime = 80 * time.Millisecond
+	orderTime  = 120 * time.Millisecond
+)
+
+// Lookup returns a request that may be repeated.
+func Lookup(article uint64) caller.Submission {
+	return caller.NewRequest(LookupKind, true, caller.Input(lookupTime, article, ""))
+}
+
+// Order returns a request that must not run twice.
+func Order(article uint64) caller.Submission {
+	return caller.NewRequest(OrderKind, false, caller.Input(orderTime, article, ""))
+}
