--- /dev/null
+++ b/weirctl/command/command_test.go
@@ -0,0 +1,208 @@
+package command_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+	"github.com/skylarkweir/skylarkweir/standin/logservice"
+	"github.com/skylarkweir/skylarkweir/weirctl/command"
+)
+
+func weirctl(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = command.Run(args, &o, &e)
+
+	return code, o.String(), e.String()
+}
+
+func agreementDir(t *testing.T) string {
+	t.Helper()
+
+	directory := t.TempDir()
+	if err := cluster.WriteAgreement(directory, "token", "scan", "check"); err != nil {
+		t.Fatal(err)
+	}
+
+	return directory
+}
+
+func logServer(t *testing.T) *httptest.Server {
+	t.Helper()
+
+	s := httptest.NewServer(&logservice.Log{})
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+
+	return s
+}
+
+func faults(t *testing.T, s *httptest.Server, body string) {
+	t.Helper()
+
+	a, err := s.Client().Post(s.URL+"/admin/faults", "application/json", strings.NewReader(body))
+	if err != nil || a.StatusCode != http.StatusOK {
+		t.Fatal(err, a)
+	}
+	a.Body.Close()
+}
+
+func TestCheckNamesFileLineAndKey(t *testing.T) {
+	is := is.New(t)
+	directory := agreementDir(t)
+
+	code, out, _ := weirctl("check", directory)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "1 members, 2 kinds"))
+
+	file := filepath.Join(directory, "service.weir.jsonc")
+	is.NoErr(os.WriteFile(file, []byte("{\"service\": \"s\",\n\"kinds\": [{\"name\": \"k\", \"share_percent\": 101, \"urgent\": true}]}"), 0o600))
+	code, _, errOut := weirctl("check", directory)
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "service.weir.jsonc:2: kinds[0].share_percent"))
+}
+
+func TestPublishCountsVersions(t *testing.T) {
+	is := is.New(t)
+	directory, log := agreementDir(t), logServer(t)
+
+	for _, want := range []string{"accepted: version 1\n", "accepted: version 2\n"} {
+		code, out, errOut := weirctl("publish", directory, "--log", log.URL)
+		is.Equal(errOut, "")
+		is.Equal(code, 0)
+		is.Equal(out, want)
+	}
+}
+
+// Guards against a publication that overwrites one that its operator had not seen.
+func TestPublishConflict(t *testing.T) {
+	is := is.New(t)
+	directory, log := agreementDir(t), logServer(t)
+
+	code, _, _ := weirctl("publish", directory, "--log", log.URL, "--as", "first", "--base", "0")
+	is.Equal(code, 0)
+
+	code, out, errOut := weirctl("publish", directory, "--log", log.URL, "--as", "second", "--base", "0", "--json")
+	is.Equal(code, 3)
+	is.True(strings.Contains(errOut, "version 1 by first"))
+
+	var b struct {
+		Outcome string
+		Version int64
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &b))
+	is.Equal(b.Outcome, "conflict")
+	is.Equal(b.Version, int64(1))
+}
+
+// Guards against two operators who both read "accepted" for the same base.
+func TestConcurrentPublishers(t *testing.T) {
+	is := is.New(t)
+	directory, log := agreementDir(t), logServer(t)
+
+	const publishers = 8
+
+	var (
+		group sync.WaitGroup
+		codes [publishers]int
+	)
+
+	for i := range publishers {
+		group.Go(func() { codes[i], _, _ = weirctl("publish", directory, "--log", log.URL, "--base", "0") })
+	}
+	group.Wait()
+
+	count := map[int]int{}
+	for _, c := range codes {
+		count[c]++
+	}
+	is.Equal(count[0], 1)
+	is.Equal(count[3], publishers-1)
+}
+
+// Guards against "failed" for a publication that is in force because only the log's answer was lost.
+func TestPublishWithLostAnswer(t *testing.T) {
+	is := is.New(t)
+	directory, log := agreementDir(t), logServer(t)
+	faults(t, log, `{"lose_answers": true}`)
+
+	code, out, errOut := weirctl("publish", directory, "--log", log.URL)
+	is.Equal(errOut, "")
+	is.Equal(code, 0)
+	is.Equal(out, "accepted: version 1\n")
+}
+
+// Guards against "accepted" without a record that was read back.
+func TestPublishWhileLogIsDown(t *testing.T) {
+	is := is.New(t)
+	directory, log := agreementDir(t), logServer(t)
+	faults(t, log, `{"down": true}`)
+
+	code, out, errOut := weirctl("publish", directory, "--log", log.URL, "--timeout", "300ms")
+	is.Equal(code, 1)
+	is.Equal(out, "")
+	is.True(strings.Contains(errOut, "nothing was published"))
+
+	faults(t, log, `{"reject_appends": true}`)
+	code, _, errOut = weirctl("publish", directory, "--log", log.URL, "--timeout", "300ms")
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "nothing was published"))
+}
+
+func TestUsage(t *testing.T) {
+	is := is.New(t)
+
+	for _, args := range [][]string{
+		{}, {"unknown"}, {"check"}, {"publish", "."}, {"--nonsense"}, {"show"}, {"completion", "zsh"}, {"settings", "x"}, {"keys", t.TempDir(), "--valid", "-1h"},
+	} {
+		code, _, errOut := weirctl(args...)
+		is.Equal(code, 2)
+		is.True(errOut != "")
+	}
+
+	for _, args := range [][]string{{"--help"}, {"--version"}, {"publish", "--help"}, {"completion", "bash"}} {
+		code, out, _ := weirctl(args...)
+		is.Equal(code, 0)
+		is.True(out != "")
+	}
+}
+
+func TestKeys(t *testing.T) {
+	is := is.New(t)
+	directory := filepath.Join(t.TempDir(), "keys")
+	code, out, _ := weirctl("keys", directory)
+	is.Equal(code, 0)
+	is.Equal(strings.Count(out, "wrote"), 3)
+	_, err := os.Stat(filepath.Join(directory, "key.pem"))
+	is.NoErr(err)
+}
+
+// Guards against a page that differs from the code. "weirctl settings --markdown > docs/settings.md" renews it.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/settings.md")
+	is.NoErr(err)
+	code, out, _ := weirctl("settings", "--markdown")
+	is.Equal(code, 0)
+	is.Equal(out, string(page))
+
+	code, out, _ = weirctl("settings", "entry", "--json")
+	is.Equal(code, 0)
+	var keys []struct{ Program, Key, Default string }
+	is.NoErr(json.Unmarshal([]byte(out), &keys))
+	is.True(len(keys) > 20)
+	for _, k := range keys {
+		is.Equal(k.Program, "entry")
+		if k.Key == "slots" {
+			is.Equal(k.Default, "8")
+		}
+	}
+}
