Give the cluster's workers memory, and name types without articles in the settings table

A worker without memory_mb is refused by the entry as too small for any task that declares memory, while the sidecar's settings say that 0 is not counted. The cluster now sets 8192 MB. The first job of the demo takes 5 s because an allowance grows only after allowance_delay; the demo says so.

--- a/standin/cluster/worker.go
+++ b/standin/cluster/worker.go
@@ -9,7 +9,11 @@
 	"github.com/skylarkweir/skylarkweir/standin/relay"
 )
 
-const defaultSlots = 4
+// The size of a worker unless an option says otherwise.
+const (
+	defaultSlots    = 4
+	defaultMemoryMB = 8192
+)
 
 var backendListens = regexp.MustCompile(`(?m)^listening (\S+)$`)
 
@@ -60,7 +64,7 @@
 
 	w.settings = p.over(map[string]any{
 		"name": name, "listen": loopback, "admin": loopback, "entries": entries, "backend": target,
-		"slots": defaultSlots, "keys": c.keys(),
+		"slots": defaultSlots, "memory_mb": defaultMemoryMB, "keys": c.keys(),
 	})
 
 	if err := w.Restart(ctx); err != nil {
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -170,6 +170,7 @@
 	}
 
 	d.say("in force at all entries and sidecars %d ms later", time.Since(published).Milliseconds())
+	d.say("the first job waits for the workers' allowance_delay of 5 s, which follows a larger allowance")
 
 	return nil
 }
--- a/weir/process/settings/describe.go
+++ b/weir/process/settings/describe.go
@@ -60,7 +60,7 @@
 
 		fallback, given := f.tags.Lookup("default")
 		keys = append(keys, Key{
-			name: name, kind: typeName(ft), unit: unitOf(ft, f.tags.Get("unit")), limits: f.tags.Get("range"),
+			name: name, kind: bareName(ft), unit: unitOf(ft, f.tags.Get("unit")), limits: f.tags.Get("range"),
 			fallback: fallback, doc: f.tags.Get("doc"), required: !given,
 		})
 
--- a/weir/process/settings/field.go
+++ b/weir/process/settings/field.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding"
+	"net/netip"
 	"reflect"
 	"strconv"
 	"strings"
@@ -79,16 +80,19 @@
 	}
 }
 
+// typeName names a type with an article, for errors.
 func typeName(t reflect.Type) string {
 	switch {
 	case t == reflect.TypeFor[Duration]():
 		return `a duration such as "250ms"`
 	case t == reflect.TypeFor[Bytes]():
 		return `a size such as "96MB"`
+	case t == reflect.TypeFor[netip.AddrPort]():
+		return `an address such as "10.0.0.1:7100"`
 	case isObject(t):
 		return "an object"
 	case isList(t):
-		return "a list of " + strings.TrimPrefix(strings.TrimPrefix(typeName(t.Elem()), "a "), "an ")
+		return "a list of " + bareName(t.Elem())
 	case jsonKind(t) == '"':
 		return "a text"
 	case t.Kind() == reflect.Bool:
@@ -102,6 +106,14 @@
 	}
 }
 
+// bareName is typeName without article and example.
+func bareName(t reflect.Type) string {
+	name := strings.TrimPrefix(strings.TrimPrefix(typeName(t), "a "), "an ")
+	name, _, _ = strings.Cut(name, " such as ")
+
+	return name
+}
+
 func kindName(v hujson.Value) string {
 	switch v.Value.Kind() {
 	case 'n':
--- a/weir/process/settings/settings_test.go
+++ b/weir/process/settings/settings_test.go
@@ -113,9 +113,18 @@
 	is.Equal(keys[1].Default(), "8")
 	is.True(!keys[1].Required())
 	is.True(keys[0].Required())
+	is.Equal(keys[2].Type(), "duration")
+	is.Equal(keys[5].Type(), "list of address")
+	is.Equal(keys[6].Type(), "true or false")
 	is.Equal(keys[7].Name(), "keys.file")
 }
 
+// Guards against an empty table for programs, which keep the decoded struct in an unexported field.
+func TestDescribeFollowsTheOnlyField(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(settings.Describe(struct{ file sample }{})), 9)
+}
+
 func TestUnitsReadWhatTheyPrint(t *testing.T) {
 	is := is.New(t)
 
