--- a/entry/process/gauges.go
+++ b/entry/process/gauges.go
@@ -6,23 +6,23 @@
 
 // gauges registers what is read from other parts when the metrics are.
 func (p *Process) gauges() {
-	traffic := p.Node.Traffic()
+	traffic := p.parts.Node.Traffic()
 
 	for name, value := range map[string]func() int64{
-		"weir_entry_ready":              func() int64 { return number(p.Readiness.Reason() == "") },
-		"weir_entry_log_healthy":        func() int64 { return number(p.Follower.Healthy()) },
-		"weir_entry_log_position":       func() int64 { return p.Book.State().Position() },
-		"weir_entry_agreement_version":  func() int64 { return p.Book.State().Version() },
-		"weir_entry_bindings":           func() int64 { return int64(p.Book.State().Bindings()) },
-		"weir_entry_workers_connected":  func() int64 { return int64(len(p.Fleet.View().Workers())) },
-		"weir_entry_workers_registered": func() int64 { return int64(len(p.Book.State().Workers())) },
-		"weir_entry_peers_connected":    func() int64 { return int64(len(p.Peers.Reached())) },
+		"weir_entry_ready":              func() int64 { return number(p.parts.Readiness.Reason() == "") },
+		"weir_entry_log_healthy":        func() int64 { return number(p.parts.Follower.Healthy()) },
+		"weir_entry_log_position":       func() int64 { return p.parts.Book.State().Position() },
+		"weir_entry_agreement_version":  func() int64 { return p.parts.Book.State().Version() },
+		"weir_entry_bindings":           func() int64 { return int64(p.parts.Book.State().Bindings()) },
+		"weir_entry_workers_connected":  func() int64 { return int64(len(p.parts.Fleet.View().Workers())) },
+		"weir_entry_workers_registered": func() int64 { return int64(len(p.parts.Book.State().Workers())) },
+		"weir_entry_peers_connected":    func() int64 { return int64(len(p.parts.Peers.Reached())) },
 		"weir_entry_control_bytes_in":   func() int64 { in, _ := traffic.Control(); return in },
 		"weir_entry_control_bytes_out":  func() int64 { _, out := traffic.Control(); return out },
 		"weir_entry_work_bytes_in":      func() int64 { in, _ := traffic.Work(); return in },
 		"weir_entry_work_bytes_out":     func() int64 { _, out := traffic.Work(); return out },
 	} {
-		_ = p.Registry.Register(name, gometrics.NewFunctionalGauge(value))
+		_ = p.parts.Registry.Register(name, gometrics.NewFunctionalGauge(value))
 	}
 }
 
--- a/entry/process/leave.go
+++ b/entry/process/leave.go
@@ -10,36 +10,36 @@
 
 // stop shuts down gracefully, in the order of section 3 of docs/design.md.
 func (p *Process) stop(ctx context.Context) error {
-	p.Log.Info().Str("event", "leaving").Msg("the entry is leaving")
-	p.Readiness.Leave()
-	p.Callers.Drain()
+	p.parts.Log.Info().Str("event", "leaving").Msg("the entry is leaving")
+	p.parts.Readiness.Leave()
+	p.parts.Callers.Drain()
 
 	select {
-	case <-time.After(p.Settings.DrainDelay()):
+	case <-time.After(p.parts.Settings.DrainDelay()):
 	case <-ctx.Done():
 	}
 
-	p.Binder.Leave()
-	p.Local.Leave()
+	p.parts.Binder.Leave()
+	p.parts.Local.Leave()
 
 	err := p.drain(ctx)
 	successor := p.handOver(ctx)
 
-	p.Peers.Depart(ctx, successor)
+	p.parts.Peers.Depart(ctx, successor)
 	p.end(ctx)
-	p.Log.Info().Err(err).Str("event", "stopped").Msg("the entry has stopped")
+	p.parts.Log.Info().Err(err).Str("event", "stopped").Msg("the entry has stopped")
 
 	return err
 }
 
 // drain waits for the submissions in flight.
 func (p *Process) drain(ctx context.Context) error {
-	ctx, stop := context.WithTimeout(ctx, p.Settings.DrainLimit())
+	ctx, stop := context.WithTimeout(ctx, p.parts.Settings.DrainLimit())
 	defer stop()
 
-	err := p.Table.Drain(ctx)
+	err := p.parts.Table.Drain(ctx)
 	if err != nil {
-		p.Log.Warn().Err(err).Str("event", "drain_failed").Msg("submissions are still in flight")
+		p.parts.Log.Warn().Err(err).Str("event", "drain_failed").Msg("submissions are still in flight")
 	}
 
 	return err
@@ -47,16 +47,16 @@
 
 // handOver transfers the submissions, and names their new place in the log. It returns nil if no entry took them.
 func (p *Process) handOver(ctx context.Context) *wire.Entry {
-	successor, found := p.Peers.Handover(ctx, p.Table.Export())
+	successor, found := p.parts.Peers.Handover(ctx, p.parts.Table.Export())
 	if !found {
-		p.Log.Warn().Str("event", "no_successor").Msg("no entry took over the submissions")
+		p.parts.Log.Warn().Str("event", "no_successor").Msg("no entry took over the submissions")
 	}
 
 	ctx, stop := context.WithTimeout(ctx, leaveWait)
 	defer stop()
 
-	if err := p.Appender.Append(ctx, ledger.EntryLeftRecord(p.Self, successor, false)); err != nil {
-		p.Log.Warn().Err(err).Str("event", "append_failed").Msg("the departure is not in the log")
+	if err := p.parts.Appender.Append(ctx, ledger.EntryLeftRecord(p.parts.Self, successor, false)); err != nil {
+		p.parts.Log.Warn().Err(err).Str("event", "append_failed").Msg("the departure is not in the log")
 	}
 
 	return successor
@@ -64,29 +64,29 @@
 
 // end waits for the answers that are being written, and then ends the connections and the loops.
 func (p *Process) end(ctx context.Context) {
-	bounded, stop := context.WithTimeout(ctx, leaveWait+p.Settings.DrainLimit())
+	bounded, stop := context.WithTimeout(ctx, leaveWait+p.parts.Settings.DrainLimit())
 	defer stop()
 
 	if err := p.callers.Shutdown(bounded); err != nil {
-		p.Log.Warn().Err(err).Str("event", "callers_cut").Msg("answers were still being written")
-		p.callers.Close()
+		p.parts.Log.Warn().Err(err).Str("event", "callers_cut").Msg("answers were still being written")
+		_ = p.callers.Close()
 	}
 
 	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), leaveWait)
 	defer stop()
 
-	if err := p.Peers.Drain(closing); err != nil {
-		p.Log.Warn().Err(err).Str("event", "peers_cut").Msg("answers were still being delivered")
+	if err := p.parts.Peers.Drain(closing); err != nil {
+		p.parts.Log.Warn().Err(err).Str("event", "peers_cut").Msg("answers were still being delivered")
 	}
 
 	p.cancel()
 
 	if err := p.admin.Shutdown(closing); err != nil {
-		p.admin.Close()
+		_ = p.admin.Close()
 	}
 
-	if err := p.Node.Close(); err != nil {
-		p.Log.Warn().Err(err).Str("event", "close_failed").Msg("the QUIC socket did not close")
+	if err := p.parts.Node.Close(); err != nil {
+		p.parts.Log.Warn().Err(err).Str("event", "close_failed").Msg("the QUIC socket did not close")
 	}
 
 	p.group.Wait()
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -45,7 +45,7 @@
 
 // Process is a running entry.
 type Process struct {
-	parts
+	parts parts
 
 	callers, admin         *http.Server
 	callersAddr, adminAddr net.Addr
@@ -88,10 +88,10 @@
 func (p *Process) AdminAddress() string { return p.adminAddr.String() }
 
 // Address returns the address at which other processes reach this entry.
-func (p *Process) Address() string { return p.Self.GetAddress() }
+func (p *Process) Address() string { return p.parts.Self.GetAddress() }
 
 func (p *Process) start(ctx context.Context) error {
-	f := p.Settings.file
+	f := p.parts.Settings.file
 
 	callers, err := listen(ctx, f.Callers)
 	if err != nil {
@@ -100,33 +100,34 @@
 
 	admin, err := listen(ctx, f.Admin)
 	if err != nil {
-		callers.Close()
+		_ = callers.Close()
 
 		return err
 	}
 
 	p.callersAddr, p.adminAddr = callers.Addr(), admin.Addr()
-	p.callers = &http.Server{Handler: p.Callers.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
-	p.admin = &http.Server{Handler: p.Operator.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+	p.callers = &http.Server{Handler: p.parts.Callers.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+	p.admin = &http.Server{Handler: p.parts.Operator.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
 
-	running, cancel := context.WithCancel(context.Background())
+	// The loops outlive the start.
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	p.cancel = cancel
 
 	p.gauges()
-	p.Table.Follow(running, p.Book)
+	p.parts.Table.Follow(running, p.parts.Book)
 
 	for _, loop := range []func(context.Context){
-		p.Follower.Run, p.Appender.Run, p.Table.Run, p.Peers.Run, p.watch, p.accept, p.join,
+		p.parts.Follower.Run, p.parts.Appender.Run, p.parts.Table.Run, p.parts.Peers.Run, p.watch, p.accept, p.join,
 	} {
 		p.group.Go(func() { loop(running) })
 	}
 
 	p.group.Go(func() { p.serve(p.callers, callers) })
 	p.group.Go(func() { p.serve(p.admin, admin) })
-	p.Readiness.Start()
+	p.parts.Readiness.Start()
 
-	p.Log.Info().Str("event", "listening").Str("callers", p.CallersAddress()).Str("admin", p.AdminAddress()).
-		Str("quic", p.Address()).Uint64("incarnation", p.Self.GetIncarnation()).Msg("the entry is listening")
+	p.parts.Log.Info().Str("event", "listening").Str("callers", p.CallersAddress()).Str("admin", p.AdminAddress()).
+		Str("quic", p.Address()).Uint64("incarnation", p.parts.Self.GetIncarnation()).Msg("the entry is listening")
 
 	return nil
 }
@@ -141,17 +142,17 @@
 
 func (p *Process) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		p.Log.Error().Err(err).Str("event", "http_failed").Msg("an HTTP server ended")
-		_ = p.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+		p.parts.Log.Error().Err(err).Str("event", "http_failed").Msg("an HTTP server ended")
+		_ = p.parts.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
 	}
 }
 
-func (p *Process) watch(ctx context.Context) { p.Silence.Run(ctx, p.Peers) }
+func (p *Process) watch(ctx context.Context) { p.parts.Silence.Run(ctx, p.parts.Peers) }
 
 // accept hands each connection to the package of its peer.
 func (p *Process) accept(ctx context.Context) {
 	for {
-		c, err := p.Node.Accept(ctx)
+		c, err := p.parts.Node.Accept(ctx)
 		if err != nil {
 			return
 		}
@@ -193,9 +194,9 @@
 
 	switch hello.GetRole() {
 	case wire.Role_ROLE_SIDECAR:
-		n.process.Hub.Serve(ctx, n.conn, s, hello)
+		n.process.parts.Hub.Serve(ctx, n.conn, s, hello)
 	case wire.Role_ROLE_ENTRY:
-		n.process.Peers.Serve(ctx, n.conn, s, hello)
+		n.process.parts.Peers.Serve(ctx, n.conn, s, hello)
 	default:
 		n.conn.Close("unknown role")
 	}
@@ -204,16 +205,16 @@
 // join registers this entry in the log. Other entries and the sidecars find it there; until then they find it through
 // their settings.
 func (p *Process) join(ctx context.Context) {
-	record := ledger.EntryJoinedRecord(p.Self)
+	record := ledger.EntryJoinedRecord(p.parts.Self)
 
 	for ctx.Err() == nil {
 		attempt, stop := context.WithTimeout(ctx, startWait)
-		err := p.Appender.Append(attempt, record)
+		err := p.parts.Appender.Append(attempt, record)
 
 		stop()
 
 		if err == nil {
-			p.Log.Info().Str("event", "registered").Msg("the entry is registered in the log")
+			p.parts.Log.Info().Str("event", "registered").Msg("the entry is registered in the log")
 
 			return
 		}
--- a/entry/process/process_test.go
+++ b/entry/process/process_test.go
@@ -22,12 +22,14 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"github.com/skylarkweir/skylarkweir/entry/peer"
 	"github.com/skylarkweir/skylarkweir/entry/process"
 	sidecar "github.com/skylarkweir/skylarkweir/sidecar/process"
 	"github.com/skylarkweir/skylarkweir/standin/backend"
 	standin "github.com/skylarkweir/skylarkweir/standin/logservice"
 	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
 	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
@@ -44,7 +46,11 @@
 type entry struct {
 	*process.Process
 
-	app *fx.App
+	app   *fx.App
+	node  *quic.Node
+	book  *ledger.Book
+	peers *peer.Peers
+	fleet *fleet.Fleet
 }
 
 func newSystem(t *testing.T, entries, workers int) *system {
@@ -73,12 +79,12 @@
 
 	for _, e := range s.entries {
 		s.eventually(fmt.Sprintf("workers and peers of %s", e.Address()), func() bool {
-			if e.Book.State().Position() < int64(1+entries+workers) || len(e.Peers.Reached()) < entries-1 {
+			if e.book.State().Position() < int64(1+entries+workers) || len(e.peers.Reached()) < entries-1 {
 				return false
 			}
 
 			n := 0
-			for _, w := range e.Fleet.View().Workers() {
+			for _, w := range e.fleet.View().Workers() {
 				if _, registered := w.Joined(); registered {
 					n++
 				}
@@ -132,7 +138,7 @@
 	is.NoErr(err)
 
 	e := &entry{}
-	e.app = fx.New(process.Options(settings, s.logger().With().Str("entry", name).Logger()), fx.Populate(&e.Process))
+	e.app = fx.New(process.Options(settings, s.logger().With().Str("entry", name).Logger()), fx.Populate(&e.Process, &e.node, &e.book, &e.peers, &e.fleet))
 	is.NoErr(e.app.Start(context.Background()))
 	s.t.Cleanup(func() { _ = e.app.Stop(context.Background()) })
 	s.entries = append(s.entries, e)
@@ -249,6 +255,8 @@
 
 // Guards against answers that differ between entries and against second starts by resubmissions.
 func TestResubmissionAtEveryEntry(t *testing.T) {
+	t.Parallel()
+
 	is := is.New(t)
 	s := newSystem(t, 2, 2)
 	id := s.entries[0].ticket(is)
@@ -280,6 +288,8 @@
 
 // Guards against a key that leads to two homes.
 func TestKeyAtEveryEntry(t *testing.T) {
+	t.Parallel()
+
 	is := is.New(t)
 	s := newSystem(t, 3, 1)
 	u := uuid.Must(uuid.NewV7()).String()
@@ -305,13 +315,15 @@
 // Guards against a lost home whose submission is started again, or whose outcome is told wrong. The home is cut off by
 // closing its socket, which its peers see as a loss.
 func TestHomeLost(t *testing.T) {
+	t.Parallel()
+
 	is := is.New(t)
 	s := newSystem(t, 2, 2)
 	used, unused := s.entries[0].ticket(is), s.entries[0].ticket(is)
 
 	s.entries[0].later(used, job(10*time.Second, 2))
 	s.eventually("two starts", func() bool { return s.started() == 2 })
-	s.entries[0].Node.Close()
+	s.entries[0].node.Close()
 
 	for id, ran := range map[string]string{used: "some", unused: "none"} {
 		begin := time.Now()
@@ -332,13 +344,15 @@
 
 // Guards against requests that a graceful shutdown cuts, and against answers that are lost with the entry.
 func TestShutdownInFlight(t *testing.T) {
+	t.Parallel()
+
 	is := is.New(t)
 	s := newSystem(t, 2, 2)
 	leaving, other := s.entries[0], s.entries[1]
 	id, forwarded := leaving.ticket(is), leaving.ticket(is)
 
-	slow := leaving.later(id, job(1500*time.Millisecond, 2))
-	remote := other.later(forwarded, job(1500*time.Millisecond, 2))
+	slow := leaving.later(id, job(4*time.Second, 2))
+	remote := other.later(forwarded, job(4*time.Second, 2))
 	s.eventually("four starts", func() bool { return s.started() == 4 })
 
 	stopped := make(chan error, 1)
@@ -354,12 +368,23 @@
 	is.NoErr(during.err)
 	is.Equal(during.status, 200) // the load balancer has not noticed yet
 
-	time.Sleep(700 * time.Millisecond)
+	accepted := 0
+
+	s.eventually("refusal", func() bool {
+		r := leaving.submit("", job(10*time.Millisecond, 1))
+		is.NoErr(r.err)
 
-	after := leaving.submit("", job(10*time.Millisecond, 1))
-	is.NoErr(after.err)
-	is.Equal(after.status, 503)
-	is.True(bytes.Contains(after.body, []byte(`"leaving"`)))
+		if r.status == 200 {
+			accepted++
+
+			return false
+		}
+
+		is.Equal(r.status, 503)
+		is.True(bytes.Contains(r.body, []byte(`"code":"leaving"`)) && bytes.Contains(r.body, []byte(`"ran":"none"`)))
+
+		return true
+	})
 
 	a, b := <-slow, <-remote
 	is.NoErr(a.err)
@@ -368,10 +393,10 @@
 	is.Equal(b.status, 200)
 	is.NoErr(<-stopped)
 
-	r := other.submit(id, job(1500*time.Millisecond, 2))
+	r := other.submit(id, job(4*time.Second, 2))
 	is.NoErr(r.err)
 	is.Equal(string(r.body), string(a.body)) // from the successor
-	is.Equal(s.started(), 5)
+	is.Equal(s.started(), 5+accepted)
 }
 
 // Guards against exit codes that scripts cannot rely on.
