Test the cluster and weirctl against a running system

The cluster test guards against relays that are not on the path, restarts that lose addresses and processes that outlive the cluster; the weirctl test against commands that do not understand the daemons' answers. explain prints the workers that the ticket allows.

--- /dev/null
+++ b/standin/cluster/cluster_test.go
@@ -0,0 +1,102 @@
+package cluster_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+	"github.com/skylarkweir/skylarkweir/standin/relay"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+
+	cluster.RemoveShared()
+	os.Exit(code)
+}
+
+// Guards against a cluster whose relays are not on the path, whose restarts lose addresses, or whose processes outlive it.
+func TestCluster(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+
+	c := cluster.ForTest(t)
+	is.NoErr(c.StartLog(ctx))
+	e, err := c.StartEntry(ctx, "entry-1", cluster.Relayed(), cluster.LogRelayed(), cluster.With("drain_delay", "0s"))
+	is.NoErr(err)
+	w, err := c.StartWorker(ctx, "worker-1", cluster.Relayed(), cluster.With("allowance_delay", "0s"))
+	is.NoErr(err)
+
+	directory := filepath.Join(c.Directory(), "agreement")
+	is.NoErr(cluster.WriteAgreement(directory, "token", "scan"))
+	_, err = c.Publish(ctx, directory)
+	is.NoErr(err)
+	is.NoErr(c.WaitReady(ctx))
+
+	l, err := c.Load("token", `"rate": 1, "patience": "300ms", "attempts": 1, "mix": [{"kind": "scan"}]`)
+	is.NoErr(err)
+	client := caller.NewClient(l)
+	defer client.Close()
+
+	request := caller.NewRequest("scan", true, caller.Input(10*time.Millisecond, 7, ""))
+	r := client.Submit(ctx, request)
+	is.Equal(r.Error(), "")
+	is.True(r.Complete())
+
+	starts, err := w.Starts(ctx)
+	is.NoErr(err)
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Submission(), r.Ticket())
+	is.True(starts[0].End().Sub(starts[0].Begin()) >= 10*time.Millisecond)
+
+	// Each of the three relays is on its path.
+	for _, x := range []*relay.Relay{e.Relay(), e.LogRelay(), w.Relay()} {
+		up, down, _ := x.Counts()
+		is.True(up > 0)
+		is.True(down > 0)
+	}
+
+	// A cut of the sidecar's own address stops work; its end restores it.
+	e.Relay().SetFor(w.Source(), relay.Faults{}.WithCut())
+	r = client.Submit(ctx, request.WithDeadline(time.Second))
+	is.True(!r.Complete())
+	e.Relay().Heal()
+	is.NoErr(c.WaitReady(ctx))
+
+	// A paused process does not answer, and a resumed one does.
+	is.NoErr(w.Backend().Pause())
+	_, err = w.Starts(ctx)
+	is.True(err != nil)
+	is.NoErr(w.Backend().Resume())
+	_, err = w.Starts(ctx)
+	is.NoErr(err)
+
+	// A killed entry comes back at its addresses.
+	url, address := e.URL(), e.Address()
+	is.NoErr(e.Process().Kill())
+	is.True(e.Process().Wait(ctx) != nil)
+	is.NoErr(e.Restart(ctx))
+	is.Equal(e.URL(), url)
+	is.Equal(e.Address(), address)
+	is.NoErr(c.WaitReady(ctx))
+
+	is.NoErr(w.Sidecar().Terminate())
+	is.NoErr(w.Sidecar().Wait(ctx))
+
+	counts, err := c.Log().Counts(ctx)
+	is.NoErr(err)
+	is.Equal(counts.Type("publication"), int64(1))
+	is.True(counts.Type("worker_joined") >= 1)
+
+	c.Close()
+	for _, p := range c.Processes() {
+		is.True(!p.Running())
+	}
+}
--- a/weirctl/command/explain.go
+++ b/weirctl/command/explain.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -89,7 +90,8 @@
 func (a explainAnswer) print(w io.Writer) {
 	fmt.Fprintf(w, "home      %s, incarnation %d, sequence %d\n", a.Home, a.Incarnation, a.Sequence)
 	fmt.Fprintf(w, "member    %s\n", a.Member)
-	fmt.Fprintf(w, "position  %d, %d workers may run it\n", a.Position, len(a.Workers))
+	fmt.Fprintf(w, "position  %d\n", a.Position)
+	fmt.Fprintf(w, "workers   %s\n", strings.Join(a.Workers, ", "))
 	fmt.Fprintf(w, "expiry    %s\n", a.Expiry.Format(time.RFC3339))
 
 	if !a.Held {
--- /dev/null
+++ b/weirctl/command/system_test.go
@@ -0,0 +1,110 @@
+package command_test
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+
+	cluster.RemoveShared()
+	os.Exit(code)
+}
+
+// Guards against commands that do not understand the answers of the daemons.
+func TestAgainstRunningSystem(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+
+	c := cluster.ForTest(t)
+	is.NoErr(c.StartLog(ctx))
+	e, err := c.StartEntry(ctx, "entry-1", cluster.With("drain_delay", "0s"))
+	is.NoErr(err)
+	w, err := c.StartWorker(ctx, "worker-1", cluster.With("allowance_delay", "0s"))
+	is.NoErr(err)
+
+	directory := filepath.Join(c.Directory(), "agreement")
+	is.NoErr(cluster.WriteAgreement(directory, "token", "scan"))
+	code, out, errOut := weirctl("publish", directory, "--log", c.Log().URL(), "--as", "tester")
+	is.Equal(errOut, "")
+	is.Equal(code, 0)
+	is.Equal(out, "accepted: version 1\n")
+	is.NoErr(c.WaitReady(ctx))
+
+	l, err := c.Load("token", `"rate": 1, "mix": [{"kind": "scan"}]`)
+	is.NoErr(err)
+	client := caller.NewClient(l)
+	defer client.Close()
+	r := client.Submit(ctx, caller.NewJob("scan", caller.Input(0, 1, ""), caller.Input(0, 2, "")))
+	is.Equal(r.Error(), "")
+
+	code, out, _ = weirctl("show", "--entry", e.Admin(), "--sidecar", w.Admin(), "--json")
+	is.Equal(code, 0)
+	var shown []struct {
+		Program, Name, Operator string
+		Version                 int64
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &shown))
+	is.Equal(len(shown), 2)
+	is.Equal(shown[0].Name, "entry-1")
+	is.Equal(shown[0].Operator, "tester")
+	is.Equal(shown[1].Name, "worker-1")
+	for _, s := range shown {
+		is.Equal(s.Version, int64(1))
+	}
+
+	code, out, _ = weirctl("show", "--entry", e.Admin(), "--agreement")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, `"scan"`))
+
+	code, out, _ = weirctl("status", "--entry", e.Admin(), "--sidecar", w.Admin(), "--json")
+	is.Equal(code, 0)
+	var status struct {
+		Workers []struct {
+			Name      string
+			Slots     int
+			Connected int
+		}
+		Members []struct {
+			Member string
+			Limit  int `json:"limit_slots"`
+		}
+		Queues []struct{ Queue string }
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &status))
+	is.Equal(status.Workers[0].Name, "worker-1")
+	is.Equal(status.Workers[0].Connected, 1)
+	is.Equal(status.Members[0].Member, "member")
+	is.Equal(status.Members[0].Limit, status.Workers[0].Slots)
+	is.True(len(status.Queues) > 0)
+	code, out, _ = weirctl("status", "--entry", e.Admin())
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "worker-1"))
+
+	code, out, errOut = weirctl("explain", "--entry", e.Admin(), r.Ticket())
+	is.Equal(errOut, "")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "complete, 2 of 2 tasks ended"))
+	is.True(strings.Contains(out, "worker-1"))
+	code, _, errOut = weirctl("explain", "--entry", e.Admin(), "nonsense")
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "invalid_request"))
+
+	code, _, _ = weirctl("drain", "--entry", e.Admin())
+	is.Equal(code, 0)
+	is.NoErr(e.Process().Wait(ctx))
+	code, _, _ = weirctl("show", "--entry", e.Admin())
+	is.Equal(code, 1)
+}
