Check the promises from outside under kills, stops, cuts and log outages

Cause: unit tests of the parts cannot show that a task starts once over the whole path.

Change: standin/checker compares callers' records with the backend servers' records of starts; standin/scenario runs real processes under faults. Three scenarios: an entry and a sidecar stopped past the lease, a home and a sidecar killed, the log down, and every submission sent again through other entries; lost, delayed and duplicated datagrams with one-way cuts; a rolling restart of every entry and sidecar.

--- a/standin/caller/submission.go
+++ b/standin/caller/submission.go
@@ -55,6 +55,9 @@
 // Kind returns the kind of work.
 func (s Submission) Kind() string { return s.kind }
 
+// Repeatable reports a request that may run more than once.
+func (s Submission) Repeatable() bool { return s.form == formRepeatable }
+
 // Inputs returns one input for each task.
 func (s Submission) Inputs() [][]byte { return s.inputs }
 
--- /dev/null
+++ b/standin/checker/checker.go
@@ -0,0 +1,180 @@
+// Package checker compares what callers were told with what the backend servers ran. It sees the system from outside:
+// only the callers' records and the backend servers' records count.
+package checker
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+)
+
+// maxAttempts is how often a repeatable request may start: the first attempt and two retries.
+const maxAttempts = 3
+
+// Start is a task that a backend server started.
+type Start interface {
+	Submission() string
+	Task() int
+	Attempt() int
+}
+
+// Violation is a broken promise: DoubleStart, FalseNotRun, WrongAnswer or AnswerWithoutStart.
+type Violation interface {
+	violation()
+	String() string
+}
+
+// DoubleStart is a task that started more often than its submission allows.
+type DoubleStart struct {
+	submission string
+	task       int
+	attempts   []int
+}
+
+// FalseNotRun is a submission that was refused as not run although a task of it started.
+type FalseNotRun struct {
+	submission, code string
+	started          int
+}
+
+// WrongAnswer is an answer that is not whole or belongs to another submission.
+type WrongAnswer struct{ submission, text string }
+
+// AnswerWithoutStart is a complete answer with a task that never started.
+type AnswerWithoutStart struct {
+	submission string
+	task       int
+}
+
+func (DoubleStart) violation()        {}
+func (FalseNotRun) violation()        {}
+func (WrongAnswer) violation()        {}
+func (AnswerWithoutStart) violation() {}
+
+// String describes the violation.
+func (d DoubleStart) String() string {
+	return fmt.Sprintf("task %d of %s started %d times, attempts %v", d.task, d.submission, len(d.attempts), d.attempts)
+}
+
+// String describes the violation.
+func (f FalseNotRun) String() string {
+	return fmt.Sprintf("%s was refused with %s, ran none, but %d tasks started", f.submission, f.code, f.started)
+}
+
+// String describes the violation.
+func (w WrongAnswer) String() string {
+	return fmt.Sprintf("%s: wrong answer: %s", w.submission, w.text)
+}
+
+// String describes the violation.
+func (a AnswerWithoutStart) String() string {
+	return fmt.Sprintf("%s: complete answer, but task %d never started", a.submission, a.task)
+}
+
+// History collects records and starts. The zero value is empty; its methods may be called from several goroutines.
+type History struct {
+	mu      sync.Mutex
+	records []*caller.Record
+	// starts holds the attempts by submission and task.
+	starts map[string]map[int][]int
+}
+
+// Record adds what a caller was told.
+func (h *History) Record(r *caller.Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.records = append(h.records, r)
+}
+
+// Start adds a start. Each start is added once.
+func (h *History) Start(s Start) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.starts == nil {
+		h.starts = map[string]map[int][]int{}
+	}
+
+	tasks := h.starts[s.Submission()]
+	if tasks == nil {
+		tasks = map[int][]int{}
+		h.starts[s.Submission()] = tasks
+	}
+
+	tasks[s.Task()] = append(tasks[s.Task()], s.Attempt())
+}
+
+// Records returns the records so far.
+func (h *History) Records() []*caller.Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return slices.Clone(h.records)
+}
+
+// Violations returns all broken promises. It is called when the load has ended and all starts were added.
+func (h *History) Violations() []Violation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	var out []Violation
+
+	repeatable := map[string]bool{}
+	for _, r := range h.records {
+		repeatable[r.Ticket()] = r.Submission().Repeatable()
+		out = append(out, h.judge(r)...)
+	}
+
+	for submission, tasks := range h.starts {
+		for task, attempts := range tasks {
+			// A submission without a record counts as not repeatable.
+			if d := (DoubleStart{submission, task, attempts}); d.broken(repeatable[submission]) {
+				out = append(out, d)
+			}
+		}
+	}
+
+	return out
+}
+
+// broken reports more starts than allowed, or two starts of one attempt.
+func (d DoubleStart) broken(repeatable bool) bool {
+	if !repeatable {
+		return len(d.attempts) > 1
+	}
+
+	sorted := slices.Clone(d.attempts)
+	slices.Sort(sorted)
+
+	return len(sorted) > maxAttempts || len(slices.Compact(sorted)) != len(d.attempts)
+}
+
+// judge compares one record with the starts.
+func (h *History) judge(r *caller.Record) []Violation {
+	var out []Violation
+
+	if r.Wrong() {
+		out = append(out, WrongAnswer{r.Ticket(), r.Error()})
+	}
+
+	tasks := h.starts[r.Ticket()]
+
+	if r.Complete() {
+		for i := range r.Submission().Inputs() {
+			if len(tasks[i]) == 0 {
+				out = append(out, AnswerWithoutStart{r.Ticket(), i})
+			}
+		}
+
+		return out
+	}
+
+	if r.Ran() == "none" && len(tasks) > 0 {
+		out = append(out, FalseNotRun{r.Ticket(), r.Code(), len(tasks)})
+	}
+
+	return out
+}
--- /dev/null
+++ b/standin/scenario/start_test.go
@@ -0,0 +1,176 @@
+package scenario_test
+
+import (
+	"context"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+	"github.com/skylarkweir/skylarkweir/standin/relay"
+	"github.com/skylarkweir/skylarkweir/standin/scenario"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+
+	cluster.RemoveShared()
+	os.Exit(code)
+}
+
+const limit = 3 * time.Minute
+
+// mixed has jobs, repeatable and not repeatable requests. The seed is part of the load and is printed with it.
+const mixed = `"rate": 40, "duration": "14s", "seed": 11, "attempts": 6, "mix": [
+	{"kind": "fit", "form": "job", "weight": 1, "tasks_least": 2, "tasks_most": 12, "run": "uniform 50ms 300ms", "deadline": "8s"},
+	{"kind": "stock", "form": "repeatable", "weight": 2, "run": "uniform 50ms 150ms", "deadline": "8s"},
+	{"kind": "order", "weight": 2, "run": "uniform 50ms 400ms", "deadline": "8s"},
+]`
+
+func kinds() []string { return []string{"fit", "stock", "order"} }
+
+// resubmitter sends each submission again through another entry, while it runs and after its end.
+type resubmitter struct {
+	client *caller.Client
+	system *scenario.System
+	group  sync.WaitGroup
+}
+
+func (r *resubmitter) run(ctx context.Context, old *caller.Record) {
+	defer r.group.Done()
+
+	r.system.History().Record(r.client.Resubmit(ctx, old))
+}
+
+func (r *resubmitter) again(ctx context.Context, records []*caller.Record) {
+	for _, old := range records {
+		if old.Ticket() == "" {
+			continue
+		}
+
+		r.group.Add(1)
+		go r.run(ctx, old)
+	}
+
+	r.group.Wait()
+}
+
+// Guards against a second start of a task when a home is killed, an entry and a sidecar are stopped for longer than a
+// lease, and the log is down, while callers resubmit through other entries.
+func TestNoTaskStartsTwice(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+
+	t.Log(mixed)
+
+	s := scenario.Start(ctx, t, 3, 4, kinds())
+	c := s.Cluster()
+	load := s.Begin(ctx, mixed)
+
+	s.Pause(ctx, 2*time.Second)
+	is.NoErr(c.Log().SetFaults(ctx, map[string]any{"down": true}))
+	is.NoErr(c.Workers()[0].Sidecar().Pause())
+	is.NoErr(c.Entries()[1].Process().Pause())
+	s.Pause(ctx, 4*time.Second)
+	is.NoErr(c.Workers()[0].Sidecar().Resume())
+	is.NoErr(c.Entries()[1].Process().Resume())
+	s.Pause(ctx, time.Second)
+	is.NoErr(c.Entries()[2].Process().Kill())
+	s.Pause(ctx, time.Second)
+	is.NoErr(c.Workers()[1].Sidecar().Kill())
+	s.Pause(ctx, time.Second)
+	is.NoErr(c.Log().SetFaults(ctx, map[string]any{"down": false}))
+
+	report := load.Wait()
+	t.Logf("complete %d of %d, refused %v", report.All().Complete(), report.All().Submitted(), report.All().Refused())
+	is.True(report.All().Complete() > report.All().Submitted()/2) // the system goes on under these faults
+
+	settings, err := c.Load(scenario.Token, `"rate": 1, "seed": 1, "mix": [{"kind": "fit"}]`)
+	is.NoErr(err)
+
+	client := caller.NewClient(settings)
+	defer client.Close()
+
+	again := &resubmitter{client: client, system: s}
+	again.again(ctx, s.History().Records())
+	again.again(ctx, s.History().Records())
+	s.Check(ctx)
+}
+
+// Guards against refusals as not run while a start is under way, and against mixed answers, when messages are lost,
+// delayed and duplicated, and connections are cut in one direction.
+func TestLostAndDelayedMessages(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+
+	t.Log(mixed)
+
+	s := scenario.Start(ctx, t, 3, 4, kinds())
+	entries := s.Cluster().Entries()
+
+	for _, e := range entries {
+		e.Relay().Set(relay.Faults{}.WithLoss(0.02).WithDuplicate(0.05).WithDelay(3 * time.Millisecond))
+	}
+
+	load := s.Begin(ctx, mixed)
+
+	s.Pause(ctx, 2*time.Second)
+	entries[0].Relay().Set(relay.Faults{}.WithCutUp())
+	s.Pause(ctx, 4*time.Second)
+	entries[0].Relay().Heal()
+	entries[1].Relay().Set(relay.Faults{}.WithCutDown())
+	s.Pause(ctx, 4*time.Second)
+	entries[1].Relay().Heal()
+
+	report := load.Wait()
+	t.Logf("complete %d of %d, refused %v", report.All().Complete(), report.All().Submitted(), report.All().Refused())
+	is.True(report.All().Complete() > report.All().Submitted()/2)
+	s.Check(ctx)
+}
+
+// Guards against requests cut by a rolling restart of every entry and sidecar under load.
+func TestRollingRestartCutsNothing(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+
+	const text = `"rate": 25, "duration": "45s", "seed": 12, "attempts": 8, "mix": [
+		{"kind": "fit", "form": "job", "weight": 1, "tasks_least": 2, "tasks_most": 6, "run": "uniform 50ms 300ms"},
+		{"kind": "stock", "form": "repeatable", "weight": 2, "run": "uniform 50ms 150ms"},
+		{"kind": "order", "weight": 2, "run": "uniform 50ms 900ms"},
+	]`
+
+	t.Log(text)
+
+	s := scenario.Start(ctx, t, 3, 4, kinds())
+	load := s.Begin(ctx, text)
+
+	s.Pause(ctx, time.Second)
+
+	for _, w := range s.Cluster().Workers() {
+		is.NoErr(w.Sidecar().Terminate())
+		is.NoErr(w.Sidecar().Wait(ctx))
+		is.NoErr(w.Restart(ctx))
+		is.NoErr(s.Cluster().WaitReady(ctx))
+		s.Pause(ctx, time.Second)
+	}
+
+	for _, e := range s.Cluster().Entries() {
+		is.NoErr(e.Process().Terminate())
+		is.NoErr(e.Process().Wait(ctx))
+		is.NoErr(e.Restart(ctx))
+		is.NoErr(s.Cluster().WaitReady(ctx))
+		s.Pause(ctx, time.Second)
+	}
+
+	report := load.Wait()
+	t.Logf("complete %d of %d, refused %v", report.All().Complete(), report.All().Submitted(), report.All().Refused())
+	is.Equal(report.All().Complete(), report.All().Submitted())
+	s.Check(ctx)
+}
