--- a/standin/scenario/system.go
+++ b/standin/scenario/system.go
@@ -30,6 +30,7 @@
 func Start(ctx context.Context, tb cluster.TB, entries, workers int, kinds []string, options ...cluster.Option) *System {
 	tb.Helper()
 
+	//nolint:contextcheck // the cluster lives as long as the test, whose context ForTest takes
 	s := &System{tb: tb, cluster: cluster.ForTest(tb), kept: map[string][]cluster.TaskStart{}}
 	s.must(s.cluster.StartLog(ctx))
 
