Add the scenario of a member's limit under a flood

Cause: nothing checked from outside that a member stays within its limit while processes disagree.

Cause as read from the code: at a deadline the sidecar cancels the call and gives the slot back at once, while the backend server notices the cancellation some ms later.

--- /dev/null
+++ b/standin/scenario/concurrency.go
@@ -0,0 +1,48 @@
+package scenario
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+)
+
+// edge is the begin or the end of a task.
+type edge struct {
+	at    time.Time
+	delta int
+}
+
+// Peak returns the largest number of tasks of a kind that ran at the same moment between two times. A task without an
+// end counts as running until the second time.
+func Peak(starts []cluster.TaskStart, kind string, from, to time.Time) int {
+	var edges []edge
+
+	for _, s := range starts {
+		end := s.End()
+		if end.IsZero() || end.After(to) {
+			end = to
+		}
+
+		begin := s.Begin()
+		if begin.Before(from) {
+			begin = from
+		}
+
+		if s.Kind() == kind && begin.Before(end) {
+			edges = append(edges, edge{begin, 1}, edge{end, -1})
+		}
+	}
+
+	// At the same time ends go first: the slot is given back before it is taken again.
+	slices.SortFunc(edges, func(a, b edge) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.delta, b.delta)) })
+
+	running, peak := 0, 0
+	for _, e := range edges {
+		running += e.delta
+		peak = max(peak, running)
+	}
+
+	return peak
+}
--- a/standin/scenario/system.go
+++ b/standin/scenario/system.go
@@ -83,11 +83,18 @@
 	report *caller.Report
 }
 
-// Begin starts a load, whose settings follow those of caller.Load without entries and token.
+// Begin starts a load of the member of WriteAgreement, with the settings of caller.Load but for entries and token.
 func (s *System) Begin(ctx context.Context, text string) *Load {
 	s.tb.Helper()
 
-	settings, err := s.cluster.Load(Token, text)
+	return s.BeginAs(ctx, Token, text)
+}
+
+// BeginAs starts a load of the member with the token.
+func (s *System) BeginAs(ctx context.Context, token, text string) *Load {
+	s.tb.Helper()
+
+	settings, err := s.cluster.Load(token, text)
 	s.must(err)
 
 	l := &Load{system: s, done: make(chan struct{})}
