entry: refuse handovers while leaving, and bound forwarded answers

Cause: a successor that leaves itself would export its table before the handover arrived, and an answer above the frame limit would look like a lost home.

A flag alone was ruled out: an import that has started must be complete before the table is exported, so parts are taken under a lock that Leave waits for.

--- a/entry/caller/local.go
+++ b/entry/caller/local.go
@@ -253,9 +253,9 @@
 func answer(h Held) Reply {
 	status, body := h.Answer()
 
-	return Reply{status, body, func(whole bool) {
+	return NewReply(status, body, func(whole bool) {
 		if whole {
 			h.Delivered()
 		}
-	}}
+	})
 }
--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -13,16 +13,18 @@
 	body   []byte
 	// written is nil or told once whether the whole answer was written to the caller.
 	written func(whole bool)
+	// refused is true if the operation was not carried out, as opposed to the answer of a submission that has failed.
+	refused bool
 }
 
 // NewReply returns a reply; written may be nil.
 func NewReply(status int, body []byte, written func(whole bool)) Reply {
-	return Reply{status, body, written}
+	return Reply{status: status, body: body, written: written}
 }
 
 // Refuse returns the reply to err.
 func Refuse(err error, submission string) Reply {
-	return Reply{status: fault.KindOf(err).Status(), body: fault.Marshal(err, submission)}
+	return Reply{status: fault.KindOf(err).Status(), body: fault.Marshal(err, submission), refused: true}
 }
 
 // Status returns the HTTP status.
@@ -51,6 +53,8 @@
 	stateRunning  = "running"
 	stateComplete = "complete"
 	stateFailed   = "failed"
+	// stateUnknown means that the home could not be asked.
+	stateUnknown = "unknown"
 )
 
 func stateOf(status int) string {
--- a/entry/caller/router.go
+++ b/entry/caller/router.go
@@ -88,6 +88,8 @@
 
 	reply := r.remote(ctx, t, r.forward(Explain, id, t, "", nil), stateWait)
 	if reply.Status() != 200 {
+		reply.Written(false)
+
 		return r.local.Explain(id, t)
 	}
 
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -337,10 +337,13 @@
 
 	for first := true; ; first = false {
 		reply := s.router.State(r.Context(), id, t)
-		if first && reply.Status() >= http.StatusBadRequest && !ended(reply) {
+		if first && unanswered(reply) {
 			return reply
 		}
 
+		// An event tells that there is an answer; it does not deliver it.
+		reply.Written(false)
+
 		if first {
 			w.Header().Set("Content-Type", "application/x-ndjson")
 		}
@@ -366,18 +369,14 @@
 	}
 }
 
-// ended tells apart a submission that has failed from a question that could not be answered.
-func ended(r Reply) bool {
-	switch r.Status() {
-	case fault.UnknownSubmission.Status(), fault.Unauthenticated.Status(), fault.Forbidden.Status():
-		return false
-	default:
-		return true
-	}
-}
+// unanswered tells apart a question that could not be answered from a submission that has failed.
+func unanswered(r Reply) bool { return r.refused || r.Status() == fault.UnknownSubmission.Status() }
 
 func eventOf(id string, reply Reply, last event) event {
 	e := event{progress: progress{id, stateOf(reply.Status()), last.Ended, last.Total}}
+	if unanswered(reply) {
+		e.State = stateUnknown
+	}
 
 	if reply.Status() == http.StatusAccepted {
 		_ = json.Unmarshal(reply.Body(), &e.progress)
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -436,6 +437,28 @@
 	is.Equal(w.StatusCode, 200)
 }
 
+// Guards against an answer that counts as delivered although the connection broke while it was written.
+func TestBrokenAnswerIsNotDelivered(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true)
+
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.http.Listener.Addr().String())
+	is.NoErr(err)
+
+	r := f.request("POST", "/v1/requests", "token-a", "", oneTask)
+	is.NoErr(r.Write(c))
+
+	_, h := f.table.only(is)
+	// More than the buffers of both sockets hold.
+	h.end(200, strings.Repeat("x", 64<<20))
+
+	_, err = io.ReadFull(c, make([]byte, 1000))
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	f.http.Close() // waits for the handler
+	is.Equal(h.deliveries(), 0)
+}
+
 // Guards against wait=false that waits, and against events that miss the end.
 func TestStateEventsAndCancel(t *testing.T) {
 	is := is.New(t)
--- a/entry/peer/handover.go
+++ b/entry/peer/handover.go
@@ -112,12 +112,10 @@
 // the log names this entry as the successor, so a transfer that breaks off has no effect.
 func (x *exchange) handover(h *wire.Handover) error {
 	for {
-		if reason := x.refusal(h.GetFrom()); reason != "" {
+		if reason := x.take(h); reason != "" {
 			return x.handoverReply(reason)
 		}
 
-		x.peers.importer.Import(h.GetSubmissions())
-
 		if h.GetLast() {
 			return x.handoverReply("")
 		}
@@ -131,6 +129,24 @@
 	}
 }
 
+// take imports one part, or returns why not.
+func (x *exchange) take(h *wire.Handover) string {
+	x.peers.gate.RLock()
+	defer x.peers.gate.RUnlock()
+
+	if x.peers.leaving {
+		return "this entry is leaving too"
+	}
+
+	if reason := x.refusal(h.GetFrom()); reason != "" {
+		return reason
+	}
+
+	x.peers.importer.Import(h.GetSubmissions())
+
+	return ""
+}
+
 // refusal returns why the submissions of the entry are not taken over, or an empty text. An entry that was paused
 // until it was replaced must not hand over, since its submissions may have been closed as lost.
 func (x *exchange) refusal(from *wire.Entry) string {
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -458,34 +458,57 @@
 	keys := keysOf(t)
 	a := start(t, keys, 1)
 	b := start(t, keys, 2, a.self.GetAddress())
-	eventually(is, func() bool { return len(a.peers.Reached()) == 1 && len(b.peers.Reached()) == 1 })
+	c := start(t, keys, 3, a.self.GetAddress(), b.self.GetAddress())
+	entries := []*entry{a, b, c}
+
+	for _, e := range entries {
+		eventually(is, func() bool { return len(e.peers.Reached()) == 2 })
+	}
 
-	workers := map[string]*fleet.Worker{}
+	connected := map[string]*fleet.Worker{}
 
-	for i, name := range []string{"gone", "heard", "other"} {
+	for i, name := range []string{"gone", "heard", "x", "y"} {
 		w := &wire.Worker{}
 		w.SetName(name)
 		w.SetIncarnation(uint64(i + 1))
 		a.book.Advance([]ledger.Record{ledger.NewRecord(int64(i), time.Now(), ledger.WorkerJoinedRecord(w))}, int64(i)+1)
-		workers[name] = a.fleet.Connect(w, time.Now())
-		workers["b-"+name] = b.fleet.Connect(w, time.Now())
+
+		for _, e := range entries {
+			connected[e.self.GetName()+name] = e.fleet.Connect(w, time.Now())
+		}
 	}
 
-	// Both hear "other"; only b hears "heard".
+	// a hears half of the workers, b hears all but one, and c hears none, so that it must not judge.
 	for begin := time.Now(); time.Since(begin) < 15*time.Second; time.Sleep(200 * time.Millisecond) {
-		for _, name := range []string{"other", "b-other", "b-heard"} {
-			a.fleet.Hear(workers[name], time.Now())
+		for _, name := range []string{"e1x", "e1y", "e2x", "e2y", "e2heard"} {
+			a.fleet.Hear(connected[name], time.Now())
 		}
 	}
 
-	// a hears one of three workers, less than half of them, and must not judge.
-	is.Equal(a.appender.count(), 0)
-	is.True(b.appender.count() > 0)
+	is.Equal(c.appender.count(), 0)
+	is.True(a.appender.count()+b.appender.count() > 0)
 
-	b.appender.mu.Lock()
-	defer b.appender.mu.Unlock()
-
-	for _, r := range b.appender.records {
-		is.Equal(r, ledger.WorkerLeftRecord("gone", 1, true))
+	for _, e := range entries {
+		e.appender.mu.Lock()
+		for _, r := range e.appender.records {
+			is.Equal(r, ledger.WorkerLeftRecord("gone", 1, true))
+		}
+		e.appender.mu.Unlock()
 	}
 }
+
+// Guards against submissions that are handed to an entry after it has handed on its own.
+func TestHandoverToLeavingEntry(t *testing.T) {
+	t.Parallel()
+
+	is := is.New(t)
+	keys := keysOf(t)
+	a := start(t, keys, 1)
+	b := start(t, keys, 2, a.self.GetAddress())
+	eventually(is, func() bool { return len(a.peers.Reached()) == 1 })
+	b.peers.Leave()
+
+	_, found := a.peers.Handover(t.Context(), []*wire.HeldSubmission{{}})
+	is.True(!found)
+	is.Equal(len(b.home.taken()), 0)
+}
--- a/entry/peer/peers.go
+++ b/entry/peer/peers.go
@@ -60,6 +60,9 @@
 	// fresh holds the links that Run has not started yet, and wake has room for one signal that there are some.
 	fresh []*link
 	wake  chan struct{}
+	// gate is held for reading while submissions of another entry are taken over, so that none are after Leave returned.
+	gate    sync.RWMutex
+	leaving bool
 	// forwards counts operations that are carried out for other entries and whose answers are not known to be delivered.
 	forwards atomic.Int64
 	// group waits for the goroutines of links.
@@ -252,6 +255,14 @@
 	return l.forward(ctx, to.GetIncarnation(), f)
 }
 
+// Leave refuses to take over submissions from now on. Those taken over before are in the table when it returns.
+func (p *Peers) Leave() {
+	p.gate.Lock()
+	defer p.gate.Unlock()
+
+	p.leaving = true
+}
+
 // Drain waits until no operation is carried out for another entry.
 func (p *Peers) Drain(ctx context.Context) error {
 	tick := time.NewTicker(drainInterval)
--- a/entry/peer/serve.go
+++ b/entry/peer/serve.go
@@ -8,10 +8,15 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/skylarkweir/skylarkweir/entry/caller"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
+// maxAnswer is the largest answer that fits into a frame of the transport, 64 MB.
+const maxAnswer = 60 << 20
+
 // writtenWait bounds how long a home waits to learn whether the caller has its answer.
 const writtenWait = 30 * time.Second
 
@@ -88,6 +93,12 @@
 	answer := &wire.ForwardReply{}
 
 	r, isHome := x.peers.home.Serve(ctx, f)
+	if len(r.Body()) > maxAnswer {
+		// A frame that the other entry cannot read would look like the loss of this home.
+		err := fault.New(fault.TooLarge, "the answer has %d bytes, other entries than the home pass on at most %d", len(r.Body()), maxAnswer)
+		r = caller.Refuse(fault.WithRan(err, fault.RanAll), f.GetSubmission())
+	}
+
 	answer.SetNotHome(!isHome)
 	answer.SetStatus(int32(r.Status())) //nolint:gosec // an HTTP status
 	answer.SetBody(r.Body())
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -64,7 +64,7 @@
 		),
 		fx.Invoke(func(l fx.Lifecycle, p *Process) { l.Append(fx.Hook{OnStart: p.start, OnStop: p.stop}) }),
 		fx.StartTimeout(startWait),
-		fx.StopTimeout(s.DrainDelay()+s.DrainLimit()+2*startWait),
+		fx.StopTimeout(s.DrainDelay()+2*s.DrainLimit()+2*startWait),
 		fx.NopLogger,
 	)
 }
