--- a/entry/caller/local.go
+++ b/entry/caller/local.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/skylarkweir/skylarkweir/entry/home"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/request/submission"
@@ -20,6 +21,7 @@
 	Cancel()
 	Delivered()
 	Progress() (ended, total int)
+	Decisions() []home.Decision
 }
 
 // Table is the home table.
@@ -172,6 +174,16 @@
 	Status  int      `json:"status,omitempty"`
 	Ended   int      `json:"ended"`
 	Total   int      `json:"total"`
+	// Decisions are the latest ones, oldest first.
+	Decisions []decision `json:"decisions,omitempty"`
+}
+
+type decision struct {
+	Time   time.Time `json:"time"`
+	Event  string    `json:"event"`
+	Task   int       `json:"task"`
+	Choice string    `json:"choice,omitempty"`
+	Reason string    `json:"reason,omitempty"`
 }
 
 // Explain tells operators what is known about a submission.
@@ -190,6 +202,10 @@
 		e.Held, e.State = true, stateRunning
 		e.Ended, e.Total = h.Progress()
 
+		for _, d := range h.Decisions() {
+			e.Decisions = append(e.Decisions, decision{d.Time().UTC(), d.Event(), d.Task(), d.Choice(), d.Reason()})
+		}
+
 		select {
 		case <-h.Done():
 			e.Status, _ = h.Answer()
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/entry/caller"
+	"github.com/skylarkweir/skylarkweir/entry/home"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/request/submission"
@@ -109,6 +110,8 @@
 	return h.delivered
 }
 
+func (h *held) Decisions() []home.Decision { return nil }
+
 func (h *held) Progress() (int, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
