--- /dev/null
+++ b/standin/benchmark/benchmark.go
@@ -0,0 +1,72 @@
+// Package benchmark measures the decisions of the running system against the targets of section 1 of docs/design.md.
+//
+// Every benchmark starts real processes, so one iteration is a whole run:
+//
+//	go test -run '^$' -bench . -benchtime 1x -timeout 30m ./standin/benchmark
+package benchmark
+
+import (
+	"fmt"
+	"time"
+)
+
+// The fleet of the benchmarks: a dozen workers of the smaller of today's two sizes.
+const (
+	Workers = 12
+	Slots   = 32
+	Entries = 4
+)
+
+// Seconds is the time for which submissions arrive.
+const Seconds = 20
+
+// Run time of a task: 50 ms to 1 s, and a tail of several seconds.
+const (
+	run       = "uniform 50ms 1s"
+	tail      = "uniform 2s 5s"
+	tailShare = 0.02
+	// meanRun is the mean of the mixture in seconds.
+	meanRun = (1-tailShare)*0.525 + tailShare*3.5
+	// meanTasks is the mean size of a job of 2 to 20 tasks.
+	meanTasks = 11
+)
+
+// Mixed returns a load that offers a part of the fleet's capacity: a tenth of the submissions are jobs.
+func Mixed(load float64, seed int) string {
+	const (
+		jobShare = 0.1
+		perStart = jobShare*meanTasks + (1 - jobShare)
+	)
+
+	rate := load * Workers * Slots / (meanRun * perStart)
+
+	return fmt.Sprintf(`"rate": %.2f, "duration": "%ds", "seed": %d, "attempts": 1, "mix": [
+		{"kind": "fit", "form": "job", "weight": %g, "tasks_least": 2, "tasks_most": 20, "run": %q, "tail": %q, "tail_share": %g},
+		{"kind": "stock", "form": "repeatable", "weight": %g, "run": %q, "tail": %q, "tail_share": %g},
+		{"kind": "order", "weight": %g, "run": %q, "tail": %q, "tail_share": %g}]`,
+		rate, Seconds, seed, jobShare, run, tail, tailShare, (1-jobShare)/2, run, tail, tailShare, (1-jobShare)/2, run, tail, tailShare)
+}
+
+// Limit bounds one run.
+const Limit = 4 * time.Minute
+
+// share is the part of the fleet that a kind of the flood benchmark is entitled to.
+func share(kind string) float64 {
+	return map[string]float64{"stock": 0.5, "quote": 0.3, "batch": 0.2}[kind]
+}
+
+// Kinds returns the kinds of the flood benchmark.
+func Kinds() []string { return []string{"stock", "quote", "batch"} }
+
+// Below returns a load of a kind that uses nine tenths of its share.
+func Below(kind string) string { return kindLoad(kind, 0.9*share(kind), 31) }
+
+// Flood returns a load of a kind of three times the fleet's capacity.
+func Flood(kind string) string { return kindLoad(kind, 3, 32) }
+
+func kindLoad(kind string, load float64, seed int) string {
+	const mean = 0.525
+
+	return fmt.Sprintf(`"rate": %.2f, "duration": "%ds", "seed": %d, "attempts": 1, "mix": [
+		{"kind": %q, "run": %q, "deadline": "5s"}]`, load*Workers*Slots/mean, Seconds, seed, kind, run)
+}
--- /dev/null
+++ b/standin/benchmark/response_test.go
@@ -0,0 +1,71 @@
+package benchmark_test
+
+import (
+	"context"
+	"os"
+	"testing"
+
+	"github.com/skylarkweir/skylarkweir/standin/benchmark"
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+	"github.com/skylarkweir/skylarkweir/standin/scenario"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+
+	cluster.RemoveShared()
+	os.Exit(code)
+}
+
+// BenchmarkResponse gives response time over the ideal at four loads. The target at 60 % is p50 within 1.1 and p99
+// within 1.5; at 120 % goodput is at least 95 % of the capacity.
+func BenchmarkResponse(b *testing.B) {
+	for _, c := range []struct {
+		name             string
+		load             float64
+		p50, p99, useful float64
+	}{
+		{"30%", 0.3, 0, 0, 0},
+		{"60%", 0.6, 1.1, 1.5, 0},
+		{"90%", 0.9, 0, 0, 0},
+		{"120%", 1.2, 0, 0, 0.95},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				response(b, c.load, c.p50, c.p99, c.useful)
+			}
+		})
+	}
+}
+
+func response(b *testing.B, load, p50, p99, useful float64) {
+	b.Helper()
+
+	ctx, cancel := context.WithTimeout(b.Context(), benchmark.Limit)
+	defer cancel()
+
+	s := scenario.Start(ctx, b, benchmark.Entries, benchmark.Workers, []string{"fit", "stock", "order"},
+		cluster.With("slots", benchmark.Slots))
+	report := s.Begin(ctx, benchmark.Mixed(load, 21)).Wait()
+	all := report.All()
+
+	for _, kind := range []string{"fit", "stock", "order"} {
+		k := report.Kind(kind)
+		b.ReportMetric(k.Ratio(50), kind+"-p50")
+		b.ReportMetric(k.Ratio(99), kind+"-p99")
+	}
+
+	b.ReportMetric(all.Ratio(50), "p50")
+	b.ReportMetric(all.Ratio(99), "p99")
+	b.ReportMetric(float64(all.Complete())/float64(all.Submitted()), "complete")
+	b.ReportMetric(all.Work().Seconds()/(benchmark.Seconds*benchmark.Workers*benchmark.Slots), "goodput")
+	b.Logf("refused %v", all.Refused())
+
+	if p50 > 0 && (all.Ratio(50) > p50 || all.Ratio(99) > p99) {
+		b.Errorf("p50 %.2f and p99 %.2f of the ideal, the targets are %.2f and %.2f", all.Ratio(50), all.Ratio(99), p50, p99)
+	}
+
+	if g := all.Work().Seconds() / report.Total().Seconds() / (benchmark.Workers * benchmark.Slots); useful > 0 && g < useful {
+		b.Errorf("goodput is %.2f of the capacity, the target is %.2f", g, useful)
+	}
+}
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -99,6 +99,9 @@
 	r.generated, r.total = generated, total
 }
 
+// Total returns the time until the last answer.
+func (r *Report) Total() time.Duration { return r.total }
+
 // All returns the figures of all kinds.
 func (r *Report) All() *Sums { return r.all }
 
@@ -126,6 +129,9 @@
 // Refused returns the number of submissions without a whole answer by code and ran.
 func (s *Sums) Refused() map[string]int { return maps.Clone(s.refused) }
 
+// Work returns the core time of the complete answers.
+func (s *Sums) Work() time.Duration { return s.work }
+
 // Response returns a percentile (0 to 100) of the response time of whole answers.
 func (s *Sums) Response(percentile float64) time.Duration {
 	return time.Duration(s.response.ValueAtQuantile(percentile)) * time.Microsecond
--- /dev/null
+++ b/standin/scenario/metrics.go
@@ -0,0 +1,80 @@
+package scenario
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+)
+
+// Metrics adds up the metrics of all entries and sidecars by name, without labels.
+func (s *System) Metrics(ctx context.Context) map[string]float64 {
+	s.tb.Helper()
+
+	sum := map[string]float64{}
+
+	for _, e := range s.cluster.Entries() {
+		s.must(scrape(ctx, e.Admin(), sum))
+	}
+
+	for _, w := range s.cluster.Workers() {
+		s.must(scrape(ctx, w.Admin(), sum))
+	}
+
+	return sum
+}
+
+// scrape adds the metrics of a process to sum.
+func scrape(ctx context.Context, admin string, sum map[string]float64) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, admin+"/metrics", http.NoBody)
+	if err != nil {
+		return err
+	}
+
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+
+	lines := bufio.NewScanner(a.Body)
+	for lines.Scan() {
+		name, value, found := strings.Cut(lines.Text(), " ")
+		if !found || strings.HasPrefix(name, "#") {
+			continue
+		}
+
+		base, _, _ := strings.Cut(name, "{")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			sum[base] += v
+		}
+	}
+
+	return lines.Err()
+}
+
+// Busy returns the core time of the tasks that keep selects, between two times.
+func Busy(starts []cluster.TaskStart, from, to time.Time, keep func(s cluster.TaskStart) bool) time.Duration {
+	sum := time.Duration(0)
+
+	for _, s := range starts {
+		begin, end := s.Begin(), s.End()
+		if begin.Before(from) {
+			begin = from
+		}
+
+		if end.IsZero() || end.After(to) {
+			end = to
+		}
+
+		if end.After(begin) && keep(s) {
+			sum += end.Sub(begin)
+		}
+	}
+
+	return sum
+}
