dispatch: begin the tests of keeping, probes and decisions

Intermediate state: tests of answer memory, bounds, handover and the cost of a submission, with the changes that they asked for.

--- a/entry/home/bench_test.go
+++ b/entry/home/bench_test.go
@@ -43,6 +43,8 @@
 
 	mu     sync.Mutex
 	starts []*wire.Start
+	// forget leaves the starts out, for benchmarks of memory and time.
+	forget bool
 	closed map[string]int
 	// start gives the outcome of a start; by default it completes with the input.
 	start func(ctx context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error)
@@ -124,7 +126,10 @@
 
 func (b *bench) Start(ctx context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
 	b.mu.Lock()
-	b.starts = append(b.starts, s)
+	if !b.forget {
+		b.starts = append(b.starts, s)
+	}
+
 	start := b.start
 	b.mu.Unlock()
 
--- /dev/null
+++ b/entry/home/cost_test.go
@@ -0,0 +1,138 @@
+package home_test
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/entry/home"
+	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+)
+
+func names(n int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprintf("w%02d", i))
+	}
+
+	return all
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkSubmitToAnswer measures the whole life of requests at their home, with sidecars that answer at once and the
+// log written to nowhere. It includes the log lines, and the making of the ticket by the test.
+func BenchmarkSubmitToAnswer(b *testing.B) {
+	for _, workers := range []int{12, 64} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			is := is.New(b)
+			t := newBench(b, names(workers)...)
+			t.table.Use(t.fleet, t, zerolog.New(io.Discard))
+			t.table.Limit(0, b.N+1, 0)
+			t.forget = true
+
+			go t.heartbeats(b.Context())
+
+			before := cpu()
+
+			b.ResetTimer()
+			b.SetParallelism(32)
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					h, err := t.table.Submit(t.submission(1, options{form: submission.NewRequest(false)}))
+					is.NoErr(err)
+					<-h.Done()
+					h.Delivered()
+				}
+			})
+			b.ReportMetric(float64(cpu()-before)/float64(time.Microsecond)/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// BenchmarkSaturated measures the cost of a task that waits: tasks of several kinds and members on a full fleet.
+func BenchmarkSaturated(b *testing.B) {
+	is := is.New(b)
+	t := newBench(b, names(64)...)
+	t.table.Limit(0, b.N+1, 0)
+	t.forget = true
+
+	go t.heartbeats(b.Context())
+
+	var all []*home.Held
+
+	before := cpu()
+
+	b.ResetTimer()
+
+	for n := range b.N {
+		h, err := t.table.Submit(t.submission(1, options{kind: []string{"scan", "quote"}[n%2], deadline: time.Minute}))
+		is.NoErr(err)
+
+		if all = append(all, h); len(all) > 5000 {
+			<-all[0].Done()
+			all = all[1:]
+		}
+	}
+
+	for _, h := range all {
+		<-h.Done()
+	}
+
+	b.ReportMetric(float64(cpu()-before)/float64(time.Microsecond)/float64(b.N), "cpu-us/op")
+}
+
+// BenchmarkHeldMemory measures the memory of an ended submission with a small answer, ticket text included.
+func BenchmarkHeldMemory(b *testing.B) {
+	const count = 50000
+
+	is := is.New(b)
+
+	for range b.N {
+		t := newBench(b, names(12)...)
+		t.forget = true
+
+		go t.heartbeats(b.Context())
+
+		var before, after runtime.MemStats
+
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+
+		for range count {
+			h, err := t.table.Submit(t.submission(1, options{}))
+			is.NoErr(err)
+			<-h.Done()
+		}
+
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/held")
+		is.Equal(t.table.Count(), count)
+	}
+}
+
+// BenchmarkLogLine measures what a decision costs with its log line, and without one.
+func BenchmarkLogLine(b *testing.B) {
+	for name, l := range map[string]zerolog.Logger{"line": zerolog.New(io.Discard).With().Timestamp().Logger(), "none": zerolog.Nop()} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+
+			for b.Loop() {
+				l.Info().Int("candidates", 2).Str("against", "worker-02").Str("submission", "AAECAwQFBgcICQoLDA0ODw").
+					Str("member", "mill").Str("kind", "scan").Int("task", 17).Int("attempt", 0).
+					Str("choice", "worker-01").Str("reason", "less_loaded").Msg("task_placed")
+			}
+		})
+	}
+}
--- a/entry/home/held.go
+++ b/entry/home/held.go
@@ -65,6 +65,11 @@
 		left: h.total, bytes: inputBytes(s),
 	}
 	w.place = place.Within(w.allowed)
+	w.deadline = s.Deadline()
+
+	if h.expiry.Before(w.deadline) {
+		w.deadline = h.expiry
+	}
 
 	if h.total > 1 {
 		w.place = w.place.Over(&w.spread)
@@ -155,7 +160,7 @@
 	}
 	q.mu.Unlock()
 
-	w.timer = time.AfterFunc(w.submission.Deadline().Sub(now), h.expire)
+	w.timer = time.AfterFunc(w.deadline.Sub(now), h.expire)
 	h.mu.Unlock()
 	h.table.wake()
 }
--- a/entry/home/rules.go
+++ b/entry/home/rules.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/share"
 	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
@@ -13,6 +15,7 @@
 // immutable but for the cache of allowances.
 type rules struct {
 	ready   bool
+	version int64
 	kinds   map[string]kindRule
 	members map[string]int
 	workers []ledger.Worker
@@ -33,16 +36,10 @@
 
 func newRules(s *ledger.State) *rules {
 	r := &rules{
-		ready: s.Ready() && s.Version() > 0, kinds: map[string]kindRule{}, members: map[string]int{},
+		ready: s.Ready(), version: s.Version(), kinds: map[string]kindRule{}, members: map[string]int{},
 		workers: s.Workers(), entries: max(len(s.Entries()), 1), agreed: s.Agreement(), state: s,
 	}
 
-	if r.agreed == nil {
-		r.ready = false
-
-		return r
-	}
-
 	for _, w := range r.workers {
 		r.slots += w.Slots()
 	}
@@ -114,18 +111,35 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+			time.Sleep(settleTime)
 		}
 	}
 }
 
 func (f *follower) apply() {
-	f.table.apply(f.book.State())
+	if r := newRules(f.book.State()); !r.equal(f.table.rules.Load()) {
+		f.table.apply(r)
+	}
+}
+
+// settleTime bounds how often the rules are derived. Bindings change the state up to 20 times a second for each entry
+// and do not change the rules.
+const settleTime = 50 * time.Millisecond
+
+// equal tells whether both lead to the same decisions.
+func (r *rules) equal(o *rules) bool {
+	if o == nil || r.ready != o.ready || r.version != o.version || r.entries != o.entries {
+		return false
+	}
+
+	return slices.EqualFunc(r.workers, o.workers, func(a, b ledger.Worker) bool {
+		return a.Name() == b.Name() && a.Incarnation() == b.Incarnation() && a.Joined() == b.Joined()
+	})
 }
 
-func (t *Table) apply(s *ledger.State) {
-	r := newRules(s)
+func (t *Table) apply(r *rules) {
 	t.rules.Store(r)
-	t.workers.Register(s.Registered)
+	t.workers.Register(r.state.Registered)
 
 	t.queue.mu.Lock()
 	for name, k := range r.kinds {
--- a/entry/home/start.go
+++ b/entry/home/start.go
@@ -118,7 +118,7 @@
 	m.SetKind(b.Kind())
 	m.SetCores(uint32(b.Cores()))
 	m.SetMemoryMb(uint32(b.MemoryMB()))
-	m.SetRemainingMs(max(0, b.Deadline().Sub(now).Milliseconds()))
+	m.SetRemainingMs(max(0, s.task.work.deadline.Sub(now).Milliseconds()))
 	m.SetPosition(b.Ticket().Position())
 	m.SetKeepMs(max(0, b.Ticket().Expiry().Sub(now).Milliseconds()))
 	m.SetProbe(s.choice.Probe())
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -22,9 +22,9 @@
 const (
 	// shards spreads the table over several locks. Submit and Find of different submissions rarely share one.
 	shards = 64
-	// defaultSize is the number of submissions held at most. At about 600 bytes for an ended submission without its
-	// answer, the records of a full table take 120 MB.
-	defaultSize = 200000
+	// defaultSize is the number of submissions held at most. An ended submission with a small answer takes about
+	// 765 bytes by BenchmarkHeldMemory, so a full table takes 115 MB.
+	defaultSize = 150000
 	// defaultAnswerMemory is the design's answer_memory.
 	defaultAnswerMemory = 96 << 20
 )
--- a/entry/home/task.go
+++ b/entry/home/task.go
@@ -18,6 +18,8 @@
 	// spread is guarded by the lock of the queue.
 	spread   placement.Spread
 	accepted time.Time
+	// deadline is at most the ticket's expiry: sidecars forget starts after that, and a repeated start would run again.
+	deadline time.Time
 	// limit is the member's limit in slots.
 	limit   int
 	ctx     context.Context
--- a/entry/sidecar/hub.go
+++ b/entry/sidecar/hub.go
@@ -2,6 +2,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	book      *ledger.Book
 	registrar Registrar
 	log       zerolog.Logger
+	// keep is how long tombstones are kept; zero means defaultKeep.
+	keep time.Duration
 
 	mu sync.Mutex
 	// links holds the present connection of each worker name.
@@ -39,6 +42,9 @@
 	h.entry, h.workers, h.book, h.registrar, h.log = entry, workers, book, registrar, log
 }
 
+// KeepClosed sets how long sidecars remember a close: the lifetime of a ticket and a margin.
+func (h *Hub) KeepClosed(keep time.Duration) { h.keep = keep }
+
 // Serve handles the connection of a sidecar until it ends.
 func (h *Hub) Serve(ctx context.Context, c *quic.Conn, control *quic.Stream, hello *wire.Hello) {
 	if hello.GetWorker().GetName() == "" || hello.GetWorker().GetIncarnation() == 0 {
@@ -58,8 +64,7 @@
 		return
 	}
 
-	l.worker = h.workers.Connect(hello.GetWorker(), time.Now())
-	h.attach(l)
+	h.attach(l, hello.GetWorker())
 	h.log.Info().Str("worker", l.worker.Name()).Uint64("incarnation", l.worker.Incarnation()).
 		Str("remote", c.Remote().String()).Msg("sidecar_connected")
 
@@ -92,7 +97,7 @@
 	m := &wire.Close{}
 	m.SetSubmissions(submissions)
 	m.SetCancel(cancel)
-	m.SetKeepMs(closeKeep.Milliseconds())
+	m.SetKeepMs(cmp.Or(h.keep, defaultKeep).Milliseconds())
 
 	f := &wire.Frame{}
 	f.SetClose(m)
@@ -109,9 +114,8 @@
 	return reply.GetCloseReply(), nil
 }
 
-// closeKeep is how long tombstones are kept: the longest lifetime of a ticket that is not set otherwise, and the margin
-// of the start tables.
-const closeKeep = 5*time.Minute + 30*time.Second
+// defaultKeep is the default lifetime of a ticket and the margin of the start tables.
+const defaultKeep = 5*time.Minute + 30*time.Second
 
 func (h *Hub) find(worker string, incarnation uint64) (*link, bool) {
 	h.mu.Lock()
@@ -122,10 +126,12 @@
 	return l, found && l.worker.Incarnation() == incarnation
 }
 
-// attach makes l the connection of its worker. An older one is closed, since a sidecar dials again only after a loss.
-func (h *Hub) attach(l *link) {
+// attach makes l the connection of the worker. An older one is closed, since a sidecar dials again only after a loss.
+// The fleet changes under the same lock, so that the end of the older connection does not remove the worker.
+func (h *Hub) attach(l *link, w *wire.Worker) {
 	h.mu.Lock()
 
+	l.worker = h.workers.Connect(w, time.Now())
 	old := h.links[l.worker.Name()]
 
 	if h.links == nil {
@@ -142,15 +148,10 @@
 
 func (h *Hub) detach(l *link) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 
-	present := h.links[l.worker.Name()] == l
-	if present {
+	if h.links[l.worker.Name()] == l {
 		delete(h.links, l.worker.Name())
-	}
-
-	h.mu.Unlock()
-
-	if present {
 		h.workers.Disconnect(l.worker)
 	}
 }
--- a/weir/process/fleet/fleet.go
+++ b/weir/process/fleet/fleet.go
@@ -95,7 +95,7 @@
 
 	w.connected.Store(true)
 	w.leaving.Store(false)
-	w.heard.Store(now.UnixNano())
+	w.hear(now)
 	f.eject(now)
 	f.announce()
 	f.mu.Unlock()
@@ -121,11 +121,11 @@
 }
 
 // Hear notes that the worker was heard from.
-func (f *Fleet) Hear(w *Worker, now time.Time) { w.heard.Store(now.UnixNano()) }
+func (f *Fleet) Hear(w *Worker, now time.Time) { w.hear(now) }
 
 // Report takes a load report; an older one than the present is dropped. It returns whether it was fresher.
 func (f *Fleet) Report(w *Worker, l *wire.Load, now time.Time) bool {
-	w.heard.Store(now.UnixNano())
+	w.hear(now)
 
 	if l == nil {
 		return false
--- a/weir/process/fleet/worker.go
+++ b/weir/process/fleet/worker.go
@@ -20,7 +20,7 @@
 	refused atomic.Pointer[refusals]
 	// joinedPlusOne is the log offset of the registration plus one; zero means not registered.
 	joinedPlusOne atomic.Int64
-	// heard is when the worker was last heard from, in nanoseconds since the Unix epoch.
+	// heard is when the worker was last heard from, in nanoseconds after origin.
 	heard atomic.Int64
 	// outstanding counts the slots of this entry's starts without an outcome; since counts those sent after the report.
 	outstanding, since atomic.Int64
@@ -65,7 +65,12 @@
 func (w *Worker) Report() *Report { return w.report.Load() }
 
 // Heard returns when the worker was last heard from.
-func (w *Worker) Heard() time.Time { return time.Unix(0, w.heard.Load()) }
+func (w *Worker) Heard() time.Time { return origin.Add(time.Duration(w.heard.Load())) }
+
+func (w *Worker) hear(now time.Time) { w.heard.Store(int64(now.Sub(origin))) }
+
+// origin carries a monotonic reading, so that a step of the wall clock does not make workers appear silent.
+var origin = time.Now()
 
 // Connected tells whether the worker has a connection now.
 func (w *Worker) Connected() bool { return w.connected.Load() }
@@ -97,10 +102,10 @@
 	}
 
 	r := w.Report()
-	// Starts since the report fill the free slots first and then the queue.
-	since := max(0, int(w.since.Load())-max(0, w.Slots()-r.Held()))
+	// Starts that the report does not include fill the free slots first and then the queue.
+	more := max(0, w.Load()-r.Busy()-max(0, w.Slots()-r.Held()))
 
-	return r.Queued(kind)+since < slots*max(minQueue, w.Slots()/queuePart)
+	return r.Queued(kind)+more < slots*max(minQueue, w.Slots()/queuePart)
 }
 
 // The length of a sidecar's run queue for one kind in tasks: a quarter of its slots, and at least two.
