Refuse early by net drain and run time, and start nothing that cannot end in time

Cause: in a flood of three times the capacity 28043 of 43964 submissions were started and cancelled at their deadline. The drain rate counted a task each time it was taken, also when the sidecar rejected the start and the task was queued again, so waits were underestimated. It was also kept for each kind over all members, although a member at its limit drains more slowly than the others.

Change: a returned task is taken back out of the rate; the rate is kept for each member and kind; admission adds the run time within which nine of ten tasks of the kind end; a task with less time left than the median run time is dropped before it is started. Run times are measured (weir/process/estimate), since declared ones are often far off.

--- a/entry/home/admit.go
+++ b/entry/home/admit.go
@@ -95,7 +95,8 @@
 		return fault.New(fault.Overloaded, "wait queue has no room for %d tasks of kind %s", n, s.Kind())
 	}
 
-	if wait, known := q.Wait(s.Kind(), n, now); known && now.Add(wait).After(s.Deadline()) {
+	// The run time is included, so that a task is not started only to be cancelled at its deadline.
+	if wait, known := q.Wait(s.Member(), s.Kind(), n, now); known && now.Add(wait+t.runs.Long(s.Kind(), now)).After(s.Deadline()) {
 		return fault.New(fault.DeadlineUnreachable, "tasks of kind %s wait about %s at present", s.Kind(), wait.Round(time.Millisecond))
 	}
 
--- a/entry/home/dispatch.go
+++ b/entry/home/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
 	"github.com/skylarkweir/skylarkweir/weir/process/placement"
 	"github.com/skylarkweir/skylarkweir/weir/process/waitqueue"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
 // news collects the workers that reported since the last pass.
@@ -117,6 +118,16 @@
 		}
 
 		k := i.Value()
+
+		if left := k.work.submission.Deadline().Sub(now); left < t.runs.Typical(k.work.submission.Kind(), now) {
+			q.tasks.Remove(i)
+			q.mu.Unlock()
+			k.work.held.fail(fault.New(fault.DeadlineExceeded, "%s are left for a task of kind %s, less than it usually runs",
+				left.Round(time.Millisecond), k.work.submission.Kind()))
+
+			continue
+		}
+
 		c := t.place(i, dirty, now)
 		waits := c.Worker() == nil && !k.waited
 
--- a/entry/home/start.go
+++ b/entry/home/start.go
@@ -165,7 +165,9 @@
 
 	s.over(false, true)
 	s.report(r)
-	s.table.meters().completed(time.Since(s.task.work.accepted), time.Duration(c.GetRunUs())*time.Microsecond)
+	run := time.Duration(c.GetRunUs()) * time.Microsecond
+	s.table.meters().completed(time.Since(s.task.work.accepted), run)
+	s.table.runs.Observe(s.task.work.submission.Kind(), run)
 	s.task.work.held.completed(s.task, c.GetOutput())
 }
 
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -12,6 +12,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/estimate"
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
 	"github.com/skylarkweir/skylarkweir/weir/process/placement"
 	"github.com/skylarkweir/skylarkweir/weir/process/retrybudget"
@@ -55,6 +56,7 @@
 	expiry expiry
 	closer closer
 	budget retrybudget.Budget
+	runs   estimate.RunTimes
 
 	metricsOnce sync.Once
 	registry    metrics.Registry
--- a/weir/process/waitqueue/drain.go
+++ b/weir/process/waitqueue/drain.go
@@ -9,7 +9,7 @@
 	minWindow = 500 * time.Millisecond
 )
 
-// drain measures how fast a backlogged kind is taken. It keeps the present and the previous window.
+// drain measures how fast a backlogged flow is taken. It keeps the present and the previous window.
 type drain struct {
 	// began is the start of the present window, and not before the start of the backlog.
 	began time.Time
@@ -26,6 +26,9 @@
 	d.count++
 }
 
+// returned takes back the count of a task that was taken and not started.
+func (d *drain) returned() { d.count = max(0, d.count-1) }
+
 func (d *drain) roll(now time.Time) {
 	elapsed := now.Sub(d.began)
 	if elapsed < window {
--- a/weir/process/waitqueue/queue.go
+++ b/weir/process/waitqueue/queue.go
@@ -34,7 +34,6 @@
 	tasks  int
 	held   int
 	flows  []*Flow[T]
-	drain  drain
 }
 
 // Flow holds the waiting tasks of one member and kind, first come first.
@@ -44,6 +43,8 @@
 	// limit is the member's limit in slots, and at least 1.
 	limit       int
 	held        int
+	tasks       int
+	drain       drain
 	first, last *Item[T]
 	// skipped is the last pass in which the head of this flow found no place.
 	skipped uint64
@@ -160,8 +161,8 @@
 	i := &Item[T]{value: value, slots: slots, flow: f, since: now}
 	q.insert(i, f.last)
 
-	if f.kind.tasks == 1 {
-		f.kind.drain.begin(now)
+	if f.tasks == 1 {
+		f.drain.begin(now)
 	}
 
 	// The new item may be smaller or have more candidates than the head, which then is moved back.
@@ -173,6 +174,8 @@
 // Return puts a task that was taken back to the head of its flow and releases its slots.
 func (q *Queue[T]) Return(i *Item[T]) {
 	q.Release(i)
+	// In an overload most starts are rejected and taken again; counting each would make the drain look too fast.
+	i.flow.drain.returned()
 	q.insert(i, nil)
 }
 
@@ -193,7 +196,7 @@
 	f.held += i.slots
 	f.kind.held += i.slots
 	q.held += i.slots
-	f.kind.drain.taken(now)
+	f.drain.taken(now)
 }
 
 // Release ends the hold of a taken item.
@@ -277,20 +280,25 @@
 	return true
 }
 
-// Wait estimates how long a new task of the kind waits until it is taken; known is false without a backlog to
-// measure.
-func (q *Queue[T]) Wait(name string, n int, now time.Time) (wait time.Duration, known bool) {
+// Wait estimates how long the last of n new tasks of the member and kind waits until it is taken; known is false
+// without a backlog to measure.
+func (q *Queue[T]) Wait(member, name string, n int, now time.Time) (wait time.Duration, known bool) {
 	k, found := q.kinds[name]
-	if !found || k.tasks == 0 {
+	if !found {
 		return 0, false
 	}
 
-	rate, known := k.drain.rate(now)
+	f := k.find(member)
+	if f == nil || f.tasks == 0 {
+		return 0, false
+	}
+
+	rate, known := f.drain.rate(now)
 	if !known {
 		return 0, false
 	}
 
-	seconds := float64(k.tasks+n) / rate
+	seconds := float64(f.tasks+n) / rate
 	if seconds > math.MaxInt32 {
 		seconds = math.MaxInt32
 	}
@@ -333,6 +341,17 @@
 	return best
 }
 
+// find returns the flow of the member, or nil.
+func (k *kind[T]) find(member string) *Flow[T] {
+	for _, f := range k.flows {
+		if f.member == member {
+			return f
+		}
+	}
+
+	return nil
+}
+
 func (q *Queue[T]) kind(name string) *kind[T] {
 	if k, found := q.kinds[name]; found {
 		return k
@@ -353,12 +372,10 @@
 func (q *Queue[T]) flow(member, name string, limit int) *Flow[T] {
 	k := q.kind(name)
 
-	for _, f := range k.flows {
-		if f.member == member {
-			f.limit = max(limit, 1)
+	if f := k.find(member); f != nil {
+		f.limit = max(limit, 1)
 
-			return f
-		}
+		return f
 	}
 
 	f := &Flow[T]{kind: k, member: member, limit: max(limit, 1)}
@@ -418,6 +435,7 @@
 		q.members = map[string]int{}
 	}
 
+	f.tasks += n
 	f.kind.tasks += n
 	q.tasks += n
 	q.members[f.member] += n
--- a/weir/process/waitqueue/queue_test.go
+++ b/weir/process/waitqueue/queue_test.go
@@ -226,14 +226,14 @@
 
 	var q queue
 
-	_, known := q.Wait("scan", 1, start)
+	_, known := q.Wait("m", "scan", 1, start)
 	is.True(!known)
 
 	for range 1000 {
 		q.Push("m", "scan", 1, 1, 0, start)
 	}
 
-	_, known = q.Wait("scan", 1, start.Add(100*time.Millisecond))
+	_, known = q.Wait("m", "scan", 1, start.Add(100*time.Millisecond))
 	is.True(!known)
 
 	now := start
@@ -243,22 +243,54 @@
 		q.Take(q.Next(), now)
 	}
 
-	wait, known := q.Wait("scan", 100, now)
+	wait, known := q.Wait("m", "scan", 100, now)
 	is.True(known)
 	is.True(wait > 5*time.Second && wait < 7*time.Second)
 
 	// A stall lets the estimate grow; an empty queue has none.
-	stalled, _ := q.Wait("scan", 100, now.Add(10*time.Second))
+	stalled, _ := q.Wait("m", "scan", 100, now.Add(10*time.Second))
 	is.True(stalled > 2*wait)
 
 	for range 500 {
 		take(&q)
 	}
 
-	_, known = q.Wait("scan", 1, now)
+	_, known = q.Wait("m", "scan", 1, now)
 	is.True(!known)
 }
 
+// Guards against a drain rate that counts rejected starts: in an overload most starts are rejected and taken again, and
+// no submission would be refused early.
+func TestRejectedStartsAreNoDrain(t *testing.T) {
+	is := is.New(t)
+
+	var q queue
+
+	for range 1000 {
+		q.Push("m", "scan", 1, 1, 0, start)
+	}
+
+	now := start
+	for n := range 500 { // 100 starts/s for 5 s, of which nine in ten are rejected
+		now = now.Add(10 * time.Millisecond)
+		q.Begin(false)
+
+		i := q.Next()
+		q.Take(i, now)
+
+		if n%10 > 0 {
+			q.Return(i)
+		}
+	}
+
+	wait, known := q.Wait("m", "scan", 100, now)
+	is.True(known)
+	is.True(wait > 80*time.Second) // 1050 tasks at 10 tasks/s
+
+	_, known = q.Wait("other", "scan", 1, now)
+	is.True(!known) // another member's backlog tells nothing
+}
+
 // BenchmarkTake measures one push and one take with the flows of many members and kinds.
 func BenchmarkTake(b *testing.B) {
 	for _, members := range []int{1, 190} {
