--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -51,8 +51,9 @@
 	is.Equal(fault.RanOf(err), fault.RanNone)
 
 	all[1].Delivered()
-	_, err = b.table.Submit(b.submission(1, options{}))
+	h, err = b.table.Submit(b.submission(1, options{}))
 	is.NoErr(err)
+	await(is, h)
 
 	r := await(is, all[1])
 	is.Equal(r.Error.Code, "answer_released")
@@ -73,8 +74,9 @@
 	b.start = hang
 	b.table.Limit(100, 0, 0)
 
-	h, err := b.table.Submit(b.submission(70, options{})) // 10 of them start
+	h, err := b.table.Submit(b.submission(70, options{}))
 	is.NoErr(err)
+	eventually(is, func() bool { return len(b.sent()) == room })
 	_, err = b.table.Submit(b.submission(70, options{}))
 	is.Equal(fault.KindOf(err), fault.Overloaded)
 
