Tell amendments of the state apart from bindings and positions

Cause: followers of a book recompute shares at each change, and a batch of bindings is a change; 12 entries may append 240 batches/s.

Book.Amended is closed only when the agreement, the workers, the entries or the readiness differ. A minimum time between notifications was ruled out, since it would delay a changed agreement. The property test counts versions apart from the fold, the outage test bounds the calls to a log that is down, and the bound on kept records has a test. The follower logs that the log answers again.

--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -59,6 +59,7 @@
 
 type shown struct {
 	First, Next, Appends, Lost int64
+	Refused                    int64
 	RefusedAppends             int64 `json:"refused_appends"`
 	Types                      map[string]int64
 }
@@ -306,6 +307,8 @@
 			go func() { done <- p.appendAll(wait, joined(2), joined(3)) }()
 
 			time.Sleep(time.Second)
+			// The waits grow from 50 ms to 2 s, for the follower and for the probes of the appender.
+			is.True(r.show().Refused < 50)
 			r.faults(`{}`)
 
 			for _, err := range <-done {
--- a/weir/connection/logservice/follower.go
+++ b/weir/connection/logservice/follower.go
@@ -72,7 +72,7 @@
 
 		switch {
 		case err == nil:
-			f.failures = 0
+			f.recovered()
 			f.keepSnapshot(ctx)
 		case ctx.Err() == nil:
 			f.failed(ctx, err)
@@ -136,6 +136,14 @@
 	f.failures++
 }
 
+func (f *Follower) recovered() {
+	if f.failures > 0 {
+		f.log.Info().Int("failures", f.failures).Msg("the log answers again")
+	}
+
+	f.failures = 0
+}
+
 func (f *Follower) report() {
 	s := f.book.State()
 	if s.Skipped() > f.skipped {
--- a/weir/version/ledger/book.go
+++ b/weir/version/ledger/book.go
@@ -33,6 +33,8 @@
 	// snapshot is encoded at most once for each view.
 	snapshot func() []byte
 	changed  chan struct{}
+	// amended is shared with later views until the agreement, the workers, the entries or the readiness differ.
+	amended chan struct{}
 }
 
 func (b *Book) load() *view {
@@ -47,7 +49,7 @@
 
 func newView(s *State) *view {
 	return &view{
-		state: s, recentFrom: s.Position(), changed: make(chan struct{}),
+		state: s, recentFrom: s.Position(), changed: make(chan struct{}), amended: make(chan struct{}),
 		snapshot: sync.OnceValue(func() []byte { return SnapshotRecord(s) }),
 	}
 }
@@ -58,6 +60,10 @@
 // Changed returns a channel that is closed at the next change.
 func (b *Book) Changed() <-chan struct{} { return b.load().changed }
 
+// Amended returns a channel that is closed at the next change of the agreement, the workers, the entries or the
+// readiness. Bindings, which may arrive hundreds of times a second, and positions do not close it.
+func (b *Book) Amended() <-chan struct{} { return b.load().amended }
+
 // Advance applies records that were read from the log and notes that the log was read up to through. The records are
 // consecutive; if they do not follow on the state's LogPosition, the log has dropped those between.
 func (b *Book) Advance(records []Record, through int64) {
@@ -138,8 +144,17 @@
 		v.recent = v.recent[1:]
 	}
 
+	amended := !s.alike(old.state)
+	if !amended {
+		v.amended = old.amended
+	}
+
 	b.view.Store(v)
 	close(old.changed)
+
+	if amended {
+		close(old.amended)
+	}
 }
 
 // Since returns what a process at the position lacks: the records since then, or a snapshot if they are not at hand.
--- a/weir/version/ledger/converge_test.go
+++ b/weir/version/ledger/converge_test.go
@@ -60,6 +60,8 @@
 	states [][]byte
 	// positions has the position of the snapshot at each offset, or -1.
 	positions []int64
+	// version is counted apart from the fold.
+	version int64
 }
 
 func newModel(t *rapid.T) *model {
@@ -78,19 +80,24 @@
 			position = old.Position()
 			m.add(ledger.SnapshotRecord(old))
 		} else {
-			m.add(draw(t, s, len(m.records)))
+			m.add(m.draw(t))
 		}
 
 		m.positions = append(m.positions, position)
 		s = s.Apply(m.records[len(m.records)-1])
 		prefixes = append(prefixes, s)
 		m.states = append(m.states, ledger.SnapshotRecord(s))
+
+		if s.Version() != m.version {
+			t.Fatalf("version %d at position %d, want %d", s.Version(), s.Position(), m.version)
+		}
 	}
 
 	return m
 }
 
-func draw(t *rapid.T, s *ledger.State, i int) []byte {
+func (m *model) draw(t *rapid.T) []byte {
+	i := len(m.records)
 	name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))
 	incarnation := uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))
 
@@ -108,7 +115,10 @@
 	case 5:
 		return []byte("not a record")
 	default:
-		base := max(0, s.Version()+int64(rapid.IntRange(-1, 1).Draw(t, "base")))
+		base := max(0, m.version+int64(rapid.IntRange(-1, 1).Draw(t, "base")))
+		if base == m.version {
+			m.version++
+		}
 
 		return publication(t, base, fmt.Sprintf("m%d", i))
 	}
--- a/weir/version/ledger/ledger_test.go
+++ b/weir/version/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -193,6 +194,33 @@
 	is.Equal(b.State().Version(), int64(3))
 }
 
+// Guards against a truncated log without snapshots that fills the memory of its readers, and against a gap that counts
+// as closed although kept records were dropped.
+func TestKeptRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+
+	const count = 40 // of 1 MB each, of which 32 MB are kept
+
+	j := &journal{}
+	j.add(publication(t, 0, "one"))
+
+	for i := range count {
+		w := worker(fmt.Sprint(i), 1)
+		w.SetRack(strings.Repeat("r", 1<<20))
+		j.add(ledger.WorkerJoinedRecord(w))
+	}
+
+	for covered, want := range map[int]bool{1: false, count: true} {
+		var b ledger.Book
+
+		b.Advance(j.records[1:], j.end())
+
+		snapshot := ledger.SnapshotRecord((&ledger.State{}).Apply(j.records[:covered]...))
+		b.Advance([]ledger.Record{ledger.NewRecord(j.end(), j.now, snapshot)}, j.end()+1)
+		is.Equal(b.State().Ready(), want)
+	}
+}
+
 // Guards against a lagging process that sets others back by appending a snapshot of its old state.
 func TestOldSnapshotAppended(t *testing.T) {
 	is := is.New(t)
@@ -442,6 +470,37 @@
 	}
 }
 
+// Guards against shares that are computed again for each batch of bindings, and against a missed change of the workers.
+func TestAmended(t *testing.T) {
+	is := is.New(t)
+
+	var b ledger.Book
+
+	closed := func(c <-chan struct{}) bool {
+		select {
+		case <-c:
+			return true
+		default:
+			return false
+		}
+	}
+	binding := ledger.BindingRecord("m", "k", "t", nil)
+
+	for i, c := range []struct {
+		data []byte
+		want bool
+	}{
+		{publication(t, 0, "one"), true}, {binding, false}, {ledger.WorkerJoinedRecord(worker("w", 1)), true}, {binding, false},
+		{publication(t, 0, "void"), false}, {ledger.EntryJoinedRecord(entry("e", 1)), true},
+		{ledger.WorkerLeftRecord("w", 1, false), true},
+	} {
+		changed, amended := b.Changed(), b.Amended()
+		b.Advance([]ledger.Record{ledger.NewRecord(int64(i), epoch, c.data)}, int64(i+1))
+		is.True(closed(changed))
+		is.Equal(closed(amended), c.want)
+	}
+}
+
 // Guards against data races between readers and writers, and against a reader that sees a lower position or misses a
 // change.
 func TestConcurrentReaders(t *testing.T) {
--- a/weir/version/ledger/state.go
+++ b/weir/version/ledger/state.go
@@ -71,6 +71,14 @@
 
 func (s *State) gapped() bool { return s.gap > s.Position() }
 
+// alike tells whether agreement, workers, entries and readiness are the same. Rosters are copied before a change, so
+// equal pointers mean equal content.
+func (s *State) alike(o *State) bool {
+	a, b := s.fold(), o.fold()
+
+	return a.version == b.version && a.workers == b.workers && a.entries == b.entries && s.Complete() == o.Complete()
+}
+
 // Agreement returns the agreement in force; it is empty if there is none.
 func (s *State) Agreement() *agreement.Agreement {
 	if a := s.fold().agreement; a != nil {
--- a/weir/version/ledger/watch.go
+++ b/weir/version/ledger/watch.go
@@ -27,7 +27,7 @@
 	return w
 }
 
-// Seen is closed once the record was applied.
+// Seen is closed once the record was read. After a gap the book may not have applied it yet, except for bindings.
 func (w *Watch) Seen() <-chan struct{} { return w.seen }
 
 // Offset returns the offset of the record; it is valid once Seen is closed.
