Keep a margin in the estimated wait and drop late tasks by the long run time

Change: a quarter is added to the estimated wait, and a task that had to wait is dropped if less time is left than nine of ten tasks of its kind need. A task that did not have to wait is tried, since its caller may know better.

--- a/entry/home/admit.go
+++ b/entry/home/admit.go
@@ -8,6 +8,10 @@
 	"github.com/skylarkweir/skylarkweir/weir/request/submission"
 )
 
+// waitMargin is the part of an estimated wait that is added to it. The drain rate is that of the last 2 s, so the
+// estimate lags behind while a queue builds up.
+const waitMargin = 4
+
 // admit checks a new submission and returns its record, with nothing started or queued yet. The caller holds the shard.
 func (t *Table) admit(s submission.Submission, now time.Time) (*Held, error) {
 	switch {
@@ -95,8 +99,9 @@
 		return fault.New(fault.Overloaded, "wait queue has no room for %d tasks of kind %s", n, s.Kind())
 	}
 
+	wait, known := q.Wait(s.Member(), s.Kind(), n, now)
 	// The run time is included, so that a task is not started only to be cancelled at its deadline.
-	if wait, known := q.Wait(s.Member(), s.Kind(), n, now); known && now.Add(wait+t.runs.Long(s.Kind(), now)).After(s.Deadline()) {
+	if known && now.Add(wait+wait/waitMargin+t.runs.Long(s.Kind(), now)).After(s.Deadline()) {
 		return fault.New(fault.DeadlineUnreachable, "tasks of kind %s wait about %s at present", s.Kind(), wait.Round(time.Millisecond))
 	}
 
--- a/entry/home/dispatch.go
+++ b/entry/home/dispatch.go
@@ -119,11 +119,10 @@
 
 		k := i.Value()
 
-		if left := k.work.submission.Deadline().Sub(now); left < t.runs.Typical(k.work.submission.Kind(), now) {
+		if err := t.late(k, now); err != nil {
 			q.tasks.Remove(i)
 			q.mu.Unlock()
-			k.work.held.fail(fault.New(fault.DeadlineExceeded, "%s are left for a task of kind %s, less than it usually runs",
-				left.Round(time.Millisecond), k.work.submission.Kind()))
+			k.work.held.fail(err)
 
 			continue
 		}
@@ -150,6 +149,18 @@
 	}
 }
 
+// late refuses a task that has waited so long that it would probably be cancelled at its deadline. A task that did not
+// have to wait is tried, since its caller may know better than the estimate.
+func (t *Table) late(k *task, now time.Time) error {
+	kind, left := k.work.submission.Kind(), k.work.submission.Deadline().Sub(now)
+	if !k.waited || left >= t.runs.Long(kind, now) {
+		return nil
+	}
+
+	return fault.New(fault.DeadlineExceeded, "%s are left after the wait, less than a task of kind %s may run",
+		left.Round(time.Millisecond), kind)
+}
+
 // place chooses a worker for the item. The caller holds the lock of the queue.
 func (t *Table) place(i *waitqueue.Item[*task], dirty []*fleet.Worker, now time.Time) placement.Choice {
 	k := i.Value()
