--- /dev/null
+++ b/sidecar/entry/lease_test.go
@@ -0,0 +1,90 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/entry"
+)
+
+// Guards against starts that run late after a stop of the process, in which frames were buffered: starts of the old
+// epoch, and acknowledgements that would revive it.
+func TestLeaseAfterStop(t *testing.T) {
+	is := is.New(t)
+	begin := time.Now()
+	at := func(s float64) time.Time { return begin.Add(time.Duration(s * float64(time.Second))) }
+
+	var l entry.Lease
+
+	old := l.Send(1, at(0))
+	is.True(!l.Valid(old, at(0.5))) // nothing was acknowledged yet
+	l.Acknowledge(1, old, at(1))
+	is.True(l.Valid(old, at(2.9)))
+
+	is.Equal(l.Send(2, at(1)), old)
+
+	// The process is stopped from 1 s to 5 s and then reads what was buffered, in the worst order.
+	l.Acknowledge(2, old, at(5))
+	is.True(!l.Valid(old, at(5)))
+
+	next := l.Send(3, at(5))
+	is.True(next > old)
+	l.Acknowledge(2, next, at(5))
+	l.Acknowledge(2, old, at(5))
+	is.True(!l.Valid(next, at(5)))
+
+	l.Acknowledge(3, next, at(5.1))
+	is.True(l.Valid(next, at(7.9)))
+	is.True(!l.Valid(old, at(7.9)))
+	is.True(!l.Valid(next, at(8))) // 3 s after the sending, not after the acknowledgement
+}
+
+// Guards against a lease that lasts longer when an acknowledgement comes late, and against one that an older
+// acknowledgement shortens.
+func TestLeaseCountsFromSending(t *testing.T) {
+	is := is.New(t)
+	begin := time.Now()
+	at := func(s int) time.Time { return begin.Add(time.Duration(s) * time.Second) }
+
+	var l entry.Lease
+
+	epoch := l.Send(1, at(0))
+	l.Send(2, at(1))
+	l.Acknowledge(2, epoch, at(2))
+	l.Acknowledge(1, epoch, at(2))
+	is.True(l.Valid(epoch, at(3)))
+	is.True(!l.Valid(epoch, at(4)))
+}
+
+// Guards against a heartbeat of an old epoch whose late acknowledgement grants the new one, which the entry has not seen.
+func TestOldHeartbeatGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	begin := time.Now()
+	at := func(s float64) time.Time { return begin.Add(time.Duration(s * float64(time.Second))) }
+
+	var l entry.Lease
+
+	old := l.Send(1, at(0))
+	l.Acknowledge(1, old, at(0))
+	l.Send(2, at(2.5))
+	l.Acknowledge(2, old, at(3.5))
+
+	epoch, granted := l.Epoch(at(3.5))
+	is.True(epoch > old)
+	is.True(!granted)
+}
+
+// Guards against an epoch of a broken connection that is taken for one of its successor.
+func TestEpochsOfConnectionsDiffer(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+
+	var a, b entry.Lease
+
+	first, second := a.Send(1, now), b.Send(1, now)
+	b.Acknowledge(1, second, now)
+	is.True(first != second)
+	is.True(!b.Valid(first, now))
+}
--- a/sidecar/process/process_test.go
+++ b/sidecar/process/process_test.go
@@ -49,10 +49,11 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 
-	old := b.entry.start("late", `{"echo":"x"}`)
+	link, old := b.entry.link(), b.entry.start("late", `{"echo":"x"}`)
 
 	b.entry.mute.Store(true)
-	b.await("a heartbeat carries the next epoch", func() bool { return b.entry.link().epoch.Load() > old.GetLeaseEpoch() })
+	b.await("a heartbeat carries the next epoch", func() bool { return link.epoch.Load() > old.GetLeaseEpoch() })
+	is.Equal(b.entry.link(), link) // the lease lapses before the connection is given up
 
 	reply, err := b.entry.send(ctx, old)
 	is.NoErr(err)
--- a/weir/process/share/scheduler_test.go
+++ b/weir/process/share/scheduler_test.go
@@ -184,6 +184,31 @@
 	is.True(ratio > 2 && ratio < 4)
 }
 
+// Guards against members that are served in the order of arrival, in which the one that asks first keeps its lead.
+func TestFewestHeldInProportionFirst(t *testing.T) {
+	is := is.New(t)
+
+	var s share.Scheduler[int]
+	configure(&s, 4, []share.Kind{share.NewKind("k", 100, false)}, share.NewMember("small", 10, 4), share.NewMember("large", 40, 4))
+
+	var held []*share.Task[int]
+
+	for i, m := range []string{"large", "large", "large", "small", "small", "large"} {
+		v, _ := s.Offer(origin, share.NewTask(m, "k", 1, 0, i))
+		is.Equal(v, share.Accepted)
+
+		if x := s.Next(origin); x != nil {
+			held = append(held, x)
+		}
+	}
+
+	is.Equal(len(held), 4)
+	s.Release(held[0])
+
+	// Large holds 2 of 40 now and small 1 of 10, so the task that was offered last is first.
+	is.Equal(s.Next(origin).Value(), 5)
+}
+
 // Guards against a member that holds more than its allowance, a withdrawn task that starts, slots that are given twice
 // and queues beyond their bound, in any sequence of operations.
 func TestSchedulerRules(t *testing.T) {
