sidecar: test stops of the process, results of the backend server and ejection

Cause: no run showed that a process that was stopped starts nothing late. Change: the test binary runs as a sidecar and is stopped for 4 s; a start that arrives in the stop and one that was queued before it are both rejected as lease_lapsed. A leaving sidecar answers leaving before not_registered, since its departure may be recorded while it finishes its tasks; without that the answer depended on which came first. A link to an entry that the state declares lost stays while it is connected. Reasons in logs and metrics have short names.

--- /dev/null
+++ b/sidecar/backend/client_test.go
@@ -0,0 +1,106 @@
+package backend_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/backend"
+	standin "github.com/skylarkweir/skylarkweir/standin/backend"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+)
+
+func call(input string, limit time.Duration) backend.Call {
+	return backend.NewCall("s", 3, 1, "a kind/x", time.Now().Add(limit), []byte(input))
+}
+
+// Guards against results that are taken for the wrong side's fault, or for a task that did not start.
+func TestResults(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer((&standin.Server{}).Handler())
+	defer server.Close()
+
+	c := backend.NewClient(server.URL+"/", 4, 1000)
+	defer c.Close()
+
+	is.NoErr(c.Check(t.Context()))
+
+	done, ok := c.Run(t.Context(), call(`{"echo":"out"}`, time.Minute)).(backend.Completed)
+	is.True(ok)
+	is.Equal(string(done.Output()), "out")
+
+	for _, x := range []struct {
+		input string
+		limit time.Duration
+		kind  fault.Kind
+	}{
+		{`{"fail":"4xx"}`, time.Minute, fault.TaskFailed},
+		{`{"fail":"5xx"}`, time.Minute, fault.BackendFailed},
+		{`{"size":1001}`, time.Minute, fault.TaskFailed},
+		{`{"run_ms":5000}`, 50 * time.Millisecond, fault.DeadlineExceeded},
+	} {
+		failed, ok := c.Run(t.Context(), call(x.input, x.limit)).(backend.Failed)
+		is.True(ok)
+		is.Equal(failed.Kind(), x.kind)
+	}
+
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	time.AfterFunc(50*time.Millisecond, cancel)
+
+	failed, ok := c.Run(ctx, call(`{"run_ms":5000}`, time.Minute)).(backend.Failed)
+	is.True(ok)
+	is.Equal(failed.Kind(), fault.Cancelled)
+
+	r, err := http.Get(server.URL + "/admin/starts")
+	is.NoErr(err)
+	defer r.Body.Close()
+
+	starts, err := io.ReadAll(r.Body)
+	is.NoErr(err)
+	is.True(strings.Contains(string(starts), `"submission":"s","task":3,"attempt":1,"kind":"a kind/x"`))
+
+	server.Close()
+
+	_, ok = c.Run(t.Context(), call(`{}`, time.Minute)).(backend.NotStarted)
+	is.True(ok)
+	is.True(c.Check(t.Context()) != nil)
+}
+
+// Guards against a task that the HTTP client sends again after the server has read it and closed the connection.
+func TestBrokenConnectionIsNotRetried(t *testing.T) {
+	is := is.New(t)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+
+	var seen atomic.Int64
+
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+
+		// The first request leaves an idle connection, which the second one finds broken.
+		if seen.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	})}
+
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+
+	c := backend.NewClient("http://"+l.Addr().String(), 4, 1000)
+	_, ok := c.Run(t.Context(), call("x", time.Minute)).(backend.Completed)
+	is.True(ok)
+
+	failed, ok := c.Run(t.Context(), call("x", time.Minute)).(backend.Failed)
+	is.True(ok)
+	is.Equal(failed.Kind(), fault.BackendFailed)
+	is.Equal(seen.Load(), int64(2))
+}
--- a/sidecar/entry/link.go
+++ b/sidecar/entry/link.go
@@ -30,6 +30,8 @@
 }
 
 func (k *link) run(ctx context.Context) {
+	defer k.stop()
+
 	backOff := firstBackOff
 
 	for ctx.Err() == nil {
@@ -40,7 +42,7 @@
 			backOff = firstBackOff
 		}
 
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || k.links.retire(k) {
 			return
 		}
 
--- a/sidecar/entry/links.go
+++ b/sidecar/entry/links.go
@@ -26,8 +26,9 @@
 	connected metrics.Gauge
 
 	mu sync.Mutex
-	// links is by address.
+	// links and known are by address. Known is what the settings and the log state name now.
 	links map[string]*link
+	known map[string]bool
 	group sync.WaitGroup
 }
 
@@ -55,7 +56,8 @@
 	}
 }
 
-// follow starts the links that lack and ends those to entries that have left.
+// follow starts the links that lack and ends those to entries that have left. An established connection stays, because
+// an entry that was declared lost may still be home to submissions.
 func (l *Links) follow(ctx context.Context) {
 	known := map[string]bool{}
 
@@ -70,6 +72,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	l.known = known
+
 	for a := range known {
 		if l.links[a] != nil {
 			continue
@@ -85,13 +89,29 @@
 	}
 
 	for a, k := range l.links {
-		if !known[a] {
+		if !known[a] && k.session.Load() == nil {
 			k.stop()
 			delete(l.links, a)
 		}
 	}
 }
 
+// retire ends a link without connection if its entry has left, and tells whether it did.
+func (l *Links) retire(k *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.known[k.address] {
+		return false
+	}
+
+	if l.links[k.address] == k {
+		delete(l.links, k.address)
+	}
+
+	return true
+}
+
 // Sessions returns the established connections.
 func (l *Links) Sessions() []*Session {
 	l.mu.Lock()
--- a/sidecar/process/fake_test.go
+++ b/sidecar/process/fake_test.go
@@ -1,6 +1,7 @@
 package process_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -10,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -243,16 +245,21 @@
 	return in.GetCloseReply(), nil
 }
 
-// bench is a sidecar with a fake entry and the stand-in backend server.
+// bench is a fake entry and the stand-in backend server, with a sidecar beside it.
 type bench struct {
 	is      *is.I
 	entry   *fakeEntry
-	app     *fx.App
-	process *process.Process
 	backend *httptest.Server
+	// settings is the sidecar's settings file.
+	settings string
+	// admin is the sidecar's admin address.
+	admin string
+	// app is set if the sidecar runs in this process.
+	app *fx.App
 }
 
-func newBench(t *testing.T) *bench {
+// newSurroundings returns a bench without a sidecar.
+func newSurroundings(t *testing.T) *bench {
 	t.Helper()
 
 	is := is.New(t)
@@ -277,32 +284,95 @@
 
 	go b.entry.run(ctx)
 
-	file := path("sidecar.jsonc")
-	is.NoErr(os.WriteFile(file, []byte(fmt.Sprintf(`{"name":"w","entries":["%s"],"backend":"%s","slots":2,
+	b.settings = path("sidecar.jsonc")
+	is.NoErr(os.WriteFile(b.settings, []byte(fmt.Sprintf(`{"name":"w","entries":["%s"],"backend":"%s","slots":2,
 		"allowance_delay":"50ms", // short for the test
 		"keys":{"certificate":"%s","key":"%s","authority":"%s"}}`,
 		b.entry.node.Address(), b.backend.URL, path(quic.CertificateFile), path(quic.KeyFile), path(quic.AuthorityFile))), 0o600))
 
-	s, err := process.Load(file)
-	is.NoErr(err)
-
-	b.app = fx.New(process.Options(s, zerolog.New(zerolog.NewTestWriter(t))), fx.Populate(&b.process))
-	is.NoErr(b.app.Start(ctx))
-
 	t.Cleanup(func() {
-		_ = b.app.Stop(context.Background())
-
 		cancel()
 		b.entry.node.Close()
 		b.backend.Close()
 	})
 
-	b.await("the sidecar is ready", func() bool { return b.get(b.process.Admin(), "/readyz") == "ok\n" })
-	b.await("its registration is reported", func() bool { return b.entry.link().registered.Load() })
+	return b
+}
+
+// newBench returns a bench with a sidecar in this process.
+func newBench(t *testing.T) *bench {
+	t.Helper()
+
+	b := newSurroundings(t)
+
+	s, err := process.Load(b.settings)
+	b.is.NoErr(err)
+
+	var p *process.Process
+
+	b.app = fx.New(process.Options(s, zerolog.New(zerolog.NewTestWriter(t))), fx.Populate(&p))
+	b.is.NoErr(b.app.Start(t.Context()))
+	t.Cleanup(func() { _ = b.app.Stop(context.Background()) })
+
+	b.admin = p.Admin()
+	b.awaitReady()
 
 	return b
 }
 
+// newProcessBench returns a bench with a sidecar in a process of its own, which is this test binary.
+func newProcessBench(t *testing.T) (*bench, *exec.Cmd) {
+	t.Helper()
+
+	b := newSurroundings(t)
+
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), settingsVariable+"="+b.settings)
+
+	logs, err := c.StderrPipe()
+	b.is.NoErr(err)
+	b.is.NoErr(c.Start())
+	t.Cleanup(func() { _ = c.Process.Kill() })
+
+	lines := bufio.NewScanner(logs)
+	for b.admin == "" && lines.Scan() {
+		var l struct {
+			Event string `json:"event"`
+			Admin string `json:"admin"`
+		}
+
+		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Event == "listening" {
+			b.admin = l.Admin
+		}
+	}
+
+	go func() {
+		for lines.Scan() {
+			t.Log(lines.Text())
+		}
+	}()
+
+	b.awaitReady()
+
+	return b, c
+}
+
+// settingsVariable makes the test binary run as a sidecar with a settings file.
+const settingsVariable = "SIDECAR_TEST_SETTINGS"
+
+func TestMain(m *testing.M) {
+	if file := os.Getenv(settingsVariable); file != "" {
+		os.Exit(process.Main([]string{"--settings", file}, os.Stdout, os.Stderr))
+	}
+
+	os.Exit(m.Run())
+}
+
+func (b *bench) awaitReady() {
+	b.await("the sidecar is ready", func() bool { return b.get(b.admin, "/readyz") == "ok\n" })
+	b.await("its registration is reported", func() bool { return b.entry.link().registered.Load() })
+}
+
 func (b *bench) await(what string, condition func() bool) {
 	for until := time.Now().Add(15 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(until) {
--- a/sidecar/process/process_test.go
+++ b/sidecar/process/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +41,11 @@
 	is.NoErr(err)
 	is.Equal(string(reply.GetCompleted().GetOutput()), "first")
 	is.Equal(b.counts(), backendCounts{Started: 2, Completed: 2})
+
+	metrics := b.get(b.admin, "/metrics")
+	for _, line := range []string{"tasks_started_total 2", "tasks_repeated_total 1", "tasks_run_us_count 2", "entries_connected 1"} {
+		is.True(strings.Contains(metrics, "\nskylarkweir_sidecar_"+line+"\n"))
+	}
 }
 
 // Guards against starts that were sent under a lease that has lapsed since, such as those buffered during a pause.
@@ -67,6 +73,49 @@
 	is.Equal(b.counts().Started, 1)
 }
 
+// Guards against starts that run late after the process was stopped for longer than a lease: one that arrived during the
+// stop, and one that was queued before it and gets a slot after it. Also guards against an exit code other than 0.
+func TestStoppedProcessStartsNothingLate(t *testing.T) {
+	b, sidecar := newProcessBench(t)
+	is := b.is
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+
+	replies := map[string]chan *wire.StartReply{}
+	send := func(id string) {
+		replies[id] = make(chan *wire.StartReply, 1)
+
+		go func() {
+			reply, _ := b.entry.send(ctx, b.entry.start(id, `{"run_ms":1000,"echo":"done"}`))
+			replies[id] <- reply
+		}()
+	}
+
+	send("a")
+	send("b")
+	b.await("two tasks run", func() bool { return b.counts().Running == 2 })
+	send("queued")
+	b.await("one task is queued", func() bool { return strings.Contains(b.get(b.admin, "/v1/status"), `"queued_slots":1,"room"`) })
+
+	is.NoErr(sidecar.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(time.Second)
+	send("buffered")
+	time.Sleep(3 * time.Second)
+	is.NoErr(sidecar.Process.Signal(syscall.SIGCONT))
+
+	for id, want := range map[string]wire.Rejection{
+		"a": 0, "b": 0,
+		"queued": wire.Rejection_REJECTION_LEASE_LAPSED, "buffered": wire.Rejection_REJECTION_LEASE_LAPSED,
+	} {
+		is.Equal((<-replies[id]).GetRejected().GetReason(), want)
+	}
+
+	is.Equal(b.counts(), backendCounts{Started: 2, Completed: 2})
+
+	is.NoErr(sidecar.Process.Signal(syscall.SIGTERM))
+	is.NoErr(sidecar.Wait())
+}
+
 // Guards against a shutdown that interrupts a running task, takes new ones, or leaves queued ones without an answer.
 func TestGracefulShutdown(t *testing.T) {
 	b := newBench(t)
@@ -84,7 +133,7 @@
 
 	b.await("two tasks run", func() bool { return b.counts().Running == 2 })
 	b.await("one task is queued", func() bool {
-		return strings.Contains(b.get(b.process.Admin(), "/v1/status"), `"queued_slots":1,"room"`)
+		return strings.Contains(b.get(b.admin, "/v1/status"), `"queued_slots":1,"room"`)
 	})
 
 	stopped := make(chan error, 1)
--- a/sidecar/tasks/counts.go
+++ b/sidecar/tasks/counts.go
@@ -41,14 +41,19 @@
 		*p.counter = metrics.GetOrRegisterCounter(p.name, r)
 	}
 
-	for number, name := range wire.Rejection_name {
-		reason := strings.ToLower(strings.TrimPrefix(name, "REJECTION_"))
-		c.rejected[wire.Rejection(number)] = metrics.GetOrRegisterCounter("tasks.rejected."+reason, r)
+	for number := range wire.Rejection_name {
+		reason := wire.Rejection(number)
+		c.rejected[reason] = metrics.GetOrRegisterCounter("tasks.rejected."+reasonName(reason), r)
 	}
 
 	return c
 }
 
+// reasonName returns the name of a reason in logs and metrics.
+func reasonName(r wire.Rejection) string {
+	return strings.ToLower(strings.TrimPrefix(r.String(), "REJECTION_"))
+}
+
 func (c *counts) end(o Outcome) {
 	if _, ok := o.(Completed); ok {
 		c.completed.Inc(1)
--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -184,14 +184,14 @@
 	switch {
 	case s != nil && now.Before(s.closed):
 		return &Rejected{wire.Rejection_REJECTION_CLOSED, "the submission was closed"}
+	case t.leaving:
+		return &Rejected{wire.Rejection_REJECTION_LEAVING, "the sidecar is leaving"}
 	case r.refusal != nil:
 		return r.refusal
 	case !r.lease.Valid(r.epoch, now):
 		return &Rejected{wire.Rejection_REJECTION_LEASE_LAPSED, "the start is of a lapsed lease epoch"}
 	case !now.Before(r.deadline):
 		return &Rejected{wire.Rejection_REJECTION_DEADLINE, "the deadline has passed"}
-	case t.leaving:
-		return &Rejected{wire.Rejection_REJECTION_LEAVING, "the sidecar is leaving"}
 	case t.starts >= t.limits.starts:
 		return &Rejected{wire.Rejection_REJECTION_TABLE_FULL, "the start table is full"}
 	case t.bytes+int64(len(r.input))+t.expected()*int64(len(t.queued)+len(t.running)+1) > t.limits.bytes:
@@ -426,7 +426,7 @@
 
 func (t *Table) reject(run *Run, r Rejected) {
 	t.counts.reject(r.reason)
-	t.event("task_rejected", run).Str("reason", r.reason.String()).Str("message", r.message).Msg("")
+	t.event("task_rejected", run).Str("reason", reasonName(r.reason)).Str("message", r.message).Msg("")
 	run.end(r)
 }
 
--- /dev/null
+++ b/weir/process/ejection/statistics_test.go
@@ -0,0 +1,124 @@
+package ejection_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/ejection"
+)
+
+var origin = time.Unix(1_000_000, 0)
+
+func at(s float64) time.Time { return origin.Add(time.Duration(s * float64(time.Second))) }
+
+func record(s *ejection.Statistics, failed bool, n int, run time.Duration) {
+	for range n {
+		s.Record(origin, failed, run)
+	}
+}
+
+// Guards against a judgement on too few results, at the wrong rate, or that a quick failure escapes.
+func TestSuspicion(t *testing.T) {
+	for _, c := range []struct {
+		title                string
+		successes, failures  int
+		successRun, failsRun time.Duration
+		suspect              bool
+	}{
+		{"too few results", 0, 4, 0, time.Second, false},
+		{"all fail", 0, 5, 0, time.Second, true},
+		{"half fail", 3, 3, time.Second, time.Second, false},
+		{"more than half fail", 3, 4, time.Second, time.Second, true},
+		{"a third fails fast, which counts as half", 4, 2, time.Second, time.Millisecond, false},
+		{"more than a third fails fast", 4, 3, time.Second, time.Millisecond, true},
+	} {
+		is := is.New(t)
+
+		var s ejection.Statistics
+
+		record(&s, false, c.successes, c.successRun)
+		record(&s, true, c.failures, c.failsRun)
+		t.Log(c.title)
+		is.Equal(s.Suspect(), c.suspect)
+		is.Equal(s.FailurePermille(), c.failures*1000/(c.successes+c.failures))
+	}
+}
+
+// Guards against probes that come all at once or without back-off, and against a readmission by fewer than three
+// successes in sequence.
+func TestProbesAndReadmission(t *testing.T) {
+	is := is.New(t)
+
+	var s ejection.Statistics
+
+	is.True(!s.Probe(origin))
+	record(&s, true, 5, time.Second)
+	is.True(!s.Probe(at(0.9)))
+	is.True(s.Probe(at(1)))
+
+	s.BeginProbe()
+	is.True(!s.Probe(at(1)))
+	s.EndProbe(at(1), true, true)
+	is.True(!s.Probe(at(2.9)))
+	is.True(s.Probe(at(3)))
+
+	now := 3.0
+	for range 10 {
+		s.BeginProbe()
+		s.EndProbe(at(now), true, true)
+
+		now += 30
+		is.True(s.Probe(at(now))) // the back-off ends at 30 s
+	}
+
+	is.True(!s.Probe(at(now - 1)))
+
+	for _, failed := range []bool{false, false, true, false, false} {
+		s.BeginProbe()
+		s.EndProbe(at(now), failed, true)
+		now += 30
+	}
+
+	s.BeginProbe()
+	s.EndProbe(at(now), false, false) // a cancelled probe decides nothing
+	is.True(s.Suspect())
+
+	s.BeginProbe()
+	s.EndProbe(at(now), false, true)
+	is.True(!s.Suspect())
+
+	// The results from before the suspicion count no more.
+	record(&s, true, 4, time.Second)
+	is.True(!s.Suspect())
+}
+
+// Guards against a backend server that is down and gets work, and against one that stays out after it only was late.
+func TestHealth(t *testing.T) {
+	is := is.New(t)
+
+	var s ejection.Statistics
+
+	s.Check(origin, false)
+	is.True(!s.Suspect())
+	s.Check(origin, false)
+	is.True(s.Suspect())
+	is.True(!s.Probe(at(5))) // it does not even answer health checks
+
+	for range 3 {
+		is.True(s.Suspect())
+		s.Check(at(5), true)
+	}
+
+	is.True(!s.Suspect())
+
+	// Failed tasks are not made up for by health checks.
+	record(&s, true, 5, time.Second)
+
+	for range 10 {
+		s.Check(at(6), true)
+	}
+
+	is.True(s.Suspect())
+}
