share: queue no task whose member may hold nothing yet

Cause: a restarted worker looks idle and attracts tasks, which then waited in its run queue for up to allowance_delay (5 s), while other workers had room. Seen by reading the entry's placement, not measured. Change: Offer answers NotAllowed and Configure withdraws queued tasks if the allowance in force is below the task, even if a larger one is pending. Conclusion: go test -race passes in weir/process/share and sidecar.

--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -110,7 +110,7 @@
 	defer t.mu.Unlock()
 
 	for _, task := range t.scheduler.Configure(time.Now(), c, kinds, members) {
-		t.drop(task.Value(), Rejected{wire.Rejection_REJECTION_QUEUE_FULL, "the agreement no longer lets the task run here"})
+		t.drop(task.Value(), Rejected{wire.Rejection_REJECTION_QUEUE_FULL, "the member's allowance here became smaller than the task, or the kind is no longer run here"})
 	}
 
 	t.serve()
--- a/weir/process/share/scheduler.go
+++ b/weir/process/share/scheduler.go
@@ -17,7 +17,8 @@
 	Accepted Verdict = iota
 	// Full means that the queue of the kind has no room for the task.
 	Full
-	// NotAllowed means that the member's allowance at this worker is and stays smaller than the task.
+	// NotAllowed means that the member's allowance in force at this worker is smaller than the task. Such a task is not
+	// queued: an allowance that is to grow takes longer than other workers need to run the task.
 	NotAllowed
 	// UnknownKind means that the scheduler has no such kind.
 	UnknownKind
@@ -131,8 +132,8 @@
 	return t
 }
 
-// Configure sets the capacity, kinds and members, and returns the queued tasks that can no longer run here. Those
-// are withdrawn. Tasks that hold slots are not stopped.
+// Configure sets the capacity, kinds and members, and returns the queued tasks that can't run here any more, or only
+// once an allowance has grown. Those are withdrawn. Tasks that hold slots are not stopped.
 func (s *Scheduler[T]) Configure(now time.Time, c Capacity, kinds []Kind, members []Member) []*Task[T] {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -170,11 +171,11 @@
 		}
 	}
 
-	return s.expel()
+	return s.expel(now)
 }
 
 // expel withdraws the tasks that can no longer run here.
-func (s *Scheduler[T]) expel() []*Task[T] {
+func (s *Scheduler[T]) expel(now time.Time) []*Task[T] {
 	var out []*Task[T]
 
 	for k := range s.active {
@@ -183,7 +184,7 @@
 				t, _ := e.Value.(*Task[T])
 				e = e.Next()
 
-				if !k.known || t.cores > f.member.allowance.Target() || !s.fits(t) {
+				if !k.known || t.cores > f.member.allowance.At(now, s.capacity.delay) || !s.fits(t) {
 					s.dequeue(t)
 					s.forget(t)
 
@@ -215,7 +216,7 @@
 	}
 
 	m := s.members[t.member]
-	if m == nil || t.cores > m.allowance.Target() {
+	if m == nil || t.cores > m.allowance.At(now, s.capacity.delay) {
 		return NotAllowed, nil
 	}
 
--- a/weir/process/share/scheduler_test.go
+++ b/weir/process/share/scheduler_test.go
@@ -358,6 +358,33 @@
 	is.Equal(s.Next(origin), nil)
 }
 
+// Guards against tasks that wait in a run queue for an allowance to grow, while other workers could run them.
+func TestNoWaitForGrowingAllowance(t *testing.T) {
+	is := is.New(t)
+
+	const delay = 5 * time.Second
+
+	var s share.Scheduler[int]
+
+	set := func(now time.Time, allowance int) []*share.Task[int] {
+		return s.Configure(now, share.NewCapacity(2, 0, 4, delay), []share.Kind{share.NewKind("k", 100, false)},
+			[]share.Member{share.NewMember("m", 2, allowance)})
+	}
+	offer := func(now time.Time) share.Verdict {
+		v, _ := s.Offer(now, share.NewTask("m", "k", 1, 0, 0))
+		return v
+	}
+
+	set(origin, 2) // a sidecar that has just started
+	is.Equal(offer(origin.Add(delay-1)), share.NotAllowed)
+	is.Equal(offer(origin.Add(delay)), share.Accepted)
+	is.True(s.Next(origin.Add(delay)) != nil)
+	is.Equal(offer(origin.Add(delay)), share.Accepted)
+	is.Equal(len(set(origin.Add(delay), 0)), 1)
+	set(origin.Add(delay), 1)
+	is.Equal(offer(origin.Add(delay)), share.NotAllowed)
+}
+
 // Guards against a zero value that panics or starts something.
 func TestZeroScheduler(t *testing.T) {
 	is := is.New(t)
