sidecar: end a lease with its connection, and hold one connection to each entry

Cause: a start that was read from a connection, but decided only after that connection had been replaced, could run although the entry had repeated it on the new connection, was told queue_full, and had placed the task elsewhere. An entry that is named by two addresses gave the same effect for up to 3 s, and its two connections ended each other. Found by reading; no run showed it. Change: Lease.End when the connection ends, by which queued tasks of a broken connection are rejected too; a link whose entry is connected at another address does not dial it.

--- a/sidecar/entry/lease.go
+++ b/sidecar/entry/lease.go
@@ -24,6 +24,7 @@
 	epoch uint64
 	// until is the end of the lease; zero if none was granted in this epoch.
 	until time.Time
+	ended bool
 	sent  [unanswered]sending
 }
 
@@ -51,7 +52,7 @@
 	l.lapse(now)
 
 	s := l.sent[sequence%unanswered]
-	if s.sequence != sequence || s.epoch != epoch || epoch != l.epoch {
+	if l.ended || s.sequence != sequence || s.epoch != epoch || epoch != l.epoch {
 		return
 	}
 
@@ -70,6 +71,16 @@
 	return epoch == l.epoch && !l.until.IsZero()
 }
 
+// End ends the lease with its connection, for good. A start of the connection that is decided later is rejected: on the
+// next connection the entry may have repeated it, been told that it did not run, and placed the task elsewhere.
+func (l *Lease) End() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.ended = true
+	l.until = time.Time{}
+}
+
 // Epoch returns the present epoch and whether the lease is granted.
 func (l *Lease) Epoch(now time.Time) (epoch uint64, granted bool) {
 	l.mu.Lock()
--- a/sidecar/entry/lease_test.go
+++ b/sidecar/entry/lease_test.go
@@ -76,6 +76,23 @@
 	is.True(!granted)
 }
 
+// Guards against a start of a broken connection that is decided after the entry has repeated it on the next one.
+func TestLeaseEndsWithConnection(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+
+	var l entry.Lease
+
+	epoch := l.Send(1, now)
+	l.Send(2, now)
+	l.Acknowledge(1, epoch, now)
+	is.True(l.Valid(epoch, now))
+	l.End()
+	is.True(!l.Valid(epoch, now))
+	l.Acknowledge(2, epoch, now)
+	is.True(!l.Valid(epoch, now))
+}
+
 // Guards against an epoch of a broken connection that is taken for one of its successor.
 func TestEpochsOfConnectionsDiffer(t *testing.T) {
 	is := is.New(t)
--- a/sidecar/entry/link.go
+++ b/sidecar/entry/link.go
@@ -27,6 +27,8 @@
 	stop    context.CancelFunc
 	// session is the established connection or nil.
 	session atomic.Pointer[Session]
+	// entry is the incarnation of the entry that answered last; zero if none did. Guarded by the mutex of links.
+	entry uint64
 }
 
 func (k *link) run(ctx context.Context) {
@@ -35,6 +37,11 @@
 	backOff := firstBackOff
 
 	for ctx.Err() == nil {
+		if k.links.duplicates(k) {
+			wait(ctx, nil, jitter(lastBackOff))
+			continue
+		}
+
 		began := time.Now()
 		err := k.connect(ctx)
 
@@ -46,15 +53,11 @@
 			return
 		}
 
-		wait := jitter(backOff)
+		pause := jitter(backOff)
 		backOff = min(2*backOff, lastBackOff)
 
-		k.links.log.Warn().Err(err).Str("event", "entry_disconnected").Str("address", k.address).Dur("retry", wait).Msg("")
-
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
+		k.links.log.Warn().Err(err).Str("event", "entry_disconnected").Str("address", k.address).Dur("retry", pause).Msg("")
+		wait(ctx, nil, pause)
 	}
 }
 
@@ -74,7 +77,12 @@
 		return err
 	}
 
-	k.session.Store(s)
+	defer s.lease.End()
+
+	if err := k.links.establish(k, s); err != nil {
+		return err
+	}
+
 	k.links.connected.Update(int64(len(k.links.Sessions())))
 	k.links.log.Info().Str("event", "entry_connected").Str("address", k.address).Str("entry", s.entry.GetName()).Msg("")
 
--- a/sidecar/entry/links.go
+++ b/sidecar/entry/links.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
@@ -128,6 +129,41 @@
 	return out
 }
 
+// establish makes a session that of its link. It refuses a second connection to one entry, which may be named by two
+// addresses: a start could then be decided on both.
+func (l *Links) establish(k *link, s *Session) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	k.entry = s.entry.GetIncarnation()
+	if l.duplicate(k) {
+		return merry.New("the entry is connected already at another address")
+	}
+
+	k.session.Store(s)
+
+	return nil
+}
+
+// duplicates tells whether the entry that was found last at the link's address is connected at another one. Dialling
+// it would end that connection, since entries keep one for each worker.
+func (l *Links) duplicates(k *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.duplicate(k)
+}
+
+func (l *Links) duplicate(k *link) bool {
+	for _, other := range l.links {
+		if s := other.session.Load(); other != k && s != nil && k.entry != 0 && s.entry.GetIncarnation() == k.entry {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Reconnect ends all connections, so that they begin again with the present incarnation.
 func (l *Links) Reconnect(reason string) {
 	for _, s := range l.Sessions() {
