--- a/sidecar/entry/lease.go
+++ b/sidecar/entry/lease.go
@@ -24,8 +24,9 @@
 	epoch uint64
 	// until is the end of the lease; zero if none was granted in this epoch.
 	until time.Time
-	ended bool
-	sent  [unanswered]sending
+	// revoked is set for good once the connection has ended.
+	revoked bool
+	sent    [unanswered]sending
 }
 
 type sending struct {
@@ -52,7 +53,7 @@
 	l.lapse(now)
 
 	s := l.sent[sequence%unanswered]
-	if l.ended || s.sequence != sequence || s.epoch != epoch || epoch != l.epoch {
+	if s.sequence != sequence || s.epoch != epoch || epoch != l.epoch {
 		return
 	}
 
@@ -68,17 +69,16 @@
 
 	l.lapse(now)
 
-	return epoch == l.epoch && !l.until.IsZero()
+	return epoch == l.epoch && !l.until.IsZero() && !l.revoked
 }
 
-// End ends the lease with its connection, for good. A start of the connection that is decided later is rejected: on the
-// next connection the entry may have repeated it, been told that it did not run, and placed the task elsewhere.
-func (l *Lease) End() {
+// Revoke ends the lease for good. The entry repeats a start on the next connection, and may place the task elsewhere
+// if that is rejected. A first copy that is still being read from this connection must not run then.
+func (l *Lease) Revoke() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.ended = true
-	l.until = time.Time{}
+	l.revoked = true
 }
 
 // Epoch returns the present epoch and whether the lease is granted.
@@ -88,7 +88,7 @@
 
 	l.lapse(now)
 
-	return l.epoch, !l.until.IsZero()
+	return l.epoch, !l.until.IsZero() && !l.revoked
 }
 
 // lapse begins the next epoch if the lease has ended.
--- a/sidecar/entry/link.go
+++ b/sidecar/entry/link.go
@@ -77,8 +77,6 @@
 		return err
 	}
 
-	defer s.lease.End()
-
 	if err := k.links.establish(k, s); err != nil {
 		return err
 	}
--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -185,6 +185,7 @@
 	case s != nil && now.Before(s.closed):
 		return &Rejected{wire.Rejection_REJECTION_CLOSED, "the submission was closed"}
 	case t.leaving:
+		// Goes before refusal: a leaving worker also loses its registration, and entries handle the departure best.
 		return &Rejected{wire.Rejection_REJECTION_LEAVING, "the sidecar is leaving"}
 	case r.refusal != nil:
 		return r.refusal
--- a/weir/connection/logservice/follower.go
+++ b/weir/connection/logservice/follower.go
@@ -72,7 +72,7 @@
 
 		switch {
 		case err == nil:
-			f.failures = 0
+			f.recovered()
 			f.keepSnapshot(ctx)
 		case ctx.Err() == nil:
 			f.failed(ctx, err)
@@ -112,6 +112,11 @@
 	if len(p.Records()) < pageLimit && !f.complete {
 		f.complete = true
 		f.book.EndLoad()
+
+		if s := f.book.State(); !s.Complete() {
+			f.log.Error().Int64("first", p.First()).Int64("position", s.Position()).
+				Msg("the log holds no snapshot to start from; the state has to come from other processes")
+		}
 	}
 
 	return nil
@@ -131,6 +136,14 @@
 	f.failures++
 }
 
+func (f *Follower) recovered() {
+	if f.failures > 0 {
+		f.log.Info().Int("failures", f.failures).Msg("the log answers again")
+	}
+
+	f.failures = 0
+}
+
 func (f *Follower) report() {
 	s := f.book.State()
 	if s.Skipped() > f.skipped {
