cluster: start programs that log less than "info", and bound the wait for a start

A load trial with log_level "error" waited without end, because entries and sidecars tell the ports that the kernel chose in a line of level info. Such programs now get addresses that were chosen before, and the wait for a start is bounded to 30 s. Reading the ports from the admin endpoint was ruled out: its own port is one of them.

--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -128,7 +128,7 @@
 func (c *Cluster) WaitReady(ctx context.Context) error {
 	for _, w := range c.workers {
 		if w.sidecar.Running() {
-			if err := waitReady(ctx, w.sidecar, w.admin); err != nil {
+			if err := waitFor(ctx, w.sidecar, w.admin+"/readyz"); err != nil {
 				return err
 			}
 		}
@@ -136,7 +136,7 @@
 
 	for _, e := range c.entries {
 		if e.process.Running() {
-			if err := waitReady(ctx, e.process, e.admin); err != nil {
+			if err := waitFor(ctx, e.process, e.admin+"/readyz"); err != nil {
 				return err
 			}
 		}
@@ -145,11 +145,12 @@
 	return nil
 }
 
-func waitReady(ctx context.Context, p *Process, admin string) error {
+// waitFor waits until the URL of the process answers with a status of success.
+func waitFor(ctx context.Context, p *Process, url string) error {
 	var last error
 
 	for {
-		if last = get(ctx, admin+"/readyz", nil); last == nil {
+		if last = get(ctx, url, nil); last == nil {
 			return nil
 		}
 
@@ -157,7 +158,7 @@
 		case <-p.Done():
 			return merry.Errorf("%s has ended:\n%s", p.Name(), p.Tail(tailLines))
 		case <-ctx.Done():
-			return merry.Errorf("%s is not ready: %w\n%s", p.Name(), last, p.Tail(tailLines))
+			return merry.Errorf("%s does not answer %s: %w\n%s", p.Name(), url, last, p.Tail(tailLines))
 		case <-time.After(pollInterval):
 		}
 	}
--- a/standin/cluster/cluster_test.go
+++ b/standin/cluster/cluster_test.go
@@ -31,7 +31,8 @@
 	is.NoErr(c.StartLog(ctx))
 	e, err := c.StartEntry(ctx, "entry-1", cluster.Relayed(), cluster.LogRelayed(), cluster.With("drain_delay", "0s"))
 	is.NoErr(err)
-	w, err := c.StartWorker(ctx, "worker-1", cluster.Relayed(), cluster.With("allowance_delay", "0s"))
+	w, err := c.StartWorker(ctx, "worker-1", cluster.Relayed(), cluster.With("allowance_delay", "0s"),
+		cluster.With("log_level", "error")) // does not print its addresses
 	is.NoErr(err)
 
 	directory := filepath.Join(c.Directory(), "agreement")
--- a/standin/cluster/entry.go
+++ b/standin/cluster/entry.go
@@ -165,6 +165,16 @@
 func (c *Cluster) startDaemon(ctx context.Context, name, program, file string, settings map[string]any) (*Process, listeningBody, error) {
 	var b listeningBody
 
+	// A program that logs less than "info" does not tell the ports that the kernel chose, so they are chosen before.
+	level, _ := settings["log_level"].(string)
+	quiet := level == "warn" || level == "error"
+
+	if quiet {
+		if err := chooseAddresses(ctx, settings); err != nil {
+			return nil, b, err
+		}
+	}
+
 	text, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return nil, b, merry.Prependf(err, "settings of %s", name)
@@ -179,6 +189,13 @@
 		return nil, b, err
 	}
 
+	if quiet {
+		b = addressesOf(settings)
+		err := p.awaitHealth(ctx, "http://"+b.Admin)
+
+		return p, b, err
+	}
+
 	found, err := p.await(ctx, listening)
 	if err != nil {
 		return nil, b, err
@@ -190,3 +207,39 @@
 
 	return p, b, nil
 }
+
+// addressKeys are the settings keys with addresses at which entries and sidecars listen.
+var addressKeys = []string{"callers", "admin", "listen"}
+
+// chooseAddresses replaces port 0 by free ports.
+func chooseAddresses(ctx context.Context, settings map[string]any) error {
+	for _, key := range addressKeys {
+		if settings[key] != loopback {
+			continue
+		}
+
+		address, err := freeAddress(ctx)
+		if err != nil {
+			return err
+		}
+
+		settings[key] = address
+	}
+
+	return nil
+}
+
+func addressesOf(settings map[string]any) listeningBody {
+	text := func(key string) string {
+		s, _ := settings[key].(string)
+
+		return s
+	}
+
+	b := listeningBody{Callers: text("callers"), Admin: text("admin"), QUIC: text("listen")}
+	if advertised := text("advertise"); advertised != "" {
+		b.QUIC = advertised
+	}
+
+	return b
+}
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -14,6 +14,9 @@
 	"github.com/ansel1/merry/v2"
 )
 
+// startTimeout is far above the time that a start takes on a busy machine.
+const startTimeout = 30 * time.Second
+
 // Process is a program that was started. It is ended by its id only.
 type Process struct {
 	name, log string
@@ -131,8 +134,12 @@
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
 
-// await waits for text in the output of this process and returns the match with its groups.
+// await waits for text in the output of this process and returns the match with its groups. The wait is bounded, so that
+// a program that never prints the text is reported.
 func (p *Process) await(ctx context.Context, text *regexp.Regexp) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+
 	for {
 		running := p.Running()
 
@@ -162,6 +169,14 @@
 	}
 }
 
+// awaitHealth waits until the admin address of the process answers.
+func (p *Process) awaitHealth(ctx context.Context, admin string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+
+	return waitFor(ctx, p, admin+"/healthz")
+}
+
 func (p *Process) signal(s os.Signal) error {
 	if !p.Running() {
 		return merry.Errorf("%s has ended", p.name)
