--- /dev/null
+++ b/standin/command/command_test.go
@@ -0,0 +1,81 @@
+package command_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/command"
+)
+
+func standin(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = command.Run(args, &o, &e)
+
+	return code, o.String(), e.String()
+}
+
+func TestUsage(t *testing.T) {
+	is := is.New(t)
+
+	for _, args := range [][]string{{}, {"unknown"}, {"caller"}, {"relay"}, {"relay", "--target", "x", "--network", "sctp"}} {
+		code, _, errOut := standin(args...)
+		is.Equal(code, 2)
+		is.True(errOut != "")
+	}
+
+	for _, args := range [][]string{{"--help"}, {"--version"}, {"demo", "--help"}, {"log", "--help"}, {"backend", "--help"}} {
+		code, out, _ := standin(args...)
+		is.Equal(code, 0)
+		is.True(out != "")
+	}
+
+	code, _, errOut := standin("caller", "--load", filepath.Join(t.TempDir(), "none"))
+	is.Equal(code, 1)
+	is.True(errOut != "")
+}
+
+// Guards against a report that hides refusals, and against an example that is refused.
+func TestCallerReport(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/tickets") {
+			w.Write([]byte(`{"tickets": ["a"]}`))
+
+			return
+		}
+
+		w.WriteHeader(http.StatusTooManyRequests)
+		w.Write([]byte(`{"error": {"code": "overloaded", "message": "m", "ran": "none"}}`))
+	}))
+	defer s.Close()
+
+	records := filepath.Join(t.TempDir(), "records")
+	code, out, errOut := standin("caller", "--load", "../../examples/load.jsonc", "--entry", s.URL, "--rate", "200",
+		"--duration", "100ms", "--seed", "5", "--records", records, "--json")
+	is.Equal(errOut, "")
+	is.Equal(code, 0)
+
+	var b struct {
+		All struct {
+			Submitted, Complete int
+			Refused             map[string]int
+		}
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &b))
+	is.True(b.All.Submitted > 5) // 20 are expected
+	is.Equal(b.All.Complete, 0)
+	is.Equal(b.All.Refused["overloaded ran none"], b.All.Submitted)
+
+	lines, err := os.ReadFile(records)
+	is.NoErr(err)
+	is.Equal(bytes.Count(lines, []byte("\n")), b.All.Submitted)
+	is.True(strings.Contains(string(lines), `"ran":"none"`))
+}
--- a/weirctl/command/queues.go
+++ b/weirctl/command/queues.go
@@ -6,6 +6,9 @@
 	"strings"
 )
 
+// queueGauge is the name of the gauge of all waiting tasks; those of single kinds have the kind after it.
+const queueGauge = "queue_tasks"
+
 // queues returns the gauges of an entry's wait queue from its metrics.
 func (s *status) queues(entry, name string) ([]queueRow, error) {
 	text, err := s.text(entry, "/metrics")
@@ -18,18 +21,19 @@
 	lines := bufio.NewScanner(strings.NewReader(text))
 	for lines.Scan() {
 		line := lines.Text()
-		if strings.HasPrefix(line, "#") || !strings.Contains(line, "queue") {
+
+		gauge, number, _ := strings.Cut(line, " ")
+		if !strings.HasPrefix(gauge, queueGauge) {
 			continue
 		}
 
-		// A label's value may hold spaces, the number does not.
-		i := strings.LastIndexByte(line, ' ')
-		if i < 0 {
-			continue
+		kind := strings.TrimPrefix(strings.TrimPrefix(gauge, queueGauge), "_")
+		if kind == "" {
+			kind = "all kinds"
 		}
 
-		if v, err := strconv.ParseFloat(line[i+1:], 64); err == nil {
-			rows = append(rows, queueRow{name, line[:i], v})
+		if v, err := strconv.ParseFloat(number, 64); err == nil {
+			rows = append(rows, queueRow{name, kind, v})
 		}
 	}
 
--- a/weirctl/command/status.go
+++ b/weirctl/command/status.go
@@ -214,7 +214,7 @@
 		rows = append(rows, []string{q.Process, q.Queue, strconv.FormatFloat(q.Value, 'f', -1, 64)})
 	}
 
-	table(w, []string{"process", "queue", "waiting"}, rows)
+	table(w, []string{"process", "queue of", "waiting"}, rows)
 }
 
 func (w workerAnswer) state() string {
--- a/weirctl/command/system_test.go
+++ b/weirctl/command/system_test.go
@@ -89,6 +89,7 @@
 	is.Equal(status.Members[0].Member, "member")
 	is.Equal(status.Members[0].Limit, status.Workers[0].Slots)
 	is.True(len(status.Queues) > 0)
+	is.Equal(status.Queues[0].Queue, "all kinds")
 	code, out, _ = weirctl("status", "--entry", e.Admin())
 	is.Equal(code, 0)
 	is.True(strings.Contains(out, "worker-1"))
