Leave the line breaks of help texts to the parser

go-flags wraps long descriptions itself, so the breaks in the texts gave ragged lines. Checked by reading the help of both programs; go test ./weirctl/command ./standin/command passes.

--- a/standin/command/caller.go
+++ b/standin/command/caller.go
@@ -27,7 +27,7 @@
 func newCaller(c *console) noun {
 	return noun{
 		"caller", "Submit jobs and requests at a given rate",
-		"Submits at random times that do not depend on the answers, and prints a report when all are answered. The exit\n" +
+		"Submits at random times that do not depend on the answers, and prints a report when all are answered. The exit " +
 			"code is 1 if an answer was not whole or not the caller's own.\n\n" +
 			"Example:\n  standin caller --load load.jsonc --rate 50 --duration 30s --records records.jsonl",
 		&callerCommand{console: c},
--- a/standin/command/demo.go
+++ b/standin/command/demo.go
@@ -10,8 +10,8 @@
 func newDemo(c *console) noun {
 	return noun{
 		"demo", "Show a whole system at work",
-		"Builds the programs, starts a log, three entries and three workers as processes on loopback, submits a job and\n" +
-			"requests, submits them again through other entries, and ends an entry and a sidecar under load. The exit code is\n" +
+		"Builds the programs, starts a log, three entries and three workers as processes on loopback, submits a job and " +
+			"requests, submits them again through other entries, and ends an entry and a sidecar under load. The exit code is " +
 			"1 if anything was lost, partial or run twice.\n\n" +
 			"Example, from the root of the repository:\n  go run ./standin demo", &demoCommand{c},
 	}
--- a/weirctl/command/publish.go
+++ b/weirctl/command/publish.go
@@ -56,9 +56,9 @@
 func newPublish(c *console) noun {
 	return noun{
 		"publish", "Put an agreement in force",
-		"Collects and checks the short files, appends the agreement to the log with the version that it was based on, and\n" +
-			"reads it back. It says \"accepted\" only if the record came into force, and exits with 3 if another publication\n" +
-			"won. If the log does not answer in time, the outcome is unknown and the exit code is 1; \"weirctl show\" tells it\n" +
+		"Collects and checks the short files, appends the agreement to the log with the version that it was based on, and " +
+			"reads it back. It says \"accepted\" only if the record came into force, and exits with 3 if another publication " +
+			"won. If the log does not answer in time, the outcome is unknown and the exit code is 1; \"weirctl show\" tells it " +
 			"later.\n\nExamples:\n  weirctl publish ./agreements --log http://127.0.0.1:7000\n" +
 			"  weirctl publish ./agreements --log http://127.0.0.1:7000 --base 41", &publish{console: c},
 	}
--- a/weirctl/command/show.go
+++ b/weirctl/command/show.go
@@ -63,7 +63,7 @@
 func newShow(c *console) noun {
 	return noun{
 		"show", "Show the version in force at each process",
-		"Asks each process for the version of the agreement that it applies and for its log position. The exit code is 1\n" +
+		"Asks each process for the version of the agreement that it applies and for its log position. The exit code is 1 " +
 			"if a process does not answer.\n\nExample:\n" +
 			"  weirctl show --entry http://127.0.0.1:7101 --entry http://127.0.0.1:7102 --sidecar http://127.0.0.1:7201",
 		&show{console: c},
--- a/weirctl/command/status.go
+++ b/weirctl/command/status.go
@@ -78,7 +78,7 @@
 func newStatus(c *console) noun {
 	return noun{
 		"status", "Show workers, members' use and queues",
-		"Shows the entries, the workers that they are connected to, the slots that members hold against their limits, and\n" +
+		"Shows the entries, the workers that they are connected to, the slots that members hold against their limits, and " +
 			"the queues. Members' use is known to the sidecars only; it is shown for those that are named.\n\n" +
 			"Example:\n  weirctl status --entry http://127.0.0.1:7101 --sidecar http://127.0.0.1:7201", &status{console: c},
 	}
