Measure the drain by tasks that ran, and drop what can no longer end in time

Cause: in a flood of three times the capacity most of the flooded kind was started and then cancelled at its deadline. The drain rate counted each task taken, so rejected starts hid the backlog and nothing was refused early; and a task at the head of the queue was started however little time it had left.

Change: only tasks that ran count for the drain. The estimate of a submission includes the mean time from taking a task to its end and a margin of a quarter of the wait. A task that waited more than 100 ms and has less than that mean left ends its submission with deadline_unreachable. Ruled out: judging tasks that did not wait, since a single task may be far shorter than the mean of its kind.

Checked: go test -race of entry/home, entry/sidecar and weir/process, linter.

--- a/entry/home/admit.go
+++ b/entry/home/admit.go
@@ -96,7 +96,7 @@
 	}
 
 	if wait, known := q.Wait(s.Kind(), n, now); known && now.Add(wait).After(s.Deadline()) {
-		return fault.New(fault.DeadlineUnreachable, "tasks of kind %s wait about %s at present", s.Kind(), wait.Round(time.Millisecond))
+		return fault.New(fault.DeadlineUnreachable, "tasks of kind %s take about %s at present", s.Kind(), wait.Round(time.Millisecond))
 	}
 
 	return nil
--- a/entry/home/dispatch.go
+++ b/entry/home/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
 	"github.com/skylarkweir/skylarkweir/weir/process/placement"
 	"github.com/skylarkweir/skylarkweir/weir/process/waitqueue"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
 // news collects the workers that reported since the last pass.
@@ -117,6 +118,15 @@
 		}
 
 		k := i.Value()
+		if q.tasks.Late(i, k.work.deadline, now) {
+			// Removed here as well, so that this loop ends even if the submission is failing already.
+			q.tasks.Remove(i)
+			q.mu.Unlock()
+			k.work.held.fail(fault.New(fault.DeadlineUnreachable, "task %d waited too long to end by the deadline", k.index))
+
+			continue
+		}
+
 		c := t.place(i, dirty, now)
 		waits := c.Worker() == nil && !k.waited
 
--- a/entry/home/start.go
+++ b/entry/home/start.go
@@ -40,7 +40,7 @@
 	t, h := s.table, s.task.work.held
 
 	if !h.hand(s.task, s.worker) {
-		s.over(false, false)
+		s.over(notRun)
 
 		return
 	}
@@ -163,7 +163,7 @@
 		return
 	}
 
-	s.over(false, true)
+	s.over(ranFully)
 	s.report(r)
 	s.table.meters().completed(time.Since(s.task.work.accepted), time.Duration(c.GetRunUs())*time.Microsecond)
 	s.task.work.held.completed(s.task, c.GetOutput())
@@ -212,7 +212,7 @@
 }
 
 func (s *start) rejectedWith(reason wire.Rejection, cause error) {
-	s.over(false, false)
+	s.over(notRun)
 	s.log(eventRejected, rejection(reason))
 	s.table.meters().reject(rejection(reason))
 	s.task.work.held.rejectedFor(s.task, cause)
@@ -222,35 +222,65 @@
 func (s *start) rejected(reason string) {
 	s.log(eventRejected, reason)
 	s.table.meters().reject(reason)
-	s.over(s.task.work.held.rejected(s.task), false)
+
+	e := notRun
+	if s.task.work.held.rejected(s.task) {
+		e = requeued
+	}
+
+	s.over(e)
 }
 
 // stopped ends an attempt without an output.
 func (s *start) stopped(ran bool, cause error, retry bool) {
-	retried := s.task.work.held.stopped(s.task, ran, cause, retry, s.worker)
-	if retried {
+	e := notRun
+	if ran {
+		e = ranShort
+	}
+
+	if s.task.work.held.stopped(s.task, ran, cause, retry, s.worker) {
+		e = requeued
+
 		s.log(eventRetried, fault.KindOf(cause).Code())
 		s.table.meters().retry()
 	}
 
-	s.over(retried, false)
+	s.over(e)
 }
 
-// over gives the slots back. A task that is queued again has released its part of the queue already.
-func (s *start) over(queued, success bool) {
+// end is how an attempt ended.
+type end uint8
+
+const (
+	// notRun is an attempt that did not run, or of which that is not known.
+	notRun end = iota
+	// requeued is an attempt whose task is queued again, which has released its part of the queue already.
+	requeued
+	// ranShort is an attempt that ran without coming to its end.
+	ranShort
+	ranFully
+)
+
+// over gives the slots back.
+func (s *start) over(e end) {
 	t := s.table
 	s.worker.Ended(s.task.work.place.Slots(), s.before)
 
 	if s.choice.Probe() {
-		s.worker.ProbeEnded(time.Now(), success)
+		s.worker.ProbeEnded(time.Now(), e == ranFully)
 	}
 
-	if !queued {
-		t.queue.mu.Lock()
+	t.queue.mu.Lock()
+
+	switch e {
+	case ranShort, ranFully:
+		t.queue.tasks.Ran(s.task.item, time.Now(), e == ranFully)
+	case notRun:
 		t.queue.tasks.Release(s.task.item)
-		t.queue.mu.Unlock()
+	case requeued:
 	}
 
+	t.queue.mu.Unlock()
 	t.changed(s.worker)
 }
 
--- a/weir/process/waitqueue/drain.go
+++ b/weir/process/waitqueue/drain.go
@@ -9,19 +9,35 @@
 	minWindow = 500 * time.Millisecond
 )
 
-// drain measures how fast a backlogged kind is taken. It keeps the present and the previous window.
+// drain measures how fast the tasks of a backlogged kind run. It keeps the present and the previous window.
 type drain struct {
 	// began is the start of the present window, and not before the start of the backlog.
 	began time.Time
 	count int
 	// previous is the rate of the last full window of this backlog; zero means none.
 	previous float64
+	// mean is the moving mean of the time from taking a task to its end.
+	mean time.Duration
+}
+
+// weight is the part of the latest task in the mean, which so covers about the last 50 tasks.
+const weight = 0.02
+
+// took adds the time of one task to the mean.
+func (d *drain) took(t time.Duration) {
+	if d.mean == 0 {
+		d.mean = t
+
+		return
+	}
+
+	d.mean += time.Duration(weight * float64(t-d.mean))
 }
 
 // begin starts a new backlog.
-func (d *drain) begin(now time.Time) { *d = drain{began: now} }
+func (d *drain) begin(now time.Time) { *d = drain{began: now, mean: d.mean} }
 
-func (d *drain) taken(now time.Time) {
+func (d *drain) ran(now time.Time) {
 	d.roll(now)
 	d.count++
 }
@@ -36,7 +52,7 @@
 	d.began, d.count = now, 0
 }
 
-// rate returns tasks taken per second, and false if the backlog is too young to tell.
+// rate returns tasks run per second, and false if the backlog is too young to tell.
 func (d *drain) rate(now time.Time) (perSecond float64, known bool) {
 	elapsed := now.Sub(d.began)
 
@@ -49,12 +65,12 @@
 		return float64(d.count+1) / elapsed.Seconds(), true
 	}
 
-	weight := min(elapsed.Seconds()/window.Seconds(), 1)
+	part := min(elapsed.Seconds()/window.Seconds(), 1)
 	present := d.previous
 
 	if elapsed > 0 {
 		present = float64(d.count+1) / elapsed.Seconds()
 	}
 
-	return weight*present + (1-weight)*d.previous, true
+	return part*present + (1-part)*d.previous, true
 }
--- a/weir/process/waitqueue/queue.go
+++ b/weir/process/waitqueue/queue.go
@@ -64,6 +64,8 @@
 	since      time.Time
 	// moved is the last pass in which the item was moved back.
 	moved uint64
+	// taken is when the item was last taken.
+	taken time.Time
 }
 
 // Value returns the task.
@@ -193,10 +195,20 @@
 	f.held += i.slots
 	f.kind.held += i.slots
 	q.held += i.slots
-	f.kind.drain.taken(now)
+	i.taken = now
 }
 
-// Release ends the hold of a taken item.
+// Ran ends the hold of a taken item that ran. The time since it was taken counts for Wait if the task came to its end.
+func (q *Queue[T]) Ran(i *Item[T], now time.Time, ended bool) {
+	q.Release(i)
+	i.flow.kind.drain.ran(now)
+
+	if ended {
+		i.flow.kind.drain.took(now.Sub(i.taken))
+	}
+}
+
+// Release ends the hold of a taken item that did not run.
 func (q *Queue[T]) Release(i *Item[T]) {
 	f := i.flow
 	f.held -= i.slots
@@ -277,8 +289,8 @@
 	return true
 }
 
-// Wait estimates how long a new task of the kind waits until it is taken; known is false without a backlog to
-// measure.
+// Wait estimates how long it takes until the last of n new tasks of the kind has ended; known is false without a
+// backlog to measure.
 func (q *Queue[T]) Wait(name string, n int, now time.Time) (wait time.Duration, known bool) {
 	k, found := q.kinds[name]
 	if !found || k.tasks == 0 {
@@ -290,12 +302,22 @@
 		return 0, false
 	}
 
-	seconds := float64(k.tasks+n) / rate
-	if seconds > math.MaxInt32 {
-		seconds = math.MaxInt32
-	}
+	seconds := min(margin*float64(k.tasks+n)/rate, math.MaxInt32)
+
+	return time.Duration(seconds*float64(time.Second)) + k.drain.mean, true
+}
+
+const (
+	// margin makes up for errors of the estimated wait: a task that starts too late to end wastes its slots.
+	margin = 1.25
+	// lateAfter is the wait from which on Late judges a task. Without a backlog every task is tried, since its own run
+	// time may be far below the mean of its kind.
+	lateAfter = 100 * time.Millisecond
+)
 
-	return time.Duration(seconds * float64(time.Second)), true
+// Late tells whether an item that waited in a backlog can no longer be expected to end by the deadline.
+func (q *Queue[T]) Late(i *Item[T], deadline, now time.Time) bool {
+	return now.Sub(i.since) > lateAfter && deadline.Sub(now) < i.flow.kind.drain.mean
 }
 
 // rank gives the class of section "Shares" of the design and the ratio of held slots to share within it.
--- a/weir/process/waitqueue/queue_test.go
+++ b/weir/process/waitqueue/queue_test.go
@@ -240,12 +240,34 @@
 	for range 500 { // 100 tasks/s for 5 s
 		now = now.Add(10 * time.Millisecond)
 		q.Begin(false)
-		q.Take(q.Next(), now)
+
+		i := q.Next()
+		q.Take(i, now.Add(-20*time.Millisecond))
+		q.Ran(i, now, true)
 	}
 
 	wait, known := q.Wait("scan", 100, now)
 	is.True(known)
-	is.True(wait > 5*time.Second && wait < 7*time.Second)
+	is.True(wait > 6*time.Second && wait < 9*time.Second) // 600 tasks at 100/s, and the margin
+
+	// A task that waited is late if it can no longer end, but not one that just came.
+	i := q.Push("m", "scan", 1, 1, 0, now)
+	is.True(!q.Late(i, now.Add(10*time.Millisecond), now))
+	is.True(q.Late(i, now.Add(210*time.Millisecond), now.Add(200*time.Millisecond)))
+	is.True(!q.Late(i, now.Add(230*time.Millisecond), now.Add(200*time.Millisecond)))
+	q.Remove(i)
+
+	// Rejected starts do not drain.
+	for range 1000 {
+		q.Begin(false)
+
+		i := q.Next()
+		q.Take(i, now)
+		q.Return(i)
+	}
+
+	again, _ := q.Wait("scan", 100, now)
+	is.Equal(again, wait)
 
 	// A stall lets the estimate grow; an empty queue has none.
 	stalled, _ := q.Wait("scan", 100, now.Add(10*time.Second))
