sidecar: show queued slots by member, and slow down two sidecars of one name

Cause: /v1/status lacked the queued slots of members. Two sidecars with the same name replace each other, and each new registration reset the back-off, so that they wrote to the log at the pace of the first back-off (200 ms). Change: members count their queued slots, which the property test compares; the back-off of a new incarnation begins anew only after a registration of a minute.

--- a/sidecar/entry/registrar.go
+++ b/sidecar/entry/registrar.go
@@ -20,6 +20,7 @@
 
 	firstRegisterBackOff = 200 * time.Millisecond
 	lastRegisterBackOff  = 5 * time.Second
+	lastingRegistration  = time.Minute
 )
 
 // Registrar keeps the sidecar registered in the log, through one entry at a time.
@@ -30,8 +31,10 @@
 	log      zerolog.Logger
 	// registered is true once this incarnation was seen in the state.
 	registered bool
-	backOff    time.Duration
-	leaving    atomic.Bool
+	// since is the time at which it was seen.
+	since   time.Time
+	backOff time.Duration
+	leaving atomic.Bool
 }
 
 // NewRegistrar returns a registrar.
@@ -53,8 +56,7 @@
 		case r.leaving.Load():
 			return
 		case registered && !r.registered:
-			r.registered = true
-			r.backOff = firstRegisterBackOff
+			r.registered, r.since = true, time.Now()
 			r.event("registered").Int64("offset", offset).Msg("")
 		case registered:
 			wait(ctx, amended, time.Hour)
@@ -66,8 +68,13 @@
 	}
 }
 
-// renew takes a new incarnation. The wait keeps two sidecars of the same name from replacing each other quickly.
+// renew takes a new incarnation. The wait keeps two sidecars of the same name from replacing each other quickly; it
+// begins anew only after a registration that has lasted.
 func (r *Registrar) renew(ctx context.Context) {
+	if time.Since(r.since) > lastingRegistration {
+		r.backOff = firstRegisterBackOff
+	}
+
 	r.event("incarnation_lost").Msg("")
 	r.registered = false
 	r.identity.Renew()
--- a/sidecar/operator/status.go
+++ b/sidecar/operator/status.go
@@ -33,10 +33,11 @@
 }
 
 type memberStatus struct {
-	Member    string `json:"member"`
-	HeldSlots int    `json:"held_slots"`
-	Allowance int    `json:"allowance"`
-	Target    int    `json:"target"`
+	Member      string `json:"member"`
+	HeldSlots   int    `json:"held_slots"`
+	QueuedSlots int    `json:"queued_slots"`
+	Allowance   int    `json:"allowance"`
+	Target      int    `json:"target"`
 }
 
 type entryStatus struct {
@@ -68,7 +69,7 @@
 	}
 
 	for _, m := range s.table.Members() {
-		out.Members = append(out.Members, memberStatus{m.Name(), m.Held(), m.Allowance(), m.Target()})
+		out.Members = append(out.Members, memberStatus{m.Name(), m.Held(), m.Queued(), m.Allowance(), m.Target()})
 	}
 
 	for _, e := range s.links.Sessions() {
--- a/weir/process/share/scheduler.go
+++ b/weir/process/share/scheduler.go
@@ -114,7 +114,8 @@
 type member struct {
 	limit     int
 	allowance Allowance
-	held      int
+	// held and queued count slots.
+	held, queued int
 }
 
 // flow is the queue of one member in one kind.
@@ -359,8 +360,8 @@
 
 // MemberLoad is what a member holds and may hold at this worker, in slots.
 type MemberLoad struct {
-	name                    string
-	held, allowance, target int
+	name                            string
+	held, queued, allowance, target int
 }
 
 // Name returns the member.
@@ -369,6 +370,9 @@
 // Held returns the slots that the member holds.
 func (m MemberLoad) Held() int { return m.held }
 
+// Queued returns the slots that the member's queued tasks need.
+func (m MemberLoad) Queued() int { return m.queued }
+
 // Allowance returns the slots that the member may hold now.
 func (m MemberLoad) Allowance() int { return m.allowance }
 
@@ -382,7 +386,7 @@
 
 	out := make([]MemberLoad, 0, len(s.members))
 	for name, m := range s.members {
-		out = append(out, MemberLoad{name, m.held, m.allowance.At(now, s.capacity.delay), m.allowance.Target()})
+		out = append(out, MemberLoad{name, m.held, m.queued, m.allowance.At(now, s.capacity.delay), m.allowance.Target()})
 	}
 
 	return out
@@ -512,6 +516,7 @@
 	t.element = f.tasks.PushBack(t)
 	k.length++
 	f.queued += t.cores
+	m.queued += t.cores
 	k.queued += t.cores
 	s.queued += t.cores
 	s.active[k] = struct{}{}
@@ -523,6 +528,7 @@
 	t.element = nil
 	k.length--
 	t.flow.queued -= t.cores
+	t.flow.member.queued -= t.cores
 	k.queued -= t.cores
 	s.queued -= t.cores
 
--- a/weir/process/share/scheduler_test.go
+++ b/weir/process/share/scheduler_test.go
@@ -326,6 +326,22 @@
 					waiting += x.Cores()
 				}
 
+				for _, m := range s.Members(origin) {
+					waiting -= m.Queued()
+
+					if m.Held() != holds[m.Name()] {
+						t.Fatalf("%s holds %d slots, %d are reported", m.Name(), holds[m.Name()], m.Held())
+					}
+				}
+
+				if waiting != 0 {
+					t.Fatalf("members report %d queued slots too few", waiting)
+				}
+
+				for _, x := range queued {
+					waiting += x.Cores()
+				}
+
 				if int(l.GetHeldSlots()) != used || int(l.GetQueuedSlots()) != waiting || len(queued) > 2*queue {
 					t.Fatalf("load %v, %d slots used, %d tasks of %d slots queued", l, used, len(queued), waiting)
 				}
