Split the start table and the scheduler into one short file for each noun

Change: declarations are moved, constants beside their use; no code differs, by a comparison of the sets of lines. Conclusion: go test -race ./... passes in sidecar and weir/process/share.

--- /dev/null
+++ b/sidecar/tasks/report.go
@@ -0,0 +1,42 @@
+package tasks
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/share"
+)
+
+// Load reports the use of the worker.
+func (t *Table) Load() *wire.Load {
+	l := t.scheduler.Load()
+	l.SetSuspect(t.statistics.Suspect())
+	l.SetProbe(t.statistics.Probe(time.Now()))
+	l.SetFailurePermille(uint32(t.statistics.FailurePermille())) //nolint:gosec // at most 1000
+
+	t.mu.Lock()
+	l.SetLeaving(t.leaving)
+	t.mu.Unlock()
+
+	return l
+}
+
+// Members reports what each member holds and may hold here.
+func (t *Table) Members() []share.MemberLoad { return t.scheduler.Members(time.Now()) }
+
+// Held returns the numbers of starts and tombstones in the table and of bytes held for them.
+func (t *Table) Held() (starts, tombstones int, bytes int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.starts, t.tombstones, t.bytes
+}
+
+func (t *Table) event(name string, run *Run) *zerolog.Event {
+	r := run.request
+
+	return t.log.Info().Str("event", name).Str("submission", r.id.submission).Uint32("index", r.id.index).
+		Uint32("attempt", r.id.attempt).Str("member", r.member).Str("kind", r.kind)
+}
--- /dev/null
+++ b/weir/process/share/flow.go
@@ -0,0 +1,90 @@
+package share
+
+import "container/list"
+
+// flow is the queue of one member in one kind.
+type flow[T any] struct {
+	kind   *kind[T]
+	name   string
+	member *member
+	tasks  list.List
+	// held and queued count slots.
+	held, queued int
+}
+
+func (f *flow[T]) head() *Task[T] {
+	t, _ := f.tasks.Front().Value.(*Task[T])
+	return t
+}
+
+func (s *Scheduler[T]) prepare() {
+	if s.kinds == nil {
+		s.kinds = map[string]*kind[T]{}
+		s.members = map[string]*member{}
+		s.active = map[*kind[T]]struct{}{}
+	}
+}
+
+func (s *Scheduler[T]) member(name string) *member {
+	m := s.members[name]
+	if m == nil {
+		m = &member{}
+		s.members[name] = m
+	}
+
+	return m
+}
+
+func (s *Scheduler[T]) enqueue(k *kind[T], m *member, t *Task[T]) {
+	f := k.flows[t.member]
+	if f == nil {
+		f = &flow[T]{kind: k, name: t.member, member: m}
+		k.flows[t.member] = f
+	}
+
+	s.sequence++
+	t.sequence = s.sequence
+	t.flow = f
+	t.element = f.tasks.PushBack(t)
+	k.length++
+	f.queued += t.cores
+	m.queued += t.cores
+	k.queued += t.cores
+	s.queued += t.cores
+	s.active[k] = struct{}{}
+}
+
+func (s *Scheduler[T]) dequeue(t *Task[T]) {
+	k := t.flow.kind
+	t.flow.tasks.Remove(t.element)
+	t.element = nil
+	k.length--
+	t.flow.queued -= t.cores
+	t.flow.member.queued -= t.cores
+	k.queued -= t.cores
+	s.queued -= t.cores
+
+	if k.length == 0 {
+		delete(s.active, k)
+	}
+}
+
+// forget ends the task's part in its flow, and the flow, member and kind if nothing refers to them any more.
+func (s *Scheduler[T]) forget(t *Task[T]) {
+	f := t.flow
+	t.flow = nil
+
+	if f.held > 0 || f.tasks.Len() > 0 {
+		return
+	}
+
+	delete(f.kind.flows, f.name)
+
+	if f.member.held == 0 && f.member.limit == 0 && f.member.allowance.Target() == 0 {
+		delete(s.members, f.name)
+	}
+
+	if !f.kind.known && len(f.kind.flows) == 0 {
+		delete(s.kinds, f.kind.name)
+	}
+}
