--- a/sidecar/entry/registrar.go
+++ b/sidecar/entry/registrar.go
@@ -20,6 +20,7 @@
 
 	firstRegisterBackOff = 200 * time.Millisecond
 	lastRegisterBackOff  = 5 * time.Second
+	lastingRegistration  = time.Minute
 )
 
 // Registrar keeps the sidecar registered in the log, through one entry at a time.
@@ -30,8 +31,10 @@
 	log      zerolog.Logger
 	// registered is true once this incarnation was seen in the state.
 	registered bool
-	backOff    time.Duration
-	leaving    atomic.Bool
+	// since is the time at which it was seen.
+	since   time.Time
+	backOff time.Duration
+	leaving atomic.Bool
 }
 
 // NewRegistrar returns a registrar.
@@ -45,7 +48,7 @@
 // Loop registers the sidecar, and again as a new incarnation when it was declared lost or replaced, until ctx ends.
 func (r *Registrar) Loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := r.book.Changed()
+		amended := r.book.Amended()
 		state := r.book.State()
 		offset, registered := state.Registered(r.identity.Name(), r.identity.Incarnation())
 
@@ -53,21 +56,25 @@
 		case r.leaving.Load():
 			return
 		case registered && !r.registered:
-			r.registered = true
-			r.backOff = firstRegisterBackOff
+			r.registered, r.since = true, time.Now()
 			r.event("registered").Int64("offset", offset).Msg("")
 		case registered:
-			wait(ctx, changed, time.Hour)
+			wait(ctx, amended, time.Hour)
 		case r.registered || state.Departed(r.identity.Name(), r.identity.Incarnation()):
 			r.renew(ctx)
 		default:
-			r.register(ctx, changed)
+			r.register(ctx, amended)
 		}
 	}
 }
 
-// renew takes a new incarnation. The wait keeps two sidecars of the same name from replacing each other quickly.
+// renew takes a new incarnation. The wait keeps two sidecars of the same name from replacing each other quickly; it
+// begins anew only after a registration that has lasted.
 func (r *Registrar) renew(ctx context.Context) {
+	if time.Since(r.since) > lastingRegistration {
+		r.backOff = firstRegisterBackOff
+	}
+
 	r.event("incarnation_lost").Msg("")
 	r.registered = false
 	r.identity.Renew()
@@ -75,10 +82,10 @@
 	r.rest(ctx)
 }
 
-func (r *Registrar) register(ctx context.Context, changed <-chan struct{}) {
+func (r *Registrar) register(ctx context.Context, amended <-chan struct{}) {
 	s := r.links.pick()
 	if s == nil || s.incarnation != r.identity.Incarnation() {
-		wait(ctx, changed, firstRegisterBackOff)
+		wait(ctx, amended, firstRegisterBackOff)
 		return
 	}
 
@@ -91,12 +98,12 @@
 
 	// The record arrives with the next exchange of positions.
 	for until := time.Now().Add(registerWait); time.Now().Before(until) && ctx.Err() == nil; {
-		changed := r.book.Changed()
+		amended := r.book.Amended()
 		if _, registered := r.book.State().Registered(r.identity.Name(), r.identity.Incarnation()); registered {
 			return
 		}
 
-		wait(ctx, changed, time.Until(until))
+		wait(ctx, amended, time.Until(until))
 	}
 }
 
