dispatch: build nested messages in place

Cause: messages were put together field by field over several lines. The generated builders say the same in one expression; behaviour does not change.

--- a/entry/home/bench_test.go
+++ b/entry/home/bench_test.go
@@ -90,11 +90,9 @@
 }
 
 func descriptor(name string, incarnation uint64) *wire.Worker {
-	w := wire.Worker_builder{
+	return wire.Worker_builder{
 		Name: name, Incarnation: incarnation, Slots: 8, MemoryMb: 1024, FailureDomain: "d-" + name,
 	}.Build()
-
-	return w
 }
 
 func (b *bench) connect(name string, incarnation uint64) {
@@ -104,8 +102,7 @@
 
 // report sends a load report of a worker.
 func (b *bench) report(name string) {
-	l := wire.Load_builder{Sequence: b.reports.Add(1), Slots: 8}.Build()
-	b.fleet.Report(b.workers[name], l, time.Now())
+	b.fleet.Report(b.workers[name], wire.Load_builder{Sequence: b.reports.Add(1), Slots: 8}.Build(), time.Now())
 }
 
 // heartbeats reports for all workers until the test ends.
@@ -219,25 +216,15 @@
 	c.SetDigest(d[:])
 	c.SetRunUs(1000)
 
-	r := wire.StartReply_builder{Id: s.GetId(), Completed: c}.Build()
-
-	return r
+	return wire.StartReply_builder{Id: s.GetId(), Completed: c}.Build()
 }
 
 func failed(s *wire.Start, code string) *wire.StartReply {
-	f := wire.Failed_builder{Code: code, Message: "as told"}.Build()
-
-	r := wire.StartReply_builder{Id: s.GetId(), Failed: f}.Build()
-
-	return r
+	return wire.StartReply_builder{Id: s.GetId(), Failed: wire.Failed_builder{Code: code, Message: "as told"}.Build()}.Build()
 }
 
 func rejected(s *wire.Start, reason wire.Rejection) *wire.StartReply {
-	j := wire.Rejected_builder{Reason: reason}.Build()
-
-	r := wire.StartReply_builder{Id: s.GetId(), Rejected: j}.Build()
-
-	return r
+	return wire.StartReply_builder{Id: s.GetId(), Rejected: wire.Rejected_builder{Reason: reason}.Build()}.Build()
 }
 
 // result is an answer as a caller decodes it.
--- a/entry/home/failure_test.go
+++ b/entry/home/failure_test.go
@@ -327,8 +327,7 @@
 		"leaving": func(b *bench) { b.fleet.Leave(b.workers["a"]) },
 		"silent":  func(b *bench) { b.fleet.Hear(b.workers["a"], time.Now().Add(-3*time.Second)) },
 		"suspect": func(b *bench) {
-			l := wire.Load_builder{Sequence: 1, Suspect: true}.Build()
-			b.fleet.Report(b.workers["a"], l, time.Now())
+			b.fleet.Report(b.workers["a"], wire.Load_builder{Sequence: 1, Suspect: true}.Build(), time.Now())
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -305,8 +305,7 @@
 	is := is.New(t)
 	b := newBench(t, "a", "b", "c")
 	suspect := func(sequence uint64, yes bool) {
-		l := wire.Load_builder{Sequence: sequence, Suspect: yes, Probe: yes}.Build()
-		b.fleet.Report(b.workers["a"], l, time.Now())
+		b.fleet.Report(b.workers["a"], wire.Load_builder{Sequence: sequence, Suspect: yes, Probe: yes}.Build(), time.Now())
 	}
 	probes := make(chan string, 100)
 	b.start = func(_ context.Context, w *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
--- a/entry/home/start.go
+++ b/entry/home/start.go
@@ -109,14 +109,12 @@
 
 	id := wire.TaskId_builder{Submission: b.ID(), Index: uint32(s.task.index), Attempt: uint32(s.attempt)}.Build()
 
-	m := wire.Start_builder{
+	return wire.Start_builder{
 		Id: id, Member: b.Member(), Kind: b.Kind(), Cores: uint32(b.Cores()), MemoryMb: uint32(b.MemoryMB()),
 		RemainingMs: max(0, s.task.work.deadline.Sub(now).Milliseconds()), Position: b.Ticket().Position(),
 		KeepMs: max(0, b.Ticket().Expiry().Sub(now).Milliseconds()), Probe: s.choice.Probe(),
 		Input: b.Inputs()[s.task.index], Incarnation: s.worker.Incarnation(),
 	}.Build()
-
-	return m
 }
 
 // check refuses a reply that belongs to another start.
--- a/entry/sidecar/hub.go
+++ b/entry/sidecar/hub.go
@@ -98,9 +98,7 @@
 		Submissions: submissions, Cancel: cancel, KeepMs: cmp.Or(h.keep, defaultKeep).Milliseconds(),
 	}.Build()
 
-	f := wire.Frame_builder{Close: m}.Build()
-
-	reply, err := l.conn.RoundTrip(ctx, f)
+	reply, err := l.conn.RoundTrip(ctx, wire.Frame_builder{Close: m}.Build())
 	if err != nil {
 		return nil, merry.Prependf(err, "close at worker %s", worker)
 	}
--- a/entry/sidecar/hub_test.go
+++ b/entry/sidecar/hub_test.go
@@ -49,8 +49,7 @@
 		r.entry.Close()
 	})
 
-	e := wire.Entry_builder{Name: "entry"}.Build()
-	r.hub.Use(e, &r.fleet, &r.book, r, zerolog.Nop())
+	r.hub.Use(wire.Entry_builder{Name: "entry"}.Build(), &r.fleet, &r.book, r, zerolog.Nop())
 
 	go r.run(tb.Context())
 
@@ -96,9 +95,7 @@
 	s, err := c.Open(tb.Context())
 	is.NoErr(err)
 
-	w := wire.Worker_builder{Name: "w", Incarnation: 1, Slots: 64}.Build()
-
-	hello := wire.Hello_builder{Worker: w}.Build()
+	hello := wire.Hello_builder{Worker: wire.Worker_builder{Name: "w", Incarnation: 1, Slots: 64}.Build()}.Build()
 
 	f := wire.Frame_builder{Hello: hello}.Build()
 	is.NoErr(s.Send(f))
@@ -160,21 +157,13 @@
 }
 
 func (p *peer) heartbeat(sequence, epoch uint64) error {
-	l := wire.Load_builder{Sequence: sequence, HeldSlots: 5}.Build()
-
-	b := wire.Heartbeat_builder{Sequence: sequence, LeaseEpoch: epoch, Load: l}.Build()
-
-	f := wire.Frame_builder{Heartbeat: b}.Build()
+	b := wire.Heartbeat_builder{Sequence: sequence, LeaseEpoch: epoch, Load: wire.Load_builder{Sequence: sequence, HeldSlots: 5}.Build()}.Build()
 
-	return p.control.Send(f)
+	return p.control.Send(wire.Frame_builder{Heartbeat: b}.Build())
 }
 
 func echo(s *wire.Start) *wire.StartReply {
-	c := wire.Completed_builder{Output: s.GetInput()}.Build()
-
-	r := wire.StartReply_builder{Id: s.GetId(), Completed: c}.Build()
-
-	return r
+	return wire.StartReply_builder{Id: s.GetId(), Completed: wire.Completed_builder{Output: s.GetInput()}.Build()}.Build()
 }
 
 func eventually(is *is.I, what func() bool) {
@@ -188,11 +177,7 @@
 }
 
 func start() *wire.Start {
-	id := wire.TaskId_builder{Submission: "s"}.Build()
-
-	m := wire.Start_builder{Id: id, Input: []byte("input")}.Build()
-
-	return m
+	return wire.Start_builder{Id: wire.TaskId_builder{Submission: "s"}.Build(), Input: []byte("input")}.Build()
 }
 
 // Guards against starts without the present lease epoch, unacknowledged outcomes, and a sidecar that never gets the
@@ -247,13 +232,9 @@
 	p := r.dial(t, echo)
 
 	for name, ok := range map[string]bool{"w": true, "v": false} {
-		w := wire.Worker_builder{Name: name, Incarnation: 1}.Build()
-
-		m := wire.Register_builder{Worker: w}.Build()
-
-		f := wire.Frame_builder{Register: m}.Build()
+		m := wire.Register_builder{Worker: wire.Worker_builder{Name: name, Incarnation: 1}.Build()}.Build()
 
-		reply, err := p.conn.RoundTrip(t.Context(), f)
+		reply, err := p.conn.RoundTrip(t.Context(), wire.Frame_builder{Register: m}.Build())
 		is.NoErr(err)
 		is.Equal(reply.GetRegisterReply().GetOk(), ok)
 	}
--- a/entry/sidecar/link.go
+++ b/entry/sidecar/link.go
@@ -39,9 +39,7 @@
 }
 
 func (l *link) welcome() error {
-	m := wire.Welcome_builder{Entry: l.hub.entry, Position: l.hub.book.State().Position()}.Build()
-
-	f := wire.Frame_builder{Welcome: m}.Build()
+	f := wire.Frame_builder{Welcome: wire.Welcome_builder{Entry: l.hub.entry, Position: l.hub.book.State().Position()}.Build()}.Build()
 
 	return l.send(f)
 }
@@ -86,9 +84,7 @@
 		Sequence: b.GetSequence(), LeaseEpoch: b.GetLeaseEpoch(), Position: l.hub.book.State().Position(),
 	}.Build()
 
-	f := wire.Frame_builder{HeartbeatAck: m}.Build()
-
-	if err := l.send(f); err != nil {
+	if err := l.send(wire.Frame_builder{HeartbeatAck: m}.Build()); err != nil {
 		return err
 	}
 
@@ -113,9 +109,7 @@
 		return nil
 	}
 
-	f := wire.Frame_builder{Records: r}.Build()
-
-	if err := l.control.Send(f); err != nil {
+	if err := l.control.Send(wire.Frame_builder{Records: r}.Build()); err != nil {
 		return err
 	}
 
@@ -148,9 +142,7 @@
 
 	m.SetLeaseEpoch(l.epoch.Load())
 
-	f := wire.Frame_builder{Start: m}.Build()
-
-	if err := s.Send(f); err != nil {
+	if err := s.Send(wire.Frame_builder{Start: m}.Build()); err != nil {
 		return nil, true, err
 	}
 
@@ -206,6 +198,5 @@
 		reply.SetMessage(err.Error())
 	}
 
-	out := wire.Frame_builder{RegisterReply: reply}.Build()
-	_ = e.stream.Send(out)
+	_ = e.stream.Send(wire.Frame_builder{RegisterReply: reply}.Build())
 }
--- a/weir/process/fleet/fleet_test.go
+++ b/weir/process/fleet/fleet_test.go
@@ -14,15 +14,11 @@
 var start = time.Unix(1000, 0)
 
 func connect(f *fleet.Fleet, name string, incarnation uint64) *fleet.Worker {
-	d := wire.Worker_builder{Name: name, Incarnation: incarnation, Slots: 8}.Build()
-
-	return f.Connect(d, start)
+	return f.Connect(wire.Worker_builder{Name: name, Incarnation: incarnation, Slots: 8}.Build(), start)
 }
 
 func load(sequence uint64, held, queued int) *wire.Load {
-	l := wire.Load_builder{Sequence: sequence, HeldSlots: uint32(held), QueuedSlots: uint32(queued)}.Build()
-
-	return l
+	return wire.Load_builder{Sequence: sequence, HeldSlots: uint32(held), QueuedSlots: uint32(queued)}.Build()
 }
 
 // Guards against an old report that replaces a fresher one, and against starts that are counted twice or not at all.
