Test that expired submissions are dropped and never run again

It guards the rule that a ticket no later than a dropped one is refused even if the clock steps back.

--- a/entry/home/expiry.go
+++ b/entry/home/expiry.go
@@ -61,15 +61,20 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			for _, h := range e.sweep(now) {
-				t.drop(h)
-			}
-
-			t.memory.compact()
+			t.Sweep(now)
 		}
 	}
 }
 
+// Sweep drops the submissions whose tickets expired a while before now. Run does so every second.
+func (t *Table) Sweep(now time.Time) {
+	for _, h := range t.expiry.sweep(now) {
+		t.drop(h)
+	}
+
+	t.memory.compact()
+}
+
 // sweep returns the submissions that are due.
 func (e *expiry) sweep(now time.Time) (due []*Held) {
 	e.mu.Lock()
--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -213,6 +213,38 @@
 	is.Equal(fault.KindOf(err), fault.TicketExpired)
 }
 
+// Guards against a table that only grows, and against a dropped submission that runs again after the clock stepped back.
+func TestExpiredSubmissionsAreDropped(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a")
+	early, late := b.submission(1, options{lifetime: time.Minute}), b.submission(1, options{lifetime: 10 * time.Minute})
+
+	for _, s := range []submission.Submission{early, late} {
+		h, err := b.table.Submit(s)
+		is.NoErr(err)
+		is.Equal(await(is, h).status, 200)
+		h.Delivered()
+	}
+
+	b.table.Sweep(time.Now().Add(80 * time.Second))
+	is.Equal(b.table.Count(), 2) // kept for a margin beyond the ticket
+	b.table.Sweep(time.Now().Add(100 * time.Second))
+	is.Equal(b.table.Count(), 1)
+
+	_, found := b.table.Find(early.ID())
+	is.True(!found)
+	_, err := b.table.Submit(early)
+	is.Equal(fault.KindOf(err), fault.TicketExpired)
+
+	h, err := b.table.Submit(late)
+	is.NoErr(err)
+	is.Equal(await(is, h).status, 200)
+	is.Equal(len(b.sent()), 2)
+
+	b.table.Sweep(time.Now().Add(time.Hour))
+	is.Equal(b.table.Count(), 0)
+}
+
 // Guards against a worker or an agreement that the table does not learn of while it runs.
 func TestTheTableFollowsTheLog(t *testing.T) {
 	is := is.New(t)
