entry: be ready only with sidecars connected, and hold back the first requests

Readiness now asks for half of the sidecars at first and for one later; callers that come by themselves before that wait up to 2 s. Opening the caller's address later was ruled out, since the chosen port has to be known at the start.

--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -15,7 +15,6 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 	gometrics "github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
@@ -28,6 +27,8 @@
 	maxTicketCount = 1000
 	// bodyWait bounds how long a caller may take to send its body.
 	bodyWait = 30 * time.Second
+	// warmWait is how long the first requests wait for a new entry to become ready.
+	warmWait = 2 * time.Second
 	// eventInterval is how often the progress of a submission is compared with the last event.
 	eventInterval = 100 * time.Millisecond
 	// remoteEventInterval is longer, since each comparison is a message to the home.
@@ -51,15 +52,17 @@
 	book     *ledger.Book
 	maxBody  int64
 	registry gometrics.Registry
-	log      zerolog.Logger
+	// warm is closed once this entry was ready for the first time.
+	warm <-chan struct{}
 	// draining is true once callers should move to other entries.
 	draining atomic.Bool
 }
 
-// NewServer returns a server that refuses bodies of more than maxBody bytes.
-func NewServer(mint *Mint, local *Local, router *Router, binder Binder, book *ledger.Book, maxBody int64, registry gometrics.Registry, log zerolog.Logger) *Server {
+// NewServer returns a server that refuses bodies of more than maxBody bytes. The channel is closed once the entry was
+// ready for the first time.
+func NewServer(mint *Mint, local *Local, router *Router, binder Binder, book *ledger.Book, warm <-chan struct{}, maxBody int64, registry gometrics.Registry) *Server {
 	return &Server{
-		mint: mint, local: local, router: router, binder: binder, book: book, maxBody: maxBody, registry: registry, log: log,
+		mint: mint, local: local, router: router, binder: binder, book: book, warm: warm, maxBody: maxBody, registry: registry,
 	}
 }
 
@@ -101,6 +104,8 @@
 			w.Header().Set("Connection", "close")
 		}
 
+		s.awaitWarm(r.Context())
+
 		member, err := s.authenticate(r)
 		if err != nil {
 			s.write(w, name, Refuse(err, ""))
@@ -116,6 +121,25 @@
 	})
 }
 
+// awaitWarm holds back the first requests of a new entry, which would be refused although the sidecars are about to
+// connect. A load balancer sends none before the entry is ready, but callers may try it by themselves.
+func (s *Server) awaitWarm(ctx context.Context) {
+	select {
+	case <-s.warm:
+		return
+	default:
+	}
+
+	timer := time.NewTimer(warmWait)
+	defer timer.Stop()
+
+	select {
+	case <-s.warm:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (s *Server) authenticate(r *http.Request) (string, error) {
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || token == "" {
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -23,7 +23,6 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 	gometrics "github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/entry/caller"
 	"github.com/skylarkweir/skylarkweir/entry/home"
@@ -219,6 +218,7 @@
 	local  *caller.Local
 	server *caller.Server
 	http   *httptest.Server
+	warm   chan struct{}
 }
 
 func newIs(t *testing.T) *is.I { return is.New(t) }
@@ -239,7 +239,12 @@
 	f.mint = caller.NewMint(key, netip.MustParseAddrPort("127.0.0.1:9"), ownIncarnation, book, time.Minute)
 	f.local = caller.NewLocal(f.mint, f.table, book, caller.NewSlots(2), 10)
 	router := caller.NewRouter(f.local, f.peers, f.lost)
-	f.server = caller.NewServer(f.mint, f.local, router, f.binder, book, 1<<10, gometrics.NewRegistry(), zerolog.Nop())
+	f.warm = make(chan struct{})
+	if ready {
+		close(f.warm)
+	}
+
+	f.server = caller.NewServer(f.mint, f.local, router, f.binder, book, f.warm, 1<<10, gometrics.NewRegistry())
 	f.http = httptest.NewServer(f.server.Handler())
 	t.Cleanup(f.http.Close)
 
@@ -363,13 +368,24 @@
 	}
 }
 
+// Guards against work that is taken without an agreement.
 func TestNoAgreement(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, false)
 
+	begin := time.Now()
 	w, body := f.do(is, f.request("POST", "/v1/requests", "token-a", "", oneTask))
 	is.Equal(w.StatusCode, 503)
 	is.True(bytes.Contains(body, []byte("no_agreement")))
+	// A new entry holds its first requests back for a while, and refuses at once later.
+	is.True(time.Since(begin) > time.Second)
+	is.True(time.Since(begin) < 3*time.Second)
+
+	close(f.warm)
+
+	begin = time.Now()
+	f.do(is, f.request("POST", "/v1/requests", "token-a", "", oneTask))
+	is.True(time.Since(begin) < time.Second)
 }
 
 // Guards against answers that are altered, delivered twice, or reported as delivered before they were written.
--- a/entry/operator/readiness.go
+++ b/entry/operator/readiness.go
@@ -1,23 +1,60 @@
 package operator
 
 import (
+	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
+const (
+	// warmUp is how long a new entry waits for half of its sidecars to connect before fewer are enough. Work that came
+	// earlier would all go to the first ones.
+	warmUp = 5 * time.Second
+	// warmInterval is how often a new entry looks whether it has become ready.
+	warmInterval = 10 * time.Millisecond
+)
+
 // Readiness tells whether the load balancer should send callers to this entry.
 type Readiness struct {
 	book    *ledger.Book
-	started atomic.Bool
-	leaving atomic.Bool
+	workers *fleet.Fleet
+	// connections is the number of sidecars that this entry is connected to if there are more of them.
+	connections int
+	start       time.Time
+	leaving     atomic.Bool
+	// warm is closed once the entry was ready for the first time.
+	warm chan struct{}
+	once sync.Once
+}
+
+// NewReadiness returns a readiness that is off until an agreement was read and sidecars are connected.
+func NewReadiness(book *ledger.Book, workers *fleet.Fleet, connections int) *Readiness {
+	return &Readiness{book: book, workers: workers, connections: connections, start: time.Now(), warm: make(chan struct{})}
 }
 
-// NewReadiness returns a readiness that is off until Start.
-func NewReadiness(book *ledger.Book) *Readiness { return &Readiness{book: book} }
+// Run notes when the entry is ready for the first time.
+func (r *Readiness) Run(ctx context.Context) {
+	tick := time.NewTicker(warmInterval)
+	defer tick.Stop()
 
-// Start notes that the caller's address is served.
-func (r *Readiness) Start() { r.started.Store(true) }
+	for r.Reason() != "" {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+
+	r.once.Do(func() { close(r.warm) })
+}
+
+// Warm is closed once the entry was ready for the first time.
+func (r *Readiness) Warm() <-chan struct{} { return r.warm }
 
 // Leave turns readiness off for good.
 func (r *Readiness) Leave() { r.leaving.Store(true) }
@@ -27,14 +64,43 @@
 
 // Reason returns why the entry is not ready, or an empty text.
 func (r *Readiness) Reason() string {
+	state := r.book.State()
+
 	switch {
 	case r.leaving.Load():
 		return "the entry is leaving"
-	case !r.started.Load():
-		return "the entry is starting"
-	case !r.book.State().Ready():
+	case !state.Ready():
 		return "no agreement has been read yet"
+	}
+
+	registered, connected := len(state.Workers()), 0
+
+	for _, w := range r.workers.View().Workers() {
+		if _, in := w.Joined(); in {
+			connected++
+		}
+	}
+
+	if connected < r.needed(registered) {
+		return fmt.Sprintf("%d of %d registered workers are connected", connected, registered)
+	}
+
+	return ""
+}
+
+// needed returns how many workers have to be connected: none if there are none, so that callers learn that.
+func (r *Readiness) needed(registered int) int {
+	expected := min(registered, r.connections)
+
+	select {
+	case <-r.warm:
+		return min(expected, 1)
 	default:
-		return ""
 	}
+
+	if time.Since(r.start) > warmUp {
+		return min(expected, 1)
+	}
+
+	return (expected + 1) / 2
 }
--- /dev/null
+++ b/entry/operator/readiness_test.go
@@ -0,0 +1,72 @@
+package operator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/entry/operator"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// Guards against callers that are sent to an entry which must refuse them: without an agreement, before its sidecars
+// have connected, cut off from all of them, or leaving.
+func TestReadiness(t *testing.T) {
+	is := is.New(t)
+	book, workers := &ledger.Book{}, &fleet.Fleet{}
+	r := operator.NewReadiness(book, workers, 64)
+
+	is.Equal(r.Reason(), "no agreement has been read yet")
+
+	a, err := agreement.Parse([]byte(`{"agreement":"test","members":[],"kinds":[]}`))
+	is.NoErr(err)
+
+	records := []ledger.Record{ledger.NewRecord(0, time.Now(), ledger.PublicationRecord(0, []byte("n"), "op", a))}
+
+	var all []*wire.Worker
+
+	for i := range 3 {
+		w := &wire.Worker{}
+		w.SetName(fmt.Sprint("w", i))
+		w.SetIncarnation(uint64(i + 1))
+		all = append(all, w)
+		records = append(records, ledger.NewRecord(int64(i+1), time.Now(), ledger.WorkerJoinedRecord(w)))
+	}
+
+	book.Advance(records, 4)
+	is.Equal(r.Reason(), "0 of 3 registered workers are connected")
+
+	connect := func(w *wire.Worker) *fleet.Worker {
+		c := workers.Connect(w, time.Now())
+		workers.Register(book.State().Registered)
+
+		return c
+	}
+
+	first := connect(all[0])
+	is.Equal(r.Reason(), "1 of 3 registered workers are connected")
+
+	second := connect(all[1])
+	is.Equal(r.Reason(), "")
+
+	r.Run(t.Context())
+	<-r.Warm()
+
+	// Once warm, one worker is enough: another entry is not better off when workers are lost.
+	workers.Disconnect(second)
+	is.Equal(r.Reason(), "")
+
+	workers.Disconnect(first)
+	is.Equal(r.Reason(), "0 of 3 registered workers are connected")
+
+	connect(all[2])
+	is.Equal(r.Reason(), "")
+
+	r.Leave()
+	is.Equal(r.Reason(), "the entry is leaving")
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -117,14 +117,13 @@
 	p.parts.Table.Follow(running, p.parts.Book)
 
 	for _, loop := range []func(context.Context){
-		p.parts.Follower.Run, p.parts.Appender.Run, p.parts.Table.Run, p.parts.Peers.Run, p.watch, p.accept, p.join,
+		p.parts.Follower.Run, p.parts.Appender.Run, p.parts.Table.Run, p.parts.Peers.Run, p.watch, p.accept, p.join, p.parts.Readiness.Run,
 	} {
 		p.group.Go(func() { loop(running) })
 	}
 
 	p.group.Go(func() { p.serve(p.callers, callers) })
 	p.group.Go(func() { p.serve(p.admin, admin) })
-	p.parts.Readiness.Start()
 
 	p.parts.Log.Info().Str("event", "listening").Str("callers", p.CallersAddress()).Str("admin", p.AdminAddress()).
 		Str("quic", p.Address()).Uint64("incarnation", p.parts.Self.GetIncarnation()).Msg("the entry is listening")
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -50,7 +50,9 @@
 			newCallers,
 			newOperator,
 			newProcess,
-			operator.NewReadiness,
+			func(b *ledger.Book, w *fleet.Fleet) *operator.Readiness {
+				return operator.NewReadiness(b, w, f.Connections)
+			},
 			func() *ledger.Book { return &ledger.Book{} },
 			func() *fleet.Fleet { return &fleet.Fleet{} },
 			func() *logservice.Client { return logservice.NewClient(f.LogService) },
@@ -183,8 +185,8 @@
 	return binding.NewBinder(mint, a, book, s.KeyLifetime(), log)
 }
 
-func newCallers(s Settings, mint *caller.Mint, l *caller.Local, r *caller.Router, b *binding.Binder, book *ledger.Book, registry gometrics.Registry, log zerolog.Logger) *caller.Server {
-	return caller.NewServer(mint, l, r, b, book, s.file.MaxBody.Value(), registry, log)
+func newCallers(s Settings, mint *caller.Mint, l *caller.Local, r *caller.Router, b *binding.Binder, book *ledger.Book, readiness *operator.Readiness, registry gometrics.Registry) *caller.Server {
+	return caller.NewServer(mint, l, r, b, book, readiness.Warm(), s.file.MaxBody.Value(), registry)
 }
 
 func newOperator(self *wire.Entry, book *ledger.Book, workers *fleet.Fleet, p *peer.Peers, r *caller.Router, f *logservice.Follower, registry gometrics.Registry, readiness *operator.Readiness, s fx.Shutdowner) *operator.Server {
