--- a/entry/sidecar/link.go
+++ b/entry/sidecar/link.go
@@ -39,12 +39,7 @@
 }
 
 func (l *link) welcome() error {
-	m := &wire.Welcome{}
-	m.SetEntry(l.hub.entry)
-	m.SetPosition(l.hub.book.State().Position())
-
-	f := &wire.Frame{}
-	f.SetWelcome(m)
+	f := wire.Frame_builder{Welcome: wire.Welcome_builder{Entry: l.hub.entry, Position: l.hub.book.State().Position()}.Build()}.Build()
 
 	return l.send(f)
 }
@@ -85,15 +80,11 @@
 	l.epoch.Store(b.GetLeaseEpoch())
 	l.hub.workers.Report(l.worker, b.GetLoad(), now)
 
-	m := &wire.HeartbeatAck{}
-	m.SetSequence(b.GetSequence())
-	m.SetLeaseEpoch(b.GetLeaseEpoch())
-	m.SetPosition(l.hub.book.State().Position())
-
-	f := &wire.Frame{}
-	f.SetHeartbeatAck(m)
+	m := wire.HeartbeatAck_builder{
+		Sequence: b.GetSequence(), LeaseEpoch: b.GetLeaseEpoch(), Position: l.hub.book.State().Position(),
+	}.Build()
 
-	if err := l.send(f); err != nil {
+	if err := l.send(wire.Frame_builder{HeartbeatAck: m}.Build()); err != nil {
 		return err
 	}
 
@@ -118,10 +109,7 @@
 		return nil
 	}
 
-	f := &wire.Frame{}
-	f.SetRecords(r)
-
-	if err := l.control.Send(f); err != nil {
+	if err := l.control.Send(wire.Frame_builder{Records: r}.Build()); err != nil {
 		return err
 	}
 
@@ -154,10 +142,7 @@
 
 	m.SetLeaseEpoch(l.epoch.Load())
 
-	f := &wire.Frame{}
-	f.SetStart(m)
-
-	if err := s.Send(f); err != nil {
+	if err := s.Send(wire.Frame_builder{Start: m}.Build()); err != nil {
 		return nil, true, err
 	}
 
@@ -172,8 +157,7 @@
 		return nil, true, merry.Errorf("worker %s answered a start with %v", l.worker.Name(), in.WhichBody())
 	}
 
-	ack := &wire.Frame{}
-	ack.SetStartAck(&wire.StartAck{})
+	ack := wire.Frame_builder{StartAck: &wire.StartAck{}}.Build()
 	// A lost acknowledgement costs the sidecar memory until the ticket expires, nothing else.
 	_ = s.Send(ack)
 
@@ -199,8 +183,7 @@
 	ctx, cancel := context.WithTimeout(ctx, registerWait)
 	defer cancel()
 
-	reply := &wire.RegisterReply{}
-	reply.SetOk(true)
+	reply := wire.RegisterReply_builder{Ok: true}.Build()
 
 	w := f.GetRegister().GetWorker()
 
@@ -215,7 +198,5 @@
 		reply.SetMessage(err.Error())
 	}
 
-	out := &wire.Frame{}
-	out.SetRegisterReply(reply)
-	_ = e.stream.Send(out)
+	_ = e.stream.Send(wire.Frame_builder{RegisterReply: reply}.Build())
 }
