entry: take the position of tickets from a function, and keep closes as long as tickets

Cause: the home's dispatch loop follows the log with a delay, so a ticket can have a position that the loop has not applied. In that time it may use a worker that left below the position, which the sidecars asked for a lost home do not include: "ran none" could then be untrue. The function lets the home state what it has applied; it returns the position of the ledger until home.Table tells its own.

A wait for the fleet to agree with the ledger was ruled out: the loop may register an older state afterwards. Sidecars now remember closes for ticket_lifetime and 30 s.

Checked: go test -race ./caller ./binding ./process ./peer passes, with a new test of late replies.

--- a/entry/binding/binder_test.go
+++ b/entry/binding/binder_test.go
@@ -41,6 +41,8 @@
 	entries []*entry
 }
 
+func positionOf(b *ledger.Book) func() int64 { return func() int64 { return b.State().Position() } }
+
 func newSystem(t *testing.T, entries int) *system {
 	t.Helper()
 
@@ -64,7 +66,7 @@
 		group.Go(func() { follower.Run(ctx) })
 		group.Go(func() { appender.Run(ctx) })
 
-		mint := caller.NewMint(key, netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+1)), uint64(i+1), book, time.Minute)
+		mint := caller.NewMint(key, netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+1)), uint64(i+1), positionOf(book), time.Minute)
 		s.entries = append(s.entries, &entry{book, mint, binding.NewBinder(mint, appender, book, lifetime, zerolog.Nop())})
 	}
 
@@ -304,7 +306,7 @@
 func TestIncompleteBindings(t *testing.T) {
 	is := is.New(t)
 	book := &ledger.Book{}
-	mint := caller.NewMint(key, netip.MustParseAddrPort("127.0.0.1:1"), 1, book, time.Minute)
+	mint := caller.NewMint(key, netip.MustParseAddrPort("127.0.0.1:1"), 1, positionOf(book), time.Minute)
 	b := binding.NewBinder(mint, &slowAppender{}, book, lifetime, zerolog.Nop())
 	start := time.Now()
 
--- a/entry/caller/mint.go
+++ b/entry/caller/mint.go
@@ -7,7 +7,6 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
-	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
 // Mint issues and checks tickets.
@@ -15,23 +14,25 @@
 	key         ticket.Key
 	home        netip.AddrPort
 	incarnation uint64
-	book        *ledger.Book
-	lifetime    time.Duration
-	sequence    atomic.Uint64
+	// position returns the log position that the home applies. A ticket of a higher position could be given to a worker
+	// that has left by then but that the home still uses, and a lost home's sidecars would be asked without it.
+	position func() int64
+	lifetime time.Duration
+	sequence atomic.Uint64
 }
 
-// NewMint returns a mint for the entry that accepts QUIC connections at home.
-func NewMint(key ticket.Key, home netip.AddrPort, incarnation uint64, book *ledger.Book, lifetime time.Duration) *Mint {
-	return &Mint{key: key, home: home, incarnation: incarnation, book: book, lifetime: lifetime}
+// NewMint returns a mint for the entry that accepts QUIC connections at home and applies the log up to position.
+func NewMint(key ticket.Key, home netip.AddrPort, incarnation uint64, position func() int64, lifetime time.Duration) *Mint {
+	return &Mint{key: key, home: home, incarnation: incarnation, position: position, lifetime: lifetime}
 }
 
 // Incarnation returns the incarnation of this entry.
 func (m *Mint) Incarnation() uint64 { return m.incarnation }
 
-// Issue returns a new ticket. Its position is the one that the ledger has now, which decides the workers that may run it.
+// Issue returns a new ticket. Its position decides the workers that may run it.
 func (m *Mint) Issue(member string) (string, ticket.Ticket) {
 	expiry := time.UnixMilli(time.Now().Add(m.lifetime).UnixMilli())
-	t := ticket.New(m.home, m.incarnation, m.sequence.Add(1), member, m.book.State().Position(), expiry)
+	t := ticket.New(m.home, m.incarnation, m.sequence.Add(1), member, m.position(), expiry)
 
 	return m.key.Sign(t), t
 }
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -223,6 +223,8 @@
 
 func newIs(t *testing.T) *is.I { return is.New(t) }
 
+func positionOf(b *ledger.Book) func() int64 { return func() int64 { return b.State().Position() } }
+
 func newFixture(t *testing.T, ready bool) *fixture {
 	t.Helper()
 
@@ -236,7 +238,7 @@
 		table: &table{held: map[string]*held{}, bodies: map[string][sha256.Size]byte{}}, peers: &forwarder{},
 		lost: &resolver{}, binder: &binder{},
 	}
-	f.mint = caller.NewMint(key, netip.MustParseAddrPort("127.0.0.1:9"), ownIncarnation, book, time.Minute)
+	f.mint = caller.NewMint(key, netip.MustParseAddrPort("127.0.0.1:9"), ownIncarnation, positionOf(book), time.Minute)
 	f.local = caller.NewLocal(f.mint, f.table, book, caller.NewSlots(2), 10)
 	router := caller.NewRouter(f.local, f.peers, f.lost)
 	f.warm = make(chan struct{})
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -270,6 +270,41 @@
 	is.NoErr(b.peers.Drain(t.Context()))
 }
 
+// Guards against a late reply that reaches a later request, and against one that counts as delivered.
+func TestLateReply(t *testing.T) {
+	t.Parallel()
+
+	is := is.New(t)
+	keys := keysOf(t)
+	a := start(t, keys, 1)
+	b := start(t, keys, 2)
+
+	for i := range 20 {
+		late, next := fmt.Sprintf("late%d", i), fmt.Sprintf("next%d", i)
+		ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+
+		_, _, err := a.peers.Forward(ctx, b.self, forwardOf(late, 2, 100*time.Millisecond))
+		is.True(err != nil)
+		is.True(ctx.Err() != nil)
+		stop()
+
+		r, isHome, err := a.peers.Forward(t.Context(), b.self, forwardOf(next, 2, 60*time.Millisecond))
+		is.NoErr(err)
+		is.True(isHome)
+		is.Equal(string(r.Body()), next)
+		r.Written(true)
+
+		eventually(is, func() bool {
+			_, known := b.home.wasWritten(late)
+
+			return known
+		})
+
+		whole, _ := b.home.wasWritten(late)
+		is.True(!whole)
+	}
+}
+
 // Guards against an operation that another incarnation, or a lost home, is taken to have answered.
 func TestNotHomeAndOtherIncarnation(t *testing.T) {
 	t.Parallel()
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net/netip"
 	"runtime"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	gometrics "github.com/rcrowley/go-metrics"
@@ -28,6 +29,9 @@
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
+// closedMargin is how long sidecars remember a close beyond the lifetime of tickets, for clocks that differ.
+const closedMargin = 30 * time.Second
+
 // Options returns the parts of an entry for fx.
 func Options(s Settings, log zerolog.Logger) fx.Option {
 	f := s.file
@@ -112,7 +116,9 @@
 		return nil, merry.Prepend(err, "own address")
 	}
 
-	return caller.NewMint(key, address, self.GetIncarnation(), book, s.TicketLifetime()), nil
+	position := func() int64 { return book.State().Position() }
+
+	return caller.NewMint(key, address, self.GetIncarnation(), position, s.TicketLifetime()), nil
 }
 
 func newTable(s Settings, workers *fleet.Fleet, hub *sidecar.Hub, self *wire.Entry, registry gometrics.Registry, log zerolog.Logger) *home.Table {
@@ -125,9 +131,10 @@
 	return t
 }
 
-func newHub(self *wire.Entry, workers *fleet.Fleet, book *ledger.Book, appender *logservice.Appender, log zerolog.Logger) *sidecar.Hub {
+func newHub(s Settings, self *wire.Entry, workers *fleet.Fleet, book *ledger.Book, appender *logservice.Appender, log zerolog.Logger) *sidecar.Hub {
 	h := &sidecar.Hub{}
 	h.Use(self, workers, book, registrar{appender}, log)
+	h.KeepClosed(s.TicketLifetime() + closedMargin)
 
 	return h
 }
