--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -125,6 +125,44 @@
 	is.Equal(await(is, h).status, 200)
 }
 
+// Guards against starts of tasks that can no longer end in time: the slots would be wasted.
+func TestLateTasksAreNotStarted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b := newBench(t, "a")
+	release := make(chan struct{})
+	b.start = func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		if len(b.sent()) == 1 {
+			time.Sleep(time.Second) // the mean that the table learns
+		} else {
+			<-release
+		}
+
+		return completed(s, s.GetInput()), true, nil
+	}
+
+	go b.heartbeats(t.Context())
+
+	h, err := b.table.Submit(b.submission(1, options{}))
+	is.NoErr(err)
+	await(is, h)
+
+	full, err := b.table.Submit(b.submission(room, options{deadline: 20 * time.Second}))
+	is.NoErr(err)
+	eventually(is, func() bool { return len(b.sent()) == 1+room })
+
+	late, err := b.table.Submit(b.submission(1, options{deadline: 2500 * time.Millisecond}))
+	is.NoErr(err)
+	time.Sleep(1700 * time.Millisecond)
+	close(release)
+
+	r := await(is, late)
+	is.Equal(r.Error.Code, "deadline_unreachable")
+	is.Equal(r.Error.Ran, "none")
+	is.Equal(await(is, full).status, 200)
+	is.Equal(len(b.sent()), 1+room)
+}
+
 // Guards against tasks that start again at the successor after a handover, and answers lost or altered by it.
 func TestHandover(t *testing.T) {
 	is := is.New(t)
