Hold a member at its limit at the entry too, and keep a called-off start from blocking a worker

Cause: a member's tasks beyond its limit cannot run anywhere, but were sent to the sidecars and filled the run queues of their kind for the other members. And a start that its cancelled submission called off before it was sent made the worker count as full until its next report.

Change: the wait queue passes over members that hold their limit and a quarter more, counted over all kinds at this entry; the sidecars still enforce the limit itself. A split of the limit over the entries was ruled out, since it fails when entries die.

--- a/entry/home/start.go
+++ b/entry/home/start.go
@@ -54,7 +54,11 @@
 	case err == nil:
 		s.take(reply)
 	case !s.sent:
-		s.worker.Refuse("")
+		// A start that its own submission called off says nothing about the worker.
+		if s.task.work.ctx.Err() == nil {
+			s.worker.Refuse("")
+		}
+
 		s.rejected("not_sent")
 	default:
 		s.stopped(false, fault.Wrap(fault.BackendFailed, err, "task %d: worker %s was lost", s.task.index, s.worker.Name()), true)
--- a/weir/process/waitqueue/queue.go
+++ b/weir/process/waitqueue/queue.go
@@ -18,7 +18,7 @@
 	order []*kind[T]
 	// tasks and held are the sums over all kinds.
 	tasks, held int
-	members     map[string]int
+	members     map[string]*member
 	bound       int
 	capacity    int
 	// pass is the number of the present pass over the flows.
@@ -37,12 +37,21 @@
 	drain  drain
 }
 
+// member counts over all kinds.
+type member struct {
+	tasks, held int
+	// limit is in slots, and at least 1.
+	limit int
+}
+
+// full tells whether the member holds its limit and a quarter more. More could not run anywhere, and would fill the run
+// queues of the sidecars for other members; the quarter keeps those queues from running dry.
+func (m *member) full() bool { return m.held >= m.limit+max(m.limit/4, 1) }
+
 // Flow holds the waiting tasks of one member and kind, first come first.
 type Flow[T any] struct {
-	kind   *kind[T]
-	member string
-	// limit is the member's limit in slots, and at least 1.
-	limit       int
+	kind        *kind[T]
+	member      *member
 	held        int
 	first, last *Item[T]
 	// skipped is the last pass in which the head of this flow found no place.
@@ -96,15 +105,7 @@
 }
 
 // SetLimit sets the limit in slots of a member.
-func (q *Queue[T]) SetLimit(member string, slots int) {
-	for _, k := range q.order {
-		for _, f := range k.flows {
-			if f.member == member {
-				f.limit = max(slots, 1)
-			}
-		}
-	}
-}
+func (q *Queue[T]) SetLimit(name string, slots int) { q.member(name).limit = max(slots, 1) }
 
 // Tasks returns the number of waiting tasks.
 func (q *Queue[T]) Tasks() int { return q.tasks }
@@ -123,13 +124,13 @@
 
 // Admits tells whether n more tasks fit in. Half of the bound is split among the kinds by their shares and the rest
 // is common, so that a flood of one kind leaves room for the others; one member gets at most three quarters.
-func (q *Queue[T]) Admits(member, name string, n int) bool {
+func (q *Queue[T]) Admits(owner, name string, n int) bool {
 	bound := q.bound
 	if bound == 0 {
 		bound = defaultBound
 	}
 
-	if q.tasks+n > bound || q.members[member]+n > bound-bound/4 {
+	if q.tasks+n > bound || q.member(owner).tasks+n > bound-bound/4 {
 		return false
 	}
 
@@ -157,8 +158,8 @@
 }
 
 // Push appends a task and returns its item.
-func (q *Queue[T]) Push(member, name string, limit, slots int, value T, now time.Time) *Item[T] {
-	f := q.flow(member, name, limit)
+func (q *Queue[T]) Push(owner, name string, limit, slots int, value T, now time.Time) *Item[T] {
+	f := q.flow(owner, name, limit)
 	i := &Item[T]{value: value, slots: slots, flow: f, since: now}
 	q.insert(i, f.last)
 
@@ -193,6 +194,7 @@
 
 	f := i.flow
 	f.held += i.slots
+	f.member.held += i.slots
 	f.kind.held += i.slots
 	q.held += i.slots
 	i.taken = now
@@ -212,6 +214,7 @@
 func (q *Queue[T]) Release(i *Item[T]) {
 	f := i.flow
 	f.held -= i.slots
+	f.member.held -= i.slots
 	f.kind.held -= i.slots
 	q.held -= i.slots
 }
@@ -343,11 +346,11 @@
 	var best *Flow[T]
 
 	for _, f := range k.flows {
-		if f.first == nil || f.skipped == pass {
+		if f.first == nil || f.skipped == pass || f.member.full() {
 			continue
 		}
 
-		if best == nil || f.held*best.limit < best.held*f.limit {
+		if best == nil || f.held*best.member.limit < best.held*f.member.limit {
 			best = f
 		}
 	}
@@ -372,18 +375,31 @@
 	return k
 }
 
-func (q *Queue[T]) flow(member, name string, limit int) *Flow[T] {
-	k := q.kind(name)
+func (q *Queue[T]) member(name string) *member {
+	m, found := q.members[name]
+	if !found {
+		if q.members == nil {
+			q.members = map[string]*member{}
+		}
 
-	for _, f := range k.flows {
-		if f.member == member {
-			f.limit = max(limit, 1)
+		m = &member{limit: 1}
+		q.members[name] = m
+	}
+
+	return m
+}
 
+func (q *Queue[T]) flow(owner, name string, limit int) *Flow[T] {
+	k, m := q.kind(name), q.member(owner)
+	m.limit = max(limit, 1)
+
+	for _, f := range k.flows {
+		if f.member == m {
 			return f
 		}
 	}
 
-	f := &Flow[T]{kind: k, member: member, limit: max(limit, 1)}
+	f := &Flow[T]{kind: k, member: m}
 	k.flows = append(k.flows, f)
 
 	return f
@@ -436,11 +452,7 @@
 }
 
 func (q *Queue[T]) count(f *Flow[T], n int) {
-	if q.members == nil {
-		q.members = map[string]int{}
-	}
-
 	f.kind.tasks += n
+	f.member.tasks += n
 	q.tasks += n
-	q.members[f.member] += n
 }
