--- a/sidecar/entry/links.go
+++ b/sidecar/entry/links.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
@@ -26,8 +27,9 @@
 	connected metrics.Gauge
 
 	mu sync.Mutex
-	// links is by address.
+	// links and known are by address. Known is what the settings and the log state name now.
 	links map[string]*link
+	known map[string]bool
 	group sync.WaitGroup
 }
 
@@ -44,18 +46,19 @@
 	defer l.group.Wait()
 
 	for {
-		changed := l.book.Changed()
+		amended := l.book.Amended()
 		l.follow(ctx)
 
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
+		case <-amended:
 		}
 	}
 }
 
-// follow starts the links that lack and ends those to entries that have left.
+// follow starts the links that lack and ends those to entries that have left. An established connection stays, because
+// an entry that was declared lost may still be home to submissions.
 func (l *Links) follow(ctx context.Context) {
 	known := map[string]bool{}
 
@@ -70,6 +73,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	l.known = known
+
 	for a := range known {
 		if l.links[a] != nil {
 			continue
@@ -85,13 +90,29 @@
 	}
 
 	for a, k := range l.links {
-		if !known[a] {
+		if !known[a] && k.session.Load() == nil {
 			k.stop()
 			delete(l.links, a)
 		}
 	}
 }
 
+// retire ends a link without connection if its entry has left, and tells whether it did.
+func (l *Links) retire(k *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.known[k.address] {
+		return false
+	}
+
+	if l.links[k.address] == k {
+		delete(l.links, k.address)
+	}
+
+	return true
+}
+
 // Sessions returns the established connections.
 func (l *Links) Sessions() []*Session {
 	l.mu.Lock()
@@ -108,6 +129,41 @@
 	return out
 }
 
+// establish makes a session that of its link. It refuses a second connection to one entry, which may be named by two
+// addresses: a start could then be decided on both.
+func (l *Links) establish(k *link, s *Session) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	k.entry = s.entry.GetIncarnation()
+	if l.duplicate(k) {
+		return merry.New("the entry is connected already at another address")
+	}
+
+	k.session.Store(s)
+
+	return nil
+}
+
+// duplicates tells whether the entry that was found last at the link's address is connected at another one. Dialling
+// it would end that connection, since entries keep one for each worker.
+func (l *Links) duplicates(k *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.duplicate(k)
+}
+
+func (l *Links) duplicate(k *link) bool {
+	for _, other := range l.links {
+		if s := other.session.Load(); other != k && s != nil && k.entry != 0 && s.entry.GetIncarnation() == k.entry {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Reconnect ends all connections, so that they begin again with the present incarnation.
 func (l *Links) Reconnect(reason string) {
 	for _, s := range l.Sessions() {
--- a/weir/process/waitqueue/queue.go
+++ b/weir/process/waitqueue/queue.go
@@ -34,7 +34,6 @@
 	tasks  int
 	held   int
 	flows  []*Flow[T]
-	drain  drain
 }
 
 // member counts over all kinds.
@@ -53,6 +52,8 @@
 	kind        *kind[T]
 	member      *member
 	held        int
+	tasks       int
+	drain       drain
 	first, last *Item[T]
 	// skipped is the last pass in which the head of this flow found no place.
 	skipped uint64
@@ -73,8 +74,6 @@
 	since      time.Time
 	// moved is the last pass in which the item was moved back.
 	moved uint64
-	// taken is when the item was last taken.
-	taken time.Time
 }
 
 // Value returns the task.
@@ -163,8 +162,8 @@
 	i := &Item[T]{value: value, slots: slots, flow: f, since: now}
 	q.insert(i, f.last)
 
-	if f.kind.tasks == 1 {
-		f.kind.drain.begin(now)
+	if f.tasks == 1 {
+		f.drain.begin(now)
 	}
 
 	// The new item may be smaller or have more candidates than the head, which then is moved back.
@@ -176,6 +175,8 @@
 // Return puts a task that was taken back to the head of its flow and releases its slots.
 func (q *Queue[T]) Return(i *Item[T]) {
 	q.Release(i)
+	// In an overload most starts are rejected and taken again; counting each would make the drain look too fast.
+	i.flow.drain.returned()
 	q.insert(i, nil)
 }
 
@@ -197,20 +198,10 @@
 	f.member.held += i.slots
 	f.kind.held += i.slots
 	q.held += i.slots
-	i.taken = now
+	f.drain.taken(now)
 }
 
-// Ran ends the hold of a taken item that ran. The time since it was taken counts for Wait if the task came to its end.
-func (q *Queue[T]) Ran(i *Item[T], now time.Time, ended bool) {
-	q.Release(i)
-	i.flow.kind.drain.ran(now)
-
-	if ended {
-		i.flow.kind.drain.took(now.Sub(i.taken))
-	}
-}
-
-// Release ends the hold of a taken item that did not run.
+// Release ends the hold of a taken item.
 func (q *Queue[T]) Release(i *Item[T]) {
 	f := i.flow
 	f.held -= i.slots
@@ -292,35 +283,30 @@
 	return true
 }
 
-// Wait estimates how long it takes until the last of n new tasks of the kind has ended; known is false without a
-// backlog to measure.
-func (q *Queue[T]) Wait(name string, n int, now time.Time) (wait time.Duration, known bool) {
+// Wait estimates how long the last of n new tasks of the member and kind waits until it is taken; known is false
+// without a backlog to measure.
+func (q *Queue[T]) Wait(owner, name string, n int, now time.Time) (wait time.Duration, known bool) {
 	k, found := q.kinds[name]
-	if !found || k.tasks == 0 {
+	if !found {
 		return 0, false
 	}
 
-	rate, known := k.drain.rate(now)
-	if !known {
+	f := k.find(q.member(owner))
+	if f == nil || f.tasks == 0 {
 		return 0, false
 	}
 
-	seconds := min(margin*float64(k.tasks+n)/rate, math.MaxInt32)
-
-	return time.Duration(seconds*float64(time.Second)) + k.drain.mean, true
-}
+	rate, known := f.drain.rate(now)
+	if !known {
+		return 0, false
+	}
 
-const (
-	// margin makes up for errors of the estimated wait: a task that starts too late to end wastes its slots.
-	margin = 1.25
-	// lateAfter is the wait from which on Late judges a task. Without a backlog every task is tried, since its own run
-	// time may be far below the mean of its kind.
-	lateAfter = 100 * time.Millisecond
-)
+	seconds := float64(f.tasks+n) / rate
+	if seconds > math.MaxInt32 {
+		seconds = math.MaxInt32
+	}
 
-// Late tells whether an item that waited in a backlog can no longer be expected to end by the deadline.
-func (q *Queue[T]) Late(i *Item[T], deadline, now time.Time) bool {
-	return now.Sub(i.since) > lateAfter && deadline.Sub(now) < i.flow.kind.drain.mean
+	return time.Duration(seconds * float64(time.Second)), true
 }
 
 // rank gives the class of section "Shares" of the design and the ratio of held slots to share within it.
@@ -358,6 +344,17 @@
 	return best
 }
 
+// find returns the flow of the member, or nil.
+func (k *kind[T]) find(m *member) *Flow[T] {
+	for _, f := range k.flows {
+		if f.member == m {
+			return f
+		}
+	}
+
+	return nil
+}
+
 func (q *Queue[T]) kind(name string) *kind[T] {
 	if k, found := q.kinds[name]; found {
 		return k
@@ -393,10 +390,8 @@
 	k, m := q.kind(name), q.member(owner)
 	m.limit = max(limit, 1)
 
-	for _, f := range k.flows {
-		if f.member == m {
-			return f
-		}
+	if f := k.find(m); f != nil {
+		return f
 	}
 
 	f := &Flow[T]{kind: k, member: m}
@@ -452,6 +447,7 @@
 }
 
 func (q *Queue[T]) count(f *Flow[T], n int) {
+	f.tasks += n
 	f.kind.tasks += n
 	f.member.tasks += n
 	q.tasks += n
