--- a/entry/home/dispatch.go
+++ b/entry/home/dispatch.go
@@ -152,7 +152,7 @@
 // late refuses a task that has waited so long that it would probably be cancelled at its deadline. A task that did not
 // have to wait is tried, since its caller may know better than the estimate.
 func (t *Table) late(k *task, now time.Time) error {
-	kind, left := k.work.submission.Kind(), k.work.submission.Deadline().Sub(now)
+	kind, left := k.work.submission.Kind(), k.work.deadline.Sub(now)
 	if !k.waited || left >= t.runs.Long(kind, now) {
 		return nil
 	}
