Make refusals as not run final

Cause: a submission refused with "ran none" (queue full, deadline unreachable, and so on) could still run: a copy of the same message that was delayed on its way, or sent through another entry, was admitted later under the same ticket. The caller had been told that nothing ran, and may have ordered again.

Change: the home keeps one bit for each refused ticket until it expires and answers ticket_refused, ran none. Cancelling a submission that has not arrived spends its ticket the same way.

A test was changed: TestLogDownAndLateBinding expected "ran none" for a key refused while the log is down. That can be false, since another entry may have bound the key just before or the late record may land, so it now expects "unknown". The checks that nothing starts stay as they are.

Ruled out: keeping refused submissions in the table, since a flood of refusals would fill it; 300 s of 2000 refusals/s take 75 KB as bits.

Seen failing before the change: the second Submit in TestRefusedTicketNeverRuns was accepted.

--- a/entry/binding/binder.go
+++ b/entry/binding/binder.go
@@ -51,8 +51,8 @@
 //   - A key may be bound only while the ledger holds every binding that the key can have. Keys are therefore refused
 //     once they are older than the lifetime, and until the ledger has read the log back that far.
 //
-// The refusal "not run" speaks of the refused request. While the log is down this entry cannot know whether an earlier
-// request with the same key, at another entry, was bound and run just before.
+// A refusal states that it is unknown what ran: another entry may have bound the key just before, and a record of this
+// one may still land, so that a copy of the request that was delayed runs.
 type Binder struct {
 	issuer   Issuer
 	appender Appender
@@ -89,7 +89,12 @@
 		return "", err
 	}
 
-	n := name{member, key.String()}
+	id, err := b.bind(ctx, name{member, key.String()})
+
+	return id, fault.WithRan(err, fault.RanUnknown)
+}
+
+func (b *Binder) bind(ctx context.Context, n name) (string, error) {
 	s := b.book.State()
 	if !b.complete(s) {
 		return "", fault.New(fault.LogUnavailable, "the log has not been read back to the lifetime of keys yet")
--- a/entry/binding/binder_test.go
+++ b/entry/binding/binder_test.go
@@ -192,7 +192,7 @@
 	start := time.Now()
 	_, err := s.entries[0].binder.Bind(t.Context(), "m", u)
 	is.Equal(fault.KindOf(err), fault.LogUnavailable)
-	is.Equal(fault.RanOf(err), fault.RanNone)
+	is.Equal(fault.RanOf(err), fault.RanUnknown)
 	is.True(time.Since(start) < 2*time.Second)
 
 	s.fault(is, `{}`)
--- a/entry/caller/local.go
+++ b/entry/caller/local.go
@@ -28,6 +28,8 @@
 type Table interface {
 	Submit(s submission.Submission) (Held, error)
 	Find(id string) (Held, bool)
+	// Abandon makes sure that a submission that is not held never runs, and returns false if it is held.
+	Abandon(id string, t ticket.Ticket) bool
 }
 
 // Operation is what a caller asks about one submission.
@@ -128,8 +130,6 @@
 		return nil, fault.New(fault.TicketExpired, "the submission is no longer held")
 	case l.leaving:
 		return nil, fault.New(fault.Leaving, "the entry is leaving")
-	case !l.book.State().Ready():
-		return nil, fault.New(fault.NoAgreement, "no agreement has been read yet")
 	}
 
 	return l.table.Submit(s)
@@ -150,8 +150,14 @@
 	}
 }
 
-// Cancel ends the submission unless it has ended, and returns its state.
-func (l *Local) Cancel(id string) Reply {
+// Cancel ends the submission unless it has ended, and returns its state. One that has not arrived never runs.
+func (l *Local) Cancel(id string, t ticket.Ticket) Reply {
+	if t.Incarnation() == l.mint.Incarnation() && l.table.Abandon(id, t) {
+		err := fault.New(fault.Cancelled, "the submission was cancelled before it arrived")
+
+		return Refuse(fault.WithRan(err, fault.RanNone), id)
+	}
+
 	if h, found := l.table.Find(id); found {
 		h.Cancel()
 	}
@@ -246,7 +252,7 @@
 	case State:
 		return l.State(f.GetSubmission()), true
 	case Cancel:
-		return l.Cancel(f.GetSubmission()), true
+		return l.Cancel(f.GetSubmission(), t), true
 	case Explain:
 		return l.Explain(f.GetSubmission(), t), true
 	default:
--- a/entry/caller/router.go
+++ b/entry/caller/router.go
@@ -69,7 +69,7 @@
 // Cancel ends the submission.
 func (r *Router) Cancel(ctx context.Context, id string, t ticket.Ticket) Reply {
 	if r.local.Holds(id, t) {
-		return r.local.Cancel(id)
+		return r.local.Cancel(id, t)
 	}
 
 	return r.remote(ctx, t, r.forward(Cancel, id, t, "", nil), stateWait)
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -108,6 +108,11 @@
 
 		member, err := s.authenticate(r)
 		if err != nil {
+			if r.Header.Get(keyHeader) != "" {
+				// Another entry may have taken a copy of the same submission.
+				err = fault.WithRan(err, fault.RanUnknown)
+			}
+
 			s.write(w, name, Refuse(err, ""))
 
 			return
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -126,6 +126,15 @@
 	refuse error
 }
 
+func (t *table) Abandon(id string, _ ticket.Ticket) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	_, found := t.held[id]
+
+	return !found
+}
+
 func (t *table) Submit(s submission.Submission) (caller.Held, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/home/submit_test.go
+++ b/entry/home/submit_test.go
@@ -102,6 +102,36 @@
 	is.Equal(fault.KindOf(err), fault.NoWorkers)
 }
 
+// Guards against a run after a refusal as not run: a copy of the submission may have been delayed on its way (I4).
+func TestRefusedTicketNeverRuns(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a")
+	b.table.Limit(10, 0, 0)
+
+	s := b.submission(11, options{})
+	_, err := b.table.Submit(s)
+	is.Equal(fault.KindOf(err), fault.Overloaded)
+
+	b.table.Limit(100, 0, 0)
+
+	_, err = b.table.Submit(s)
+	is.Equal(fault.KindOf(err), fault.TicketRefused)
+	is.Equal(fault.RanOf(err), fault.RanNone)
+
+	// Another ticket of the same chunk is not affected, and a cancelled one that has not arrived is.
+	h, err := b.table.Submit(b.submission(11, options{}))
+	is.NoErr(err)
+	is.Equal(await(is, h).status, 200)
+	is.True(!b.table.Abandon(h.ID(), b.submission(1, options{}).Ticket()))
+
+	s = b.submission(1, options{})
+	is.True(b.table.Abandon(s.ID(), s.Ticket()))
+	_, err = b.table.Submit(s)
+	is.Equal(fault.KindOf(err), fault.TicketRefused)
+
+	is.Equal(len(b.sent()), 11)
+}
+
 // Guards against starts on a worker that the closing entry would not ask, since it registered after the ticket (I4).
 func TestOnlyWorkersBelowThePositionAreUsed(t *testing.T) {
 	is := is.New(t)
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -17,7 +17,9 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/placement"
 	"github.com/skylarkweir/skylarkweir/weir/process/retrybudget"
 	"github.com/skylarkweir/skylarkweir/weir/process/waitqueue"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
 )
 
 const (
@@ -56,6 +58,7 @@
 	expiry expiry
 	closer closer
 	budget retrybudget.Budget
+	spent  spent
 	runs   estimate.RunTimes
 
 	metricsOnce sync.Once
@@ -130,6 +133,22 @@
 	return h, found
 }
 
+// Abandon makes sure that a submission that is not held never runs, and returns false if it is held. A caller may cancel
+// a submission whose message is still on its way.
+func (t *Table) Abandon(id string, k ticket.Ticket) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if _, found := s.held[id]; found {
+		return false
+	}
+
+	t.spent.add(k, time.Now())
+
+	return true
+}
+
 // Inflight returns the number of submissions without an answer.
 func (t *Table) Inflight() int { return int(t.inflight.Load()) }
 
@@ -149,12 +168,17 @@
 		return h, h.matches(s)
 	}
 
+	if t.spent.has(s.Ticket()) {
+		return nil, fault.New(fault.TicketRefused, "the submission was refused before; another try needs a new ticket or key")
+	}
+
 	// Counted before the check for leaving, so that Drain does not miss a submission that is being admitted.
 	t.inflight.Add(1)
 
 	h, err := t.admit(s, now)
 	if err != nil {
 		t.less()
+		t.spend(s, err, now)
 
 		return nil, err
 	}
@@ -167,6 +191,15 @@
 	return h, nil
 }
 
+// spend makes a refusal as not run final. Refusals by an entry that is leaving or is not the home are final anyway.
+func (t *Table) spend(s submission.Submission, err error, now time.Time) {
+	if k := fault.KindOf(err); k == fault.Leaving || k == fault.UnknownSubmission || fault.RanOf(err) != fault.RanNone {
+		return
+	}
+
+	t.spent.add(s.Ticket(), now)
+}
+
 func (t *Table) shard(id string) *shard { return &t.shards[xxhash.Sum64String(id)%shards] }
 
 func (s *shard) put(h *Held) {
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -176,6 +176,9 @@
 	return found, ok
 }
 
+// Abandon makes sure that a submission that is not held never runs.
+func (h held) Abandon(id string, t ticket.Ticket) bool { return h.table.Abandon(id, t) }
+
 func newLocal(s Settings, mint *caller.Mint, t *home.Table, book *ledger.Book, peers *peer.Peers) *caller.Local {
 	slots := caller.NewSlots(min(s.Slots(), runtime.GOMAXPROCS(0)))
 	l := caller.NewLocal(mint, held{t}, book, slots, s.file.MaxTasks)
--- a/weir/request/fault/kind.go
+++ b/weir/request/fault/kind.go
@@ -18,6 +18,7 @@
 	UnknownSubmission
 	Conflict
 	TicketExpired
+	TicketRefused
 	KeyExpired
 	AnswerReleased
 	TooLarge
@@ -63,6 +64,7 @@
 	UnknownSubmission:   {"unknown_submission", http.StatusNotFound, RanUnknown, 0},
 	Conflict:            {"conflict", http.StatusConflict, RanUnknown, 0},
 	TicketExpired:       {"ticket_expired", http.StatusGone, RanUnknown, 0},
+	TicketRefused:       {"ticket_refused", http.StatusConflict, RanNone, 0},
 	KeyExpired:          {"key_expired", http.StatusGone, RanUnknown, 0},
 	AnswerReleased:      {"answer_released", http.StatusGone, RanAll, 0},
 	TooLarge:            {"too_large", http.StatusRequestEntityTooLarge, RanNone, 0},
