Hold the slots of a cancelled task, and let unlimited members start at once

At a deadline the sidecar cancelled the call and gave the slot back in the same step, while the backend server learns of it by the end of the connection, so two tasks ran side by side for some ms. The slots of a cancelled task now stay held for 100 ms. Ruled out: waiting for the backend server, since HTTP has no confirmation of a cancellation.

Cause 2: every member waited for allowance_delay (5 s) after the first version and after each restart of a sidecar. The delay keeps the sum of allowances below the limit while processes disagree, which cannot be exceeded by a member whose limit is the whole fleet. Its allowance now changes at once.

--- a/sidecar/tasks/entitlement.go
+++ b/sidecar/tasks/entitlement.go
@@ -45,7 +45,12 @@
 			allowance = share.Allowed(m.Name(), limit, agreed.Granule(m, fleet), workers, worker)
 		}
 
-		members = append(members, share.NewMember(m.Name(), limit, allowance))
+		member := share.NewMember(m.Name(), limit, allowance)
+		if limit >= fleet {
+			member = member.Unlimited()
+		}
+
+		members = append(members, member)
 	}
 
 	return kinds, members
--- a/sidecar/tasks/execution.go
+++ b/sidecar/tasks/execution.go
@@ -14,6 +14,9 @@
 	// recheck is the age of a decision to start from which on the lease is checked again right before the call to the
 	// backend server. A process that was stopped in between finds an older decision.
 	recheck = 50 * time.Millisecond
+	// stopTime is how long the slots of a cancelled task stay held. The backend server learns of it by the end of the
+	// connection, and without this wait the next task would run beside it, above the member's allowance.
+	stopTime = 100 * time.Millisecond
 	// outputs is the number of outputs that the moving average of their size goes back to.
 	outputs = 32
 	// overhead is the number of bytes that each held body costs beyond its length.
@@ -97,7 +100,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.scheduler.Release(run.task)
+	t.vacate(run, result)
 	delete(t.running, run)
 	run.running = false
 
@@ -124,6 +127,24 @@
 	t.serve()
 }
 
+// vacate gives the slots of an ended task back, later if the backend server may still be working on it.
+func (t *Table) vacate(run *Run, result backend.Result) {
+	f, failed := result.(backend.Failed)
+	if !failed || f.Kind() != fault.DeadlineExceeded && f.Kind() != fault.Cancelled {
+		t.scheduler.Release(run.task)
+
+		return
+	}
+
+	time.AfterFunc(stopTime, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+
+		t.scheduler.Release(run.task)
+		t.serve()
+	})
+}
+
 // judge counts the result in the backend server's statistics. Ends by deadline or cancellation decide nothing.
 func (t *Table) judge(run *Run, now time.Time, failed, decided bool) {
 	before := t.statistics.Suspect()
--- a/weir/process/share/allowance.go
+++ b/weir/process/share/allowance.go
@@ -38,6 +38,9 @@
 	a.steps = append(a.steps, step{since, slots})
 }
 
+// Jump changes the target and the slots in force.
+func (a *Allowance) Jump(now time.Time, slots int) { a.steps = append(a.steps[:0], step{now, slots}) }
+
 // At returns the slots in force at a time.
 func (a *Allowance) At(now time.Time, delay time.Duration) int {
 	a.settle(now, delay)
--- a/weir/process/share/member.go
+++ b/weir/process/share/member.go
@@ -4,10 +4,22 @@
 type Member struct {
 	name             string
 	limit, allowance int
+	// unlimited is true if the limit is at least the whole fleet.
+	unlimited bool
 }
 
 // NewMember returns a member with its limit over all workers and its allowance at this worker, in slots.
-func NewMember(name string, limit, allowance int) Member { return Member{name, limit, allowance} }
+func NewMember(name string, limit, allowance int) Member {
+	return Member{name: name, limit: limit, allowance: allowance}
+}
+
+// Unlimited returns the member for a limit of at least the whole fleet. Its allowance grows at once, since no sum of
+// allowances can exceed the limit.
+func (m Member) Unlimited() Member {
+	m.unlimited = true
+
+	return m
+}
 
 // Name returns the member's name.
 func (m Member) Name() string { return m.name }
--- a/weir/process/share/scheduler.go
+++ b/weir/process/share/scheduler.go
@@ -66,7 +66,12 @@
 		named[m.name] = true
 		state := s.member(m.name)
 		state.limit = m.limit
-		state.allowance.Set(now, c.delay, m.allowance)
+
+		if m.unlimited {
+			state.allowance.Jump(now, m.allowance)
+		} else {
+			state.allowance.Set(now, c.delay, m.allowance)
+		}
 	}
 
 	for name, m := range s.members {
--- a/weir/process/share/scheduler_test.go
+++ b/weir/process/share/scheduler_test.go
@@ -401,6 +401,30 @@
 	is.Equal(offer(origin.Add(delay)), share.NotAllowed)
 }
 
+// Guards against members without a limit that wait after each change, although no sum of allowances can exceed the fleet.
+func TestUnlimitedMemberNeedsNoDelay(t *testing.T) {
+	is := is.New(t)
+
+	var s share.Scheduler[int]
+
+	capacity, kinds := share.NewCapacity(4, 0, 4, 5*time.Second), []share.Kind{share.NewKind("k", 100, false)}
+	s.Configure(origin, capacity, kinds, []share.Member{share.NewMember("m", 8, 4).Unlimited()})
+
+	v, _ := s.Offer(origin, share.NewTask("m", "k", 4, 0, 0))
+	is.Equal(v, share.Accepted)
+	s.Release(s.Next(origin))
+
+	// A limit applies at once, and its end too.
+	s.Configure(origin, capacity, kinds, []share.Member{share.NewMember("m", 2, 1)})
+
+	v, _ = s.Offer(origin, share.NewTask("m", "k", 2, 0, 0))
+	is.Equal(v, share.NotAllowed)
+	s.Configure(origin, capacity, kinds, []share.Member{share.NewMember("m", 8, 4).Unlimited()})
+
+	v, _ = s.Offer(origin, share.NewTask("m", "k", 4, 0, 0))
+	is.Equal(v, share.Accepted)
+}
+
 // Guards against a zero value that panics or starts something.
 func TestZeroScheduler(t *testing.T) {
 	is := is.New(t)
