entry/peer: let the test of late replies wait until the home is at work

Cause: the test gave up a forward after 50 ms, which on a loaded machine was before the connection existed, so that the home never saw it and the check for its late reply failed (seen once with a load average of 18). The sender now gives up once the home has begun, which is the case that the test is about; its checks are unchanged.

Checked: go test -race -run TestLateReply -count=5 ./peer passes.

--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -27,6 +27,8 @@
 	imported []*wire.HeldSubmission
 	written  map[string]bool
 	own      uint64
+	// begun receives the submission of each operation that was begun, if it is not nil.
+	begun chan string
 }
 
 func (h *home) Serve(_ context.Context, f *wire.Forward) (caller.Reply, bool) {
@@ -34,6 +36,10 @@
 		return caller.Reply{}, false
 	}
 
+	if h.begun != nil {
+		h.begun <- f.GetSubmission()
+	}
+
 	wait, _ := time.ParseDuration(string(f.GetBody()))
 	time.Sleep(wait)
 
@@ -279,19 +285,28 @@
 	a := start(t, keys, 1)
 	b := start(t, keys, 2)
 
+	b.home.begun = make(chan string, 2)
+
 	for i := range 20 {
 		late, next := fmt.Sprintf("late%d", i), fmt.Sprintf("next%d", i)
-		ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		ctx, giveUp := context.WithCancel(t.Context())
+		failed := make(chan error, 1)
 
-		_, _, err := a.peers.Forward(ctx, b.self, forwardOf(late, 2, 100*time.Millisecond))
-		is.True(err != nil)
-		is.True(ctx.Err() != nil)
-		stop()
+		go func() {
+			_, _, err := a.peers.Forward(ctx, b.self, forwardOf(late, 2, 100*time.Millisecond))
+			failed <- err
+		}()
+
+		// The home is at work when the sender gives up, so its reply comes late.
+		is.Equal(<-b.home.begun, late)
+		giveUp()
+		is.True(<-failed != nil)
 
 		r, isHome, err := a.peers.Forward(t.Context(), b.self, forwardOf(next, 2, 60*time.Millisecond))
 		is.NoErr(err)
 		is.True(isHome)
 		is.Equal(string(r.Body()), next)
+		is.Equal(<-b.home.begun, next)
 		r.Written(true)
 
 		eventually(is, func() bool {
