Name all metrics alike and list them

The entry used names without a prefix (starts, wait_us, rejects.X), the sidecar its own writer and the prefix skylarkweir_sidecar_, with reasons in the names, microseconds, and byte counts that were gauges. All are weir_entry_ or weir_sidecar_ now, in seconds, bytes and ratios, with labels for reasons, codes and kinds, and counters end in _total. The sidecar uses weir/process/metrics, which has a histogram with a unit and a counter that is read from a function: go-metrics' registry drops types that it does not know, so the counter implements its interface. The sidecar has gauges for ready, suspect, position and version, which alerts need.

docs/metrics.md lists them; standin/pages compares it with the literals in the code and with what a running entry and sidecar expose. The tests of the old names check the same values under the new ones.

--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -293,11 +293,14 @@
 	is.Equal(kept, tasks)
 	is.Equal(logged, append(tasks, "submission_ended complete", "submission_refused invalid_request"))
 
-	for name, n := range map[string]int64{"starts": 3, "retries": 1, "rejects.queue_full": 1, "refusals.invalid_request": 1, "ended.complete": 1} {
+	for name, n := range map[string]int64{
+		"weir_entry_starts_total": 3, "weir_entry_retries_total": 1, `weir_entry_rejects_total{reason="queue_full"}`: 1,
+		`weir_entry_refusals_total{code="invalid_request"}`: 1, `weir_entry_submissions_ended_total{outcome="complete"}`: 1,
+	} {
 		is.Equal(registry.Get(name).(metrics.Counter).Count(), n)
 	}
 
-	is.Equal(registry.Get("wait_us").(metrics.Histogram).Count(), int64(3))
+	is.Equal(registry.Get("weir_entry_queue_wait_seconds").(metrics.Histogram).Count(), int64(3))
 }
 
 // Guards against a suspect that is never tried again, and against a task that is lost with a failed probe.
--- a/entry/home/meters.go
+++ b/entry/home/meters.go
@@ -3,62 +3,64 @@
 import (
 	"time"
 
-	metrics "github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
-// Parameters of the histograms' samples; the library's documentation recommends them for recent values.
-const (
-	sampleSize  = 1028
-	sampleAlpha = 0.015
-)
-
 // meters holds the metrics of a table.
 type meters struct {
-	registry metrics.Registry
-	starts   metrics.Counter
-	retries  metrics.Counter
+	registry gometrics.Registry
+	starts   gometrics.Counter
+	retries  gometrics.Counter
 	// waits is the time in the wait queue in microseconds.
-	waits metrics.Histogram
+	waits *metrics.Histogram
 	// ratio is the response time of a task in thousandths of its run time.
-	ratio metrics.Histogram
+	ratio *metrics.Histogram
 }
 
 func (t *Table) meters() *meters {
 	t.metricsOnce.Do(func() {
 		r := t.registry
 		if r == nil {
-			r = metrics.NewRegistry()
+			r = gometrics.NewRegistry()
 		}
 
 		t.measured = &meters{
 			registry: r,
-			starts:   metrics.GetOrRegisterCounter("starts", r),
-			retries:  metrics.GetOrRegisterCounter("retries", r),
-			waits:    metrics.GetOrRegisterHistogram("wait_us", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
-			ratio:    metrics.GetOrRegisterHistogram("response_permille", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+			starts:   gometrics.GetOrRegisterCounter("weir_entry_starts_total", r),
+			retries:  gometrics.GetOrRegisterCounter("weir_entry_retries_total", r),
+			waits:    metrics.NewHistogram(metrics.Microseconds),
+			ratio:    metrics.NewHistogram(metrics.Thousandths),
 		}
 
-		r.GetOrRegister("queue.tasks", metrics.NewFunctionalGauge(t.queued))
-		r.GetOrRegister("submissions.held", metrics.NewFunctionalGauge(t.count.Load))
-		r.GetOrRegister("submissions.in_flight", metrics.NewFunctionalGauge(t.inflight.Load))
-		r.GetOrRegister("answers.bytes", metrics.NewFunctionalGauge(t.memory.bytes))
+		r.GetOrRegister("weir_entry_queue_wait_seconds", t.measured.waits)
+		r.GetOrRegister("weir_entry_response_ratio", t.measured.ratio)
+		r.GetOrRegister("weir_entry_queue_tasks", gometrics.NewFunctionalGauge(t.queued))
+		r.GetOrRegister("weir_entry_submissions_held", gometrics.NewFunctionalGauge(t.count.Load))
+		r.GetOrRegister("weir_entry_submissions_in_flight", gometrics.NewFunctionalGauge(t.inflight.Load))
+		r.GetOrRegister("weir_entry_answer_memory_bytes", gometrics.NewFunctionalGauge(t.memory.bytes))
 	})
 
 	return t.measured
 }
 
+// count returns a counter of a family that differs in one label.
+func (m *meters) count(name, label, value string) gometrics.Counter {
+	return gometrics.GetOrRegisterCounter(metrics.Name(name, label, value), m.registry)
+}
+
 func (m *meters) start() { m.starts.Inc(1) }
 
 func (m *meters) retry() { m.retries.Inc(1) }
 
 func (m *meters) reject(reason string) {
-	metrics.GetOrRegisterCounter("rejects."+reason, m.registry).Inc(1)
+	m.count("weir_entry_rejects_total", "reason", reason).Inc(1)
 }
 
 func (m *meters) refused(err error) {
-	metrics.GetOrRegisterCounter("refusals."+fault.KindOf(err).Code(), m.registry).Inc(1)
+	m.count("weir_entry_refusals_total", "code", fault.KindOf(err).Code()).Inc(1)
 }
 
 func (m *meters) ended(cause error) {
@@ -67,7 +69,7 @@
 		outcome = fault.KindOf(cause).Code()
 	}
 
-	metrics.GetOrRegisterCounter("ended."+outcome, m.registry).Inc(1)
+	m.count("weir_entry_submissions_ended_total", "outcome", outcome).Inc(1)
 }
 
 func (m *meters) waited(d time.Duration) { m.waits.Update(d.Microseconds()) }
@@ -81,7 +83,8 @@
 // kinds registers a gauge of the waiting tasks of each kind.
 func (m *meters) kinds(t *Table, r *rules) {
 	for name := range r.kinds {
-		m.registry.GetOrRegister("queue.tasks."+name, metrics.NewFunctionalGauge(func() int64 { return t.queuedOf(name) }))
+		m.registry.GetOrRegister(metrics.Name("weir_entry_kind_queue_tasks", "kind", name),
+			gometrics.NewFunctionalGauge(func() int64 { return t.queuedOf(name) }))
 	}
 }
 
--- a/entry/process/gauges.go
+++ b/entry/process/gauges.go
@@ -2,12 +2,12 @@
 
 import (
 	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 )
 
 // gauges registers what is read from other parts when the metrics are.
 func (p *Process) gauges() {
-	traffic := p.parts.Node.Traffic()
-
 	for name, value := range map[string]func() int64{
 		"weir_entry_ready":              func() int64 { return number(p.parts.Readiness.Reason() == "") },
 		"weir_entry_log_healthy":        func() int64 { return number(p.parts.Follower.Healthy()) },
@@ -17,13 +17,20 @@
 		"weir_entry_workers_connected":  func() int64 { return int64(len(p.parts.Fleet.View().Workers())) },
 		"weir_entry_workers_registered": func() int64 { return int64(len(p.parts.Book.State().Workers())) },
 		"weir_entry_peers_connected":    func() int64 { return int64(len(p.parts.Peers.Reached())) },
-		"weir_entry_control_bytes_in":   func() int64 { in, _ := traffic.Control(); return in },
-		"weir_entry_control_bytes_out":  func() int64 { _, out := traffic.Control(); return out },
-		"weir_entry_work_bytes_in":      func() int64 { in, _ := traffic.Work(); return in },
-		"weir_entry_work_bytes_out":     func() int64 { _, out := traffic.Work(); return out },
 	} {
 		_ = p.parts.Registry.Register(name, gometrics.NewFunctionalGauge(value))
 	}
+
+	traffic := p.parts.Node.Traffic()
+
+	for name, value := range map[string]func() int64{
+		"weir_entry_control_received_bytes_total": func() int64 { in, _ := traffic.Control(); return in },
+		"weir_entry_control_sent_bytes_total":     func() int64 { _, out := traffic.Control(); return out },
+		"weir_entry_work_received_bytes_total":    func() int64 { in, _ := traffic.Work(); return in },
+		"weir_entry_work_sent_bytes_total":        func() int64 { _, out := traffic.Work(); return out },
+	} {
+		_ = p.parts.Registry.Register(name, metrics.FunctionalCounter(value))
+	}
 }
 
 func number(b bool) int64 {
--- a/sidecar/entry/links.go
+++ b/sidecar/entry/links.go
@@ -37,7 +37,7 @@
 func NewLinks(n *quic.Node, i *Identity, b *ledger.Book, t *tasks.Table, addresses []string, r metrics.Registry, log zerolog.Logger) *Links {
 	return &Links{
 		node: n, identity: i, book: b, table: t, addresses: addresses, log: log,
-		connected: metrics.GetOrRegisterGauge("entries.connected", r), links: map[string]*link{},
+		connected: metrics.GetOrRegisterGauge("weir_sidecar_entries_connected", r), links: map[string]*link{},
 	}
 }
 
--- a/sidecar/operator/server.go
+++ b/sidecar/operator/server.go
@@ -10,10 +10,11 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/gorilla/mux"
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkweir/skylarkweir/sidecar/entry"
 	"github.com/skylarkweir/skylarkweir/sidecar/tasks"
+	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
@@ -23,19 +24,18 @@
 	links    *entry.Links
 	book     *ledger.Book
 	table    *tasks.Table
-	registry metrics.Registry
 	listener net.Listener
 	http     http.Server
 }
 
 // NewServer returns a server that does not listen yet.
-func NewServer(i *entry.Identity, l *entry.Links, b *ledger.Book, t *tasks.Table, r metrics.Registry) *Server {
-	s := &Server{identity: i, links: l, book: b, table: t, registry: r}
+func NewServer(i *entry.Identity, l *entry.Links, b *ledger.Book, t *tasks.Table, r gometrics.Registry) *Server {
+	s := &Server{identity: i, links: l, book: b, table: t}
 
 	router := mux.NewRouter()
 	router.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
 	router.HandleFunc("/readyz", s.readyz).Methods(http.MethodGet)
-	router.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	router.Handle("/metrics", metrics.Handler(r)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/status", s.show).Methods(http.MethodGet)
 	s.http = http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 
@@ -80,11 +80,6 @@
 	_, _ = w.Write([]byte("ok\n"))
 }
 
-func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	writeMetrics(w, s.registry)
-}
-
 func (s *Server) show(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s.status())
--- a/sidecar/operator/status.go
+++ b/sidecar/operator/status.go
@@ -89,6 +89,9 @@
 	return out
 }
 
+// Ready tells whether the sidecar can take work.
+func (s *Server) Ready() bool { return s.unready() == "" }
+
 // unready returns the reason for which the sidecar can take no work, or an empty text.
 func (s *Server) unready() string {
 	st := s.status()
--- /dev/null
+++ b/sidecar/process/gauges.go
@@ -0,0 +1,45 @@
+package process
+
+import (
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
+)
+
+// gauges registers what is read from other parts when the metrics are.
+func (p *Process) gauges() {
+	table := p.parts.Table
+
+	for name, value := range map[string]func() int64{
+		"weir_sidecar_ready":             func() int64 { return number(p.parts.Server.Ready()) },
+		"weir_sidecar_suspect":           func() int64 { return number(table.Load().GetSuspect()) },
+		"weir_sidecar_log_position":      func() int64 { return p.parts.Book.State().Position() },
+		"weir_sidecar_agreement_version": func() int64 { return p.parts.Book.State().Version() },
+		"weir_sidecar_slots_held":        func() int64 { return int64(table.Load().GetHeldSlots()) },
+		"weir_sidecar_slots_queued":      func() int64 { return int64(table.Load().GetQueuedSlots()) },
+		"weir_sidecar_table_starts":      func() int64 { n, _, _ := table.Held(); return int64(n) },
+		"weir_sidecar_table_tombstones":  func() int64 { _, n, _ := table.Held(); return int64(n) },
+		"weir_sidecar_table_bytes":       func() int64 { _, _, n := table.Held(); return n },
+	} {
+		_ = p.parts.Registry.Register(name, gometrics.NewFunctionalGauge(value))
+	}
+
+	traffic := p.parts.Node.Traffic()
+
+	for name, value := range map[string]func() int64{
+		"weir_sidecar_control_received_bytes_total": func() int64 { in, _ := traffic.Control(); return in },
+		"weir_sidecar_control_sent_bytes_total":     func() int64 { _, out := traffic.Control(); return out },
+		"weir_sidecar_work_received_bytes_total":    func() int64 { in, _ := traffic.Work(); return in },
+		"weir_sidecar_work_sent_bytes_total":        func() int64 { _, out := traffic.Work(); return out },
+	} {
+		_ = p.parts.Registry.Register(name, metrics.FunctionalCounter(value))
+	}
+}
+
+func number(b bool) int64 {
+	if b {
+		return 1
+	}
+
+	return 0
+}
--- a/sidecar/process/process.go
+++ b/sidecar/process/process.go
@@ -70,6 +70,7 @@
 	Settings   Settings
 	Log        zerolog.Logger
 	Node       *quic.Node
+	Book       *ledger.Book
 	Client     *backend.Client
 	Watch      *backend.Watch
 	Table      *tasks.Table
@@ -151,19 +152,3 @@
 
 	return err
 }
-
-func (p *Process) gauges() {
-	for name, value := range map[string]func() int64{
-		"control.bytes_in":  func() int64 { in, _ := p.parts.Node.Traffic().Control(); return in },
-		"control.bytes_out": func() int64 { _, out := p.parts.Node.Traffic().Control(); return out },
-		"work.bytes_in":     func() int64 { in, _ := p.parts.Node.Traffic().Work(); return in },
-		"work.bytes_out":    func() int64 { _, out := p.parts.Node.Traffic().Work(); return out },
-		"slots.held":        func() int64 { return int64(p.parts.Table.Load().GetHeldSlots()) },
-		"slots.queued":      func() int64 { return int64(p.parts.Table.Load().GetQueuedSlots()) },
-		"table.starts":      func() int64 { n, _, _ := p.parts.Table.Held(); return int64(n) },
-		"table.tombstones":  func() int64 { _, n, _ := p.parts.Table.Held(); return int64(n) },
-		"table.bytes":       func() int64 { _, _, n := p.parts.Table.Held(); return n },
-	} {
-		_ = p.parts.Registry.Register(name, metrics.NewFunctionalGauge(value))
-	}
-}
--- a/sidecar/process/process_test.go
+++ b/sidecar/process/process_test.go
@@ -55,8 +55,8 @@
 	is.Equal(b.counts(), backendCounts{Started: 3, Completed: 3})
 
 	metrics := b.get(b.admin, "/metrics")
-	for _, line := range []string{"tasks_started_total 3", "tasks_repeated_total 1", "tasks_rejected_lease_lapsed_total 1", "entries_connected 1"} {
-		is.True(strings.Contains(metrics, "\nskylarkweir_sidecar_"+line+"\n"))
+	for _, line := range []string{"tasks_started_total 3", "tasks_repeated_total 1", `tasks_rejected_total{reason="lease_lapsed"} 1`, "entries_connected 1"} {
+		is.True(strings.Contains(metrics, "\nweir_sidecar_"+line+"\n"))
 	}
 }
 
@@ -235,7 +235,7 @@
 
 	time.Sleep(5 * time.Second) // longer than the longest back-off
 	is.Equal(b.entry.link(), link)
-	is.True(strings.Contains(b.get(b.admin, "/metrics"), "\nskylarkweir_sidecar_entries_connected 1\n"))
+	is.True(strings.Contains(b.get(b.admin, "/metrics"), "\nweir_sidecar_entries_connected 1\n"))
 }
 
 // Guards against exit codes that scripts cannot rely on.
--- a/sidecar/tasks/counts.go
+++ b/sidecar/tasks/counts.go
@@ -3,47 +3,49 @@
 import (
 	"strings"
 
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 )
 
 // counts are the counters of a table.
 type counts struct {
-	accepted, queued, started, repeated, closed, completed, failed metrics.Counter
-	rejected                                                       map[wire.Rejection]metrics.Counter
+	accepted, queued, started, repeated, closed, completed, failed gometrics.Counter
+	rejected                                                       map[wire.Rejection]gometrics.Counter
 	// waited and ran are times in microseconds.
-	waited, ran metrics.Histogram
+	waited, ran *metrics.Histogram
 }
 
-func newCounts(r metrics.Registry) counts {
-	// The sample favours the last five minutes.
-	sample := func() metrics.Sample { return metrics.NewExpDecaySample(1028, 0.015) }
-
+func newCounts(r gometrics.Registry) counts {
 	c := counts{
-		rejected: map[wire.Rejection]metrics.Counter{},
-		waited:   metrics.GetOrRegisterHistogram("tasks.queued_us", r, sample()),
-		ran:      metrics.GetOrRegisterHistogram("tasks.run_us", r, sample()),
+		rejected: map[wire.Rejection]gometrics.Counter{},
+		waited:   metrics.NewHistogram(metrics.Microseconds),
+		ran:      metrics.NewHistogram(metrics.Microseconds),
 	}
 
+	r.GetOrRegister("weir_sidecar_queue_wait_seconds", c.waited)
+	r.GetOrRegister("weir_sidecar_run_seconds", c.ran)
+
 	for _, p := range []struct {
 		name    string
-		counter *metrics.Counter
+		counter *gometrics.Counter
 	}{
-		{"tasks.accepted", &c.accepted},
-		{"tasks.queued", &c.queued},
-		{"tasks.started", &c.started},
-		{"tasks.repeated", &c.repeated},
-		{"tasks.completed", &c.completed},
-		{"tasks.failed", &c.failed},
-		{"submissions.closed", &c.closed},
+		{"weir_sidecar_tasks_accepted_total", &c.accepted},
+		{"weir_sidecar_tasks_queued_total", &c.queued},
+		{"weir_sidecar_tasks_started_total", &c.started},
+		{"weir_sidecar_tasks_repeated_total", &c.repeated},
+		{"weir_sidecar_tasks_completed_total", &c.completed},
+		{"weir_sidecar_tasks_failed_total", &c.failed},
+		{"weir_sidecar_submissions_closed_total", &c.closed},
 	} {
-		*p.counter = metrics.GetOrRegisterCounter(p.name, r)
+		*p.counter = gometrics.GetOrRegisterCounter(p.name, r)
 	}
 
 	for number := range wire.Rejection_name {
 		reason := wire.Rejection(number)
-		c.rejected[reason] = metrics.GetOrRegisterCounter("tasks.rejected."+reasonName(reason), r)
+		name := metrics.Name("weir_sidecar_tasks_rejected_total", "reason", reasonName(reason))
+		c.rejected[reason] = gometrics.GetOrRegisterCounter(name, r)
 	}
 
 	return c
--- /dev/null
+++ b/standin/pages/metrics_test.go
@@ -0,0 +1,99 @@
+package pages_test
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+)
+
+// Guards against metrics that the page leaves out, calls by another name or type, or that have no usual suffix.
+func TestMetricsPage(t *testing.T) {
+	is := is.New(t)
+	page := rows(is, "metrics.md")
+
+	same(t, "metrics.md", page, literals(is, `"(weir_(?:entry|sidecar)_\w+)`, "entry", "sidecar", "weir"))
+
+	for name, cells := range page {
+		kind, unit := cells[1], cells[2]
+		is.Equal(strings.HasSuffix(name, "_total"), kind == "counter")                             // counters end in _total
+		is.Equal(strings.HasSuffix(strings.TrimSuffix(name, "_total"), "_bytes"), unit == "bytes") // base units
+		is.Equal(strings.HasSuffix(name, "_seconds"), unit == "seconds")
+	}
+
+	exposed := expose(t, is)
+	is.True(len(exposed) > 40)
+
+	for name, kind := range exposed {
+		if page[name] == nil || page[name][1] != kind {
+			t.Errorf("running programs expose %s as a %s, metrics.md has %v", name, kind, page[name])
+		}
+	}
+}
+
+// expose returns the types of the metrics of an entry and a sidecar that have done some work.
+func expose(t *testing.T, is *is.I) map[string]string {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+
+	c := cluster.ForTest(t)
+	is.NoErr(c.StartLog(ctx))
+
+	e, err := c.StartEntry(ctx, "entry-1")
+	is.NoErr(err)
+
+	w, err := c.StartWorker(ctx, "worker-1", cluster.With("allowance_delay", "0s"))
+	is.NoErr(err)
+
+	directory := filepath.Join(c.Directory(), "agreement")
+	is.NoErr(cluster.WriteAgreement(directory, "token", "scan"))
+	_, err = c.Publish(ctx, directory)
+	is.NoErr(err)
+	is.NoErr(c.WaitReady(ctx))
+
+	l, err := c.Load("token", `"rate": 1, "attempts": 1, "mix": [{"kind": "scan"}]`)
+	is.NoErr(err)
+
+	client := caller.NewClient(l)
+	defer client.Close()
+
+	is.True(client.Submit(ctx, caller.NewRequest("scan", true, caller.Input(time.Millisecond, 1, ""))).Complete())
+	is.Equal(client.Submit(ctx, caller.NewRequest("unknown", true, nil)).Code(), "invalid_request")
+
+	types := map[string]string{}
+	scrape(ctx, is, e.Admin(), types)
+	scrape(ctx, is, w.Admin(), types)
+
+	return types
+}
+
+func scrape(ctx context.Context, is *is.I, admin string, types map[string]string) {
+	is.Helper()
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, admin+"/metrics", http.NoBody)
+	is.NoErr(err)
+
+	a, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+
+	defer a.Body.Close()
+
+	lines := bufio.NewScanner(a.Body)
+	for lines.Scan() {
+		if f := strings.Fields(lines.Text()); len(f) == 4 && f[1] == "TYPE" {
+			types[f[2]] = f[3]
+		}
+	}
+
+	is.NoErr(lines.Err())
+}
--- /dev/null
+++ b/standin/pages/pages_test.go
@@ -0,0 +1,91 @@
+// Package pages_test compares the pages below docs with the programs.
+package pages_test
+
+import (
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+)
+
+// root is the root of the repository.
+const root = "../.."
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+
+	cluster.RemoveShared()
+	os.Exit(code)
+}
+
+// rows returns the cells of the rows of a page whose first cell is a name in backquotes, by that name.
+func rows(is *is.I, page string) map[string][]string {
+	is.Helper()
+
+	text, err := os.ReadFile(filepath.Join(root, "docs", page))
+	is.NoErr(err)
+
+	all := map[string][]string{}
+
+	for line := range strings.Lines(string(text)) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), " | ")
+		name := strings.TrimSpace(cells[0])
+
+		if strings.HasPrefix(line, "| `") {
+			all[strings.Trim(name, "`")] = cells
+		}
+	}
+
+	return all
+}
+
+// literals returns what the first group of the pattern matches in the code of the directories, tests left out, with the
+// files in which it is.
+func literals(is *is.I, pattern string, directories ...string) map[string][]string {
+	is.Helper()
+
+	expression := regexp.MustCompile(pattern)
+	found := map[string][]string{}
+
+	for _, d := range directories {
+		is.NoErr(filepath.WalkDir(filepath.Join(root, d), func(file string, e fs.DirEntry, err error) error {
+			if err != nil || e.IsDir() || !strings.HasSuffix(file, ".go") || strings.HasSuffix(file, "_test.go") {
+				return err
+			}
+
+			text, err := os.ReadFile(file)
+			for _, m := range expression.FindAllStringSubmatch(string(text), -1) {
+				found[m[1]] = append(found[m[1]], file)
+			}
+
+			return err
+		}))
+	}
+
+	return found
+}
+
+// same reports names that only one of the two has.
+func same(t *testing.T, page string, onPage map[string][]string, inCode map[string][]string) {
+	t.Helper()
+
+	for _, n := range slices.Sorted(maps.Keys(inCode)) {
+		if onPage[n] == nil {
+			t.Errorf("%s is in %v and not in %s", n, inCode[n], page)
+		}
+	}
+
+	for _, n := range slices.Sorted(maps.Keys(onPage)) {
+		if inCode[n] == nil {
+			t.Errorf("%s is in %s and not in the code", n, page)
+		}
+	}
+}
--- a/weir/process/metrics/metrics.go
+++ b/weir/process/metrics/metrics.go
@@ -94,6 +94,9 @@
 	base, labels := split(name)
 
 	switch m := metric.(type) {
+	case *Histogram:
+		s := m.Snapshot()
+		w.summary(base, labels, s.Percentiles(quantiles), float64(s.Sum()), s.Count(), m.perUnit)
 	case gometrics.Counter:
 		w.typed(base, "counter")
 		w.sample(base, labels, float64(m.Count()))
--- a/weirctl/command/queues.go
+++ b/weirctl/command/queues.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"slices"
 	"strconv"
 	"strings"
 )
 
-// queueGauge is the name of the gauge of all waiting tasks; those of single kinds have the kind after it.
-const queueGauge = "queue_tasks"
+// queueGauge is the gauge of all waiting tasks, and kindGauge those of single kinds.
+const (
+	queueGauge = "weir_entry_queue_tasks"
+	kindGauge  = "weir_entry_kind_queue_tasks"
+)
 
 // queues returns the gauges of an entry's wait queue from its metrics.
 func (s *status) queues(entry, name string) ([]queueRow, error) {
@@ -23,16 +27,25 @@
 		line := lines.Text()
 
 		gauge, number, _ := strings.Cut(line, " ")
-		if !strings.HasPrefix(gauge, queueGauge) {
-			continue
-		}
+		kind := "all kinds"
 
-		kind := strings.TrimPrefix(strings.TrimPrefix(gauge, queueGauge), "_")
-		if kind == "" {
-			kind = "all kinds"
+		if gauge != queueGauge {
+			label, found := strings.CutPrefix(gauge, kindGauge+`{kind="`)
+			if !found {
+				continue
+			}
+
+			kind = strings.TrimSuffix(label, `"}`)
 		}
 
-		if v, err := strconv.ParseFloat(number, 64); err == nil {
+		v, err := strconv.ParseFloat(number, 64)
+
+		switch {
+		case err != nil:
+		case gauge == queueGauge:
+			// The total goes first; the metrics are in the order of their names.
+			rows = slices.Insert(rows, 0, queueRow{name, kind, v})
+		default:
 			rows = append(rows, queueRow{name, kind, v})
 		}
 	}
