Name every log event, list them, and sample placements

Lines of the home and of the hub had their event in the message, those of the log follower had none, and ended submissions wrote the key message twice. Each line now has a field event; times end in _ms, and a task's index is called task in both programs. Levels follow one rule: faults that the system handles (lost peers, sidecars, homes and incarnations, suspect backend servers) are warnings.

log_sample, 1 by default, thins out task_placed and task_started through zerolog's BasicSampler on a logger for these lines only, so no refusal, warning or error can be left out. Sampling the whole logger by level was ruled out: it would drop refusals, which are info. explain still knows each placement.

The test of logged decisions reads the field event in place of the message.

--- a/entry/home/decision.go
+++ b/entry/home/decision.go
@@ -79,8 +79,8 @@
 
 // decide logs a decision on a task and keeps it.
 func (h *Held) decide(l *zerolog.Event, event string, k *task, attempt int, choice, reason string) {
-	l.Str("submission", h.id).Str("member", h.member).Str("kind", k.work.submission.Kind()).Int("task", k.index).
-		Int("attempt", attempt).Str("choice", choice).Str("reason", reason).Msg(event)
+	l.Str("event", event).Str("submission", h.id).Str("member", h.member).Str("kind", k.work.submission.Kind()).
+		Int("task", k.index).Int("attempt", attempt).Str("choice", choice).Str("reason", reason).Msg("")
 
 	h.mu.Lock()
 	h.decisions.add(Decision{time.Now(), event, int32(k.index), choice, reason})
@@ -89,20 +89,24 @@
 
 // placed logs a choice, or that there is none at present.
 func (h *Held) placed(k *task, attempt int, c placement.Choice) {
-	l := h.table.log.Info().Int("candidates", c.Candidates())
+	w := c.Worker()
+	if w == nil {
+		h.decide(h.table.log.Info().Int("candidates", c.Candidates()), eventWaiting, k, attempt, "", string(c.Reason()))
+
+		return
+	}
+
+	l := h.table.placements.Info().Int("candidates", c.Candidates())
 	if a := c.Against(); a != nil {
 		l = l.Str("against", a.Name())
 	}
 
-	if w := c.Worker(); w != nil {
-		h.decide(l, eventPlaced, k, attempt, w.Name(), string(c.Reason()))
-	} else {
-		h.decide(l, eventWaiting, k, attempt, "", string(c.Reason()))
-	}
+	h.decide(l, eventPlaced, k, attempt, w.Name(), string(c.Reason()))
 }
 
 func (t *Table) refused(s submission.Submission, err error) {
-	t.log.Info().Str("submission", s.ID()).Str("member", s.Member()).Str("kind", s.Kind()).Int("tasks", len(s.Inputs())).
-		Str("reason", fault.KindOf(err).Code()).Str("ran", string(fault.RanOf(err))).Str("message", err.Error()).Msg(eventRefused)
+	t.log.Info().Str("event", eventRefused).Str("submission", s.ID()).Str("member", s.Member()).Str("kind", s.Kind()).
+		Int("tasks", len(s.Inputs())).Str("reason", fault.KindOf(err).Code()).Str("ran", string(fault.RanOf(err))).
+		Msg(err.Error())
 	t.meters().refused(err)
 }
--- a/entry/home/ending.go
+++ b/entry/home/ending.go
@@ -16,16 +16,15 @@
 func (e *ending) announce() {
 	t, h := e.held.table, e.held
 	took := time.Since(e.work.accepted)
-	l := t.log.Info().Str("submission", h.id).Str("member", h.member).Str("kind", e.work.submission.Kind()).
+	l := t.log.Info().Str("event", eventEnded).Str("submission", h.id).Str("member", h.member).Str("kind", e.work.submission.Kind()).
 		Int("tasks", h.total).Dur("took_ms", took)
 
 	if e.cause == nil {
-		l = l.Str("reason", "complete")
+		l.Str("reason", "complete").Msg("")
 	} else {
-		l = l.Str("reason", fault.KindOf(e.cause).Code()).Str("ran", string(fault.RanOf(e.cause))).Str("message", e.cause.Error())
+		l.Str("reason", fault.KindOf(e.cause).Code()).Str("ran", string(fault.RanOf(e.cause))).Msg(e.cause.Error())
 	}
 
-	l.Msg(eventEnded)
 	t.meters().ended(e.cause)
 	close(h.done)
 	t.less()
--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -278,12 +278,12 @@
 	}
 
 	for line := range bytes.Lines(out.Bytes()) {
-		var l struct{ Message, Submission, Member, Kind, Reason string }
+		var l struct{ Event, Submission, Member, Kind, Reason string }
 
 		is.NoErr(json.Unmarshal(line, &l))
 		is.Equal(l.Member, "mill")
 		is.True(l.Submission != "" && l.Kind != "")
-		logged = append(logged, l.Message+" "+l.Reason)
+		logged = append(logged, l.Event+" "+l.Reason)
 	}
 
 	tasks := []string{
--- /dev/null
+++ b/entry/home/sampling_test.go
@@ -0,0 +1,53 @@
+package home_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/entry/home"
+)
+
+// Guards against sampling that drops refusals or ends of submissions, and against placements that are not thinned out.
+func TestSamplingKeepsRefusals(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a")
+
+	var out bytes.Buffer
+
+	b.table = &home.Table{}
+	b.table.Use(b.fleet, b, zerolog.New(zerolog.SyncWriter(&out)))
+	b.table.Sample(3)
+	b.table.Follow(t.Context(), b.book)
+
+	go b.table.Run(t.Context())
+
+	for range 9 {
+		h, err := b.table.Submit(b.submission(1, options{}))
+		is.NoErr(err)
+		is.Equal(await(is, h).status, 200)
+
+		placed := slices.ContainsFunc(h.Decisions(), func(d home.Decision) bool { return d.Event() == "task_placed" })
+		is.True(placed) // explain still knows each placement
+
+		_, err = b.table.Submit(b.submission(1, options{kind: "x"}))
+		is.True(err != nil)
+	}
+
+	events := map[string]int{}
+
+	for line := range bytes.Lines(out.Bytes()) {
+		var l struct{ Event string }
+
+		is.NoErr(json.Unmarshal(line, &l))
+		events[l.Event]++
+	}
+
+	is.Equal(events["task_placed"], 3)
+	is.Equal(events["submission_ended"], 9)
+	is.Equal(events["submission_refused"], 9)
+}
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -35,6 +35,8 @@
 	workers  *fleet.Fleet
 	sidecars Sidecars
 	log      zerolog.Logger
+	// placements is log with the sampling of placements.
+	placements zerolog.Logger
 	// incarnation is this entry's; zero leaves the home of a ticket unchecked.
 	incarnation uint64
 	policy      placement.Policy
@@ -77,7 +79,7 @@
 
 // Use sets what the table works with. It is called once, before any other method.
 func (t *Table) Use(workers *fleet.Fleet, sidecars Sidecars, log zerolog.Logger) {
-	t.workers, t.sidecars, t.log = workers, sidecars, log
+	t.workers, t.sidecars, t.log, t.placements = workers, sidecars, log, log
 	t.closer.sidecars = sidecars
 	workers.Watch(t.changed)
 }
@@ -96,6 +98,11 @@
 // Choose sets the placement policy; the default is two choices.
 func (t *Table) Choose(p placement.Policy) { t.policy = p }
 
+// Sample logs every n-th placement of a task only. All other lines are logged. It is called after Use and before Run.
+func (t *Table) Sample(n int) {
+	t.placements = t.log.Sample(&zerolog.BasicSampler{N: uint32(n)}) //nolint:gosec // the range is checked by the settings
+}
+
 // Measure sets the registry of the metrics. It is called before Run.
 func (t *Table) Measure(r metrics.Registry) { t.registry = r }
 
--- a/entry/homelost/resolver.go
+++ b/entry/homelost/resolver.go
@@ -92,7 +92,7 @@
 	found.err = fault.WithRan(fault.New(fault.HomeLost, "the home of the submission is lost: %s", reason), ran)
 	close(found.done)
 
-	r.log.Info().Str("event", "home_lost").Str("submission", id).Str("member", t.Member()).
+	r.log.Warn().Str("event", "home_lost").Str("submission", id).Str("member", t.Member()).
 		Str("ran", string(ran)).Str("reason", reason).Msg("closed a submission of a lost home")
 
 	return found.err
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -109,7 +109,7 @@
 			reason := l.exchanges(ctx, c)
 			l.set(nil, nil)
 			c.Close(reason)
-			l.peers.log.Info().Str("event", "peer_lost").Str("peer", e.GetName()).Str("address", l.address).Str("reason", reason).Msg("lost an entry")
+			l.peers.log.Warn().Str("event", "peer_lost").Str("peer", e.GetName()).Str("address", l.address).Str("reason", reason).Msg("lost an entry")
 		}
 
 		select {
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -116,6 +116,7 @@
 func newTable(s Settings, workers *fleet.Fleet, hub *sidecar.Hub, self *wire.Entry, registry gometrics.Registry, log zerolog.Logger) *home.Table {
 	t := &home.Table{}
 	t.Use(workers, hub, log)
+	t.Sample(s.file.LogSample)
 	t.Own(self.GetIncarnation())
 	t.Limit(s.file.QueueTasks, s.file.Submissions, int(s.file.AnswerMemory.Value()))
 	t.Measure(registry)
--- a/entry/sidecar/hub.go
+++ b/entry/sidecar/hub.go
@@ -65,8 +65,8 @@
 	}
 
 	h.attach(l, hello.GetWorker())
-	h.log.Info().Str("worker", l.worker.Name()).Uint64("incarnation", l.worker.Incarnation()).
-		Str("remote", c.Remote().String()).Msg("sidecar_connected")
+	h.log.Info().Str("event", "sidecar_connected").Str("worker", l.worker.Name()).Uint64("incarnation", l.worker.Incarnation()).
+		Str("remote", c.Remote().String()).Msg("")
 
 	go l.accept(ctx)
 
@@ -74,7 +74,8 @@
 
 	c.Close("connection ended")
 	h.detach(l)
-	h.log.Info().Str("worker", l.worker.Name()).Uint64("incarnation", l.worker.Incarnation()).Err(err).Msg("sidecar_disconnected")
+	h.log.Warn().Str("event", "sidecar_disconnected").Str("worker", l.worker.Name()).
+		Uint64("incarnation", l.worker.Incarnation()).Err(err).Msg("")
 }
 
 // Start sends one start to the worker and waits for its reply. The start was certainly not sent if sent is false.
--- a/sidecar/backend/watch.go
+++ b/sidecar/backend/watch.go
@@ -39,7 +39,12 @@
 
 		if healthy != (err == nil) {
 			healthy = err == nil
-			w.log.Info().Err(err).Str("event", "backend_health").Bool("healthy", healthy).Msg("")
+			level := zerolog.InfoLevel
+			if !healthy {
+				level = zerolog.WarnLevel
+			}
+
+			w.log.WithLevel(level).Err(err).Str("event", "backend_health").Bool("healthy", healthy).Msg("")
 		}
 
 		select {
--- a/sidecar/entry/link.go
+++ b/sidecar/entry/link.go
@@ -56,7 +56,7 @@
 		pause := jitter(backOff)
 		backOff = min(2*backOff, lastBackOff)
 
-		k.links.log.Warn().Err(err).Str("event", "entry_disconnected").Str("address", k.address).Dur("retry", pause).Msg("")
+		k.links.log.Warn().Err(err).Str("event", "entry_disconnected").Str("address", k.address).Dur("retry_ms", pause).Msg("")
 		wait(ctx, nil, pause)
 	}
 }
--- a/sidecar/entry/registrar.go
+++ b/sidecar/entry/registrar.go
@@ -55,7 +55,8 @@
 		case registered && !r.registered:
 			r.registered = true
 			r.backOff = firstRegisterBackOff
-			r.event("registered").Int64("offset", offset).Msg("")
+			r.log.Info().Str("event", "registered").Uint64("incarnation", r.identity.Incarnation()).
+				Int64("offset", offset).Msg("")
 		case registered:
 			wait(ctx, changed, time.Hour)
 		case r.registered || state.Departed(r.identity.Name(), r.identity.Incarnation()):
@@ -68,7 +69,7 @@
 
 // renew takes a new incarnation. The wait keeps two sidecars of the same name from replacing each other quickly.
 func (r *Registrar) renew(ctx context.Context) {
-	r.event("incarnation_lost").Msg("")
+	r.log.Warn().Str("event", "incarnation_lost").Uint64("incarnation", r.identity.Incarnation()).Msg("")
 	r.registered = false
 	r.identity.Renew()
 	r.links.Reconnect("new incarnation")
@@ -127,10 +128,6 @@
 	r.backOff = min(2*r.backOff, lastRegisterBackOff)
 }
 
-func (r *Registrar) event(name string) *zerolog.Event {
-	return r.log.Info().Str("event", name).Str("worker", r.identity.Name()).Uint64("incarnation", r.identity.Incarnation())
-}
-
 func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/sidecar/process/process.go
+++ b/sidecar/process/process.go
@@ -35,7 +35,10 @@
 			func() *entry.Identity { return entry.NewIdentity(s.Worker()) },
 			func() *backend.Client { return backend.NewClient(s.Backend(), s.Slots(), s.MaxOutput()) },
 			func(c *backend.Client, st *ejection.Statistics, r metrics.Registry) *tasks.Table {
-				return tasks.NewTable(tasks.NewLimits(s.TableStarts(), s.OutcomeMemory()), c, st, r, log)
+				t := tasks.NewTable(tasks.NewLimits(s.TableStarts(), s.OutcomeMemory()), c, st, r, log)
+				t.Sample(s.LogSample())
+
+				return t
 			},
 			func(t *tasks.Table, b *ledger.Book, i *entry.Identity) *tasks.Follower {
 				return tasks.NewFollower(t, b, i, share.NewCapacity(s.Slots(), s.MemoryMB(), s.QueueTasks(), s.AllowanceDelay()))
--- a/sidecar/process/settings.go
+++ b/sidecar/process/settings.go
@@ -30,6 +30,7 @@
 	MaxOutput      settings.Bytes    `json:"max_output" doc:"largest output of a task" default:"16MB" range:"1KB..60MB"`
 	DrainLimit     settings.Duration `json:"drain_limit" doc:"longest wait for running tasks at shutdown" default:"150s" range:"0s..1h"`
 	LogLevel       string            `json:"log_level" doc:"least severe level that is logged" default:"info" range:"debug|info|warn|error"`
+	LogSample      int               `json:"log_sample" doc:"log every n-th started task only; refusals, warnings and errors are always logged" default:"1" range:"1..1000000"`
 	Keys           keysFile          `json:"keys"`
 }
 
@@ -119,6 +120,9 @@
 	return l
 }
 
+// LogSample returns n if every n-th started task is logged.
+func (s Settings) LogSample() int { return s.file.LogSample }
+
 // Worker returns the message form without an incarnation.
 func (s Settings) Worker() *wire.Worker {
 	w := &wire.Worker{}
--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -78,6 +78,8 @@
 	backend    Backend
 	statistics *ejection.Statistics
 	log        zerolog.Logger
+	// placements is log with the sampling of started tasks.
+	placements zerolog.Logger
 	counts     counts
 
 	// mu orders every decision on a start with every close.
@@ -98,12 +100,17 @@
 // NewTable returns an empty table. It rejects every start until it is configured.
 func NewTable(l Limits, b Backend, s *ejection.Statistics, r metrics.Registry, log zerolog.Logger) *Table {
 	return &Table{
-		limits: NewLimits(l.starts, l.bytes), backend: b, statistics: s, counts: newCounts(r), log: log,
+		limits: NewLimits(l.starts, l.bytes), backend: b, statistics: s, counts: newCounts(r), log: log, placements: log,
 		submissions: map[string]*submission{},
 		queued:      map[*Run]struct{}{}, running: map[*Run]struct{}{},
 	}
 }
 
+// Sample logs every n-th started task only. All other lines are logged. It is called before any task is started.
+func (t *Table) Sample(n int) {
+	t.placements = t.log.Sample(&zerolog.BasicSampler{N: uint32(n)}) //nolint:gosec // the range is checked by the settings
+}
+
 // Configure sets the capacity and the agreed kinds and members. Queued tasks that can no longer run here are rejected.
 func (t *Table) Configure(c share.Capacity, kinds []share.Kind, members []share.Member) {
 	t.mu.Lock()
@@ -157,7 +164,7 @@
 
 	if _, waits := t.queued[run]; waits {
 		t.counts.queued.Inc(1)
-		t.event("task_queued", run).Msg("")
+		describe(t.log.Info().Str("event", "task_queued"), run).Msg("")
 	}
 
 	return run
@@ -239,7 +246,7 @@
 	t.bytes += run.size
 	t.queued[run] = struct{}{}
 	t.counts.accepted.Inc(1)
-	t.event("task_accepted", run).Msg("")
+	describe(t.log.Info().Str("event", "task_accepted"), run).Msg("")
 }
 
 func (t *Table) insert(id string, now time.Time) *submission {
@@ -307,7 +314,7 @@
 
 	t.counts.started.Inc(1)
 	t.counts.waited.Update(now.Sub(run.offered).Microseconds())
-	t.event("task_started", run).Dur("queued", now.Sub(run.offered)).Msg("")
+	describe(t.placements.Info().Str("event", "task_started"), run).Dur("queued_ms", now.Sub(run.offered)).Msg("")
 
 	go t.run(run)
 }
@@ -383,7 +390,12 @@
 	}
 
 	if after := t.statistics.Suspect(); after != before {
-		t.log.Info().Str("event", "backend_suspect").Bool("suspect", after).
+		level := zerolog.InfoLevel
+		if after {
+			level = zerolog.WarnLevel
+		}
+
+		t.log.WithLevel(level).Str("event", "backend_suspect").Bool("suspect", after).
 			Int("failure_permille", t.statistics.FailurePermille()).Msg("")
 		t.prune(now)
 	}
@@ -398,7 +410,7 @@
 	t.counts.end(o)
 	t.counts.ran.Update(time.Since(run.started).Microseconds())
 
-	e := t.event("task_ended", run).Dur("ran", time.Since(run.started))
+	e := describe(t.log.Info().Str("event", "task_ended"), run).Dur("run_ms", time.Since(run.started))
 	if f, failed := o.(Failed); failed {
 		e = e.Str("reason", f.kind.Code()).Str("message", f.message)
 	}
@@ -427,7 +439,7 @@
 
 func (t *Table) reject(run *Run, r Rejected) {
 	t.counts.reject(r.reason)
-	t.event("task_rejected", run).Str("reason", reasonName(r.reason)).Str("message", r.message).Msg("")
+	describe(t.log.Info().Str("event", "task_rejected"), run).Str("reason", reasonName(r.reason)).Str("message", r.message).Msg("")
 	run.end(r)
 }
 
@@ -655,9 +667,9 @@
 	return t.starts, t.tombstones, t.bytes
 }
 
-func (t *Table) event(name string, run *Run) *zerolog.Event {
+// describe adds the identity of a task to a line.
+func describe(e *zerolog.Event, run *Run) *zerolog.Event {
 	r := run.request
 
-	return t.log.Info().Str("event", name).Str("submission", r.id.submission).Uint32("index", r.id.index).
-		Uint32("attempt", r.id.attempt).Str("member", r.member).Str("kind", r.kind)
+	return e.Str("submission", r.id.submission).Uint32("task", r.id.index).Uint32("attempt", r.id.attempt).Str("member", r.member).Str("kind", r.kind)
 }
--- a/standin/pages/metrics_test.go
+++ b/standin/pages/metrics_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,7 +17,8 @@
 	"github.com/skylarkweir/skylarkweir/standin/cluster"
 )
 
-// Guards against metrics that the page leaves out, calls by another name or type, or that have no usual suffix.
+// Guards against metrics that the page leaves out, calls by another name or type, or that have no usual suffix, and
+// against logged events that events.md does not have at this level.
 func TestMetricsPage(t *testing.T) {
 	is := is.New(t)
 	page := rows(is, "metrics.md")
@@ -68,12 +71,21 @@
 	defer client.Close()
 
 	is.True(client.Submit(ctx, caller.NewRequest("scan", true, caller.Input(time.Millisecond, 1, ""))).Complete())
-	is.Equal(client.Submit(ctx, caller.NewRequest("unknown", true, nil)).Code(), "invalid_request")
+	is.Equal(client.Submit(ctx, caller.NewRequest("unknown", true, caller.Input(0, 1, ""))).Code(), "invalid_request")
 
 	types := map[string]string{}
 	scrape(ctx, is, e.Admin(), types)
 	scrape(ctx, is, w.Admin(), types)
 
+	var output bytes.Buffer
+
+	c.Tails(&output)
+
+	events := logged(t, is, &output)
+	for _, name := range []string{"listening", "task_placed", "submission_refused", "task_started", "task_ended"} {
+		is.True(slices.Contains(events, name))
+	}
+
 	return types
 }
 
--- a/weir/connection/logservice/follower.go
+++ b/weir/connection/logservice/follower.go
@@ -92,7 +92,7 @@
 
 	var truncated *TruncatedError
 	if errors.As(err, &truncated) && truncated.First() > f.from {
-		f.log.Warn().Int64("position", f.from).Int64("first", truncated.First()).
+		f.log.Warn().Str("event", "log_truncated").Int64("position", f.from).Int64("first", truncated.First()).
 			Msg("the log dropped records before they were read")
 
 		f.from = truncated.First()
@@ -114,7 +114,7 @@
 		f.book.EndLoad()
 
 		if s := f.book.State(); !s.Complete() {
-			f.log.Error().Int64("first", p.First()).Int64("position", s.Position()).
+			f.log.Error().Str("event", "log_incomplete").Int64("first", p.First()).Int64("position", s.Position()).
 				Msg("the log holds no snapshot to start from; the state has to come from other processes")
 		}
 	}
@@ -128,7 +128,7 @@
 
 func (f *Follower) failed(ctx context.Context, err error) {
 	if f.failures == 0 {
-		f.log.Warn().Err(err).Msg("the log does not answer")
+		f.log.Warn().Str("event", "log_unanswered").Err(err).Msg("the log does not answer")
 	}
 
 	f.good.Store(0)
@@ -138,7 +138,7 @@
 
 func (f *Follower) recovered() {
 	if f.failures > 0 {
-		f.log.Info().Int("failures", f.failures).Msg("the log answers again")
+		f.log.Info().Str("event", "log_answers").Int("failures", f.failures).Msg("the log answers again")
 	}
 
 	f.failures = 0
@@ -147,7 +147,7 @@
 func (f *Follower) report() {
 	s := f.book.State()
 	if s.Skipped() > f.skipped {
-		f.log.Error().Int64("skipped", s.Skipped()-f.skipped).Int64("position", s.LogPosition()).
+		f.log.Error().Str("event", "records_skipped").Int64("skipped", s.Skipped()-f.skipped).Int64("position", s.LogPosition()).
 			Msg("skipped records that cannot be decoded")
 
 		f.skipped = s.Skipped()
@@ -166,7 +166,7 @@
 
 	// After a lost answer the snapshot is either read back, which resets the timer, or appended once more later.
 	if _, err := f.client.Append(ctx, ledger.SnapshotRecord(s)); err != nil {
-		f.log.Warn().Err(err).Msg("no answer to the append of a snapshot")
+		f.log.Warn().Str("event", "snapshot_unconfirmed").Err(err).Msg("no answer to the append of a snapshot")
 	}
 
 	f.snapshot.restart(f.retention)
