--- a/sidecar/process/gauges.go
+++ b/sidecar/process/gauges.go
@@ -29,6 +29,7 @@
 	for name, value := range map[string]func() int64{
 		"weir_sidecar_control_received_bytes_total": func() int64 { in, _ := traffic.Control(); return in },
 		"weir_sidecar_control_sent_bytes_total":     func() int64 { _, out := traffic.Control(); return out },
+		"weir_sidecar_control_frames_total":         traffic.ControlFrames,
 		"weir_sidecar_work_received_bytes_total":    func() int64 { in, _ := traffic.Work(); return in },
 		"weir_sidecar_work_sent_bytes_total":        func() int64 { _, out := traffic.Work(); return out },
 	} {
