Add examples and a page for the library

A test checks that weir imports neither fx nor go-flags, that the page lists every package and that each has a comment.

--- /dev/null
+++ b/standin/pages/library_test.go
@@ -0,0 +1,84 @@
+package pages_test
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// exampled are the packages that have to have runnable examples.
+var exampled = []string{
+	"weir/version/agreement", "weir/version/ledger", "weir/request/ticket", "weir/process/share", "weir/process/placement",
+	"weir/process/waitqueue", "weir/process/estimate", "weir/process/retrybudget", "weir/process/settings", "weir/request/fault",
+}
+
+// library is what the files of the module weir contain.
+type library struct {
+	packages  map[string][]string
+	documents map[string]bool
+	examples  map[string]bool
+	imports   map[string][]string
+}
+
+func readLibrary(is *is.I) library {
+	is.Helper()
+
+	l := library{map[string][]string{}, map[string]bool{}, map[string]bool{}, map[string][]string{}}
+
+	is.NoErr(filepath.WalkDir(filepath.Join(root, "weir"), func(file string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() || !strings.HasSuffix(file, ".go") {
+			return err
+		}
+
+		f, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ParseComments)
+		if err != nil {
+			return err
+		}
+
+		name, _ := filepath.Rel(root, filepath.Dir(file))
+		l.packages[name] = append(l.packages[name], file)
+		l.documents[name] = l.documents[name] || f.Doc != nil && strings.HasPrefix(f.Doc.Text(), "Package "+f.Name.Name+" ")
+		l.examples[name] = l.examples[name] || strings.HasSuffix(file, "example_test.go")
+
+		for _, i := range f.Imports {
+			path, _ := strconv.Unquote(i.Path.Value)
+			l.imports[path] = append(l.imports[path], file)
+		}
+
+		return nil
+	}))
+
+	return l
+}
+
+// Guards against a library that drags in what only programs need, and against packages without documentation.
+func TestLibraryPage(t *testing.T) {
+	is := is.New(t)
+	l := readLibrary(is)
+
+	for path, files := range l.imports {
+		if strings.HasPrefix(path, "go.uber.org/fx") || strings.Contains(path, "go-flags") {
+			t.Errorf("%v import %s", files, path)
+		}
+	}
+
+	same(t, "library.md", rows(is, "library.md"), l.packages)
+
+	for name := range l.packages {
+		if !l.documents[name] {
+			t.Errorf("%s has no package comment", name)
+		}
+	}
+
+	for _, name := range exampled {
+		if !l.examples[name] {
+			t.Errorf("%s has no examples", name)
+		}
+	}
+}
--- /dev/null
+++ b/weir/process/estimate/example_test.go
@@ -0,0 +1,23 @@
+package estimate_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/estimate"
+)
+
+func ExampleRunTimes() {
+	var runs estimate.RunTimes
+
+	fmt.Println("unknown:", runs.Long("check", time.Now()))
+
+	for range 100 {
+		runs.Observe("check", 80*time.Millisecond)
+	}
+
+	fmt.Println("nine of ten end within", runs.Long("check", time.Now()))
+	// Output:
+	// unknown: 0s
+	// nine of ten end within 80ms
+}
--- /dev/null
+++ b/weir/process/retrybudget/example_test.go
@@ -0,0 +1,29 @@
+package retrybudget_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/retrybudget"
+)
+
+// Of 95 requests that fail at the same time, a tenth may be retried, beside the one that a quiet entry always has.
+func ExampleBudget() {
+	var (
+		budget retrybudget.Budget
+		now    = time.Unix(1000, 0)
+	)
+
+	for range 95 {
+		budget.Request(now)
+	}
+
+	retries := 0
+	for budget.Spend(now) {
+		retries++
+	}
+
+	fmt.Println(retries)
+	// Output:
+	// 10
+}
