--- /dev/null
+++ b/standin/pages/commands_test.go
@@ -0,0 +1,78 @@
+package pages_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+)
+
+var (
+	longOption = regexp.MustCompile(`(?m)^\s+(?:-\w, )?\s*(--[a-z-]+)`)
+	pageOption = regexp.MustCompile("(?m)^\\| `(?:-\\w, )?(--[a-z-]+)")
+	// commandLine finds the names that a program answers with if the command is not known.
+	commandLine = regexp.MustCompile(`noun\{\s*"(\w+)"`)
+)
+
+// Guards against commands and options without a page, and against pages of options that are gone.
+func TestCommandPages(t *testing.T) {
+	is := is.New(t)
+
+	programs, err := cluster.Shared(t.Context())
+	is.NoErr(err)
+
+	commands := [][]string{{"entry"}, {"sidecar"}}
+
+	for _, program := range []string{"weirctl", "standin"} {
+		commands = append(commands, []string{program})
+
+		found := literals(is, commandLine.String(), filepath.Join(program, "command"))
+		is.True(len(found) >= 5)
+
+		for name := range found {
+			commands = append(commands, []string{program, name})
+		}
+	}
+
+	pages := map[string]bool{}
+
+	for _, c := range commands {
+		help, err := exec.CommandContext(t.Context(), programs.Path(c[0]), append(c[1:], "--help")...).CombinedOutput()
+		is.NoErr(err)
+
+		name := strings.Join(c, "-") + ".md"
+		pages[name] = true
+
+		text, err := os.ReadFile(filepath.Join(root, "docs", "commands", name))
+		is.NoErr(err)
+
+		same(t, name, options(pageOption, text), options(longOption, help))
+
+		for _, section := range []string{"Synopsis", "Description", "Options", "Exit codes", "Examples"} {
+			is.True(strings.Contains(string(text), "\n## "+section+"\n"))
+		}
+	}
+
+	files, err := os.ReadDir(filepath.Join(root, "docs", "commands"))
+	is.NoErr(err)
+
+	for _, f := range files {
+		is.True(pages[f.Name()]) // a page of a command that is gone
+	}
+}
+
+// options returns what the first group of the expression matches.
+func options(expression *regexp.Regexp, text []byte) map[string][]string {
+	all := map[string][]string{}
+	for _, m := range expression.FindAllStringSubmatch(string(text), -1) {
+		all[m[1]] = []string{m[0]}
+	}
+
+	return all
+}
