--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,6 +126,49 @@
 	is.Equal(await(is, h).status, 200)
 }
 
+// Guards against starts of tasks that can no longer end in time: the slots would be wasted.
+func TestLateTasksAreNotStarted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b := newBench(t, "a")
+	release := make(chan struct{})
+
+	const learned = 30 // run times, from which one is estimated
+
+	b.start = func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		if len(b.sent()) > learned {
+			<-release
+		}
+
+		r := completed(s, s.GetInput())
+		r.GetCompleted().SetRunUs(1e6)
+
+		return r, true, nil
+	}
+
+	go b.heartbeats(t.Context())
+
+	h, err := b.table.Submit(b.submission(learned, options{}))
+	is.NoErr(err)
+	await(is, h)
+
+	full, err := b.table.Submit(b.submission(room, options{deadline: 20 * time.Second}))
+	is.NoErr(err)
+	eventually(is, func() bool { return len(b.sent()) == learned+room })
+
+	late, err := b.table.Submit(b.submission(1, options{deadline: 1500 * time.Millisecond}))
+	is.NoErr(err)
+	time.Sleep(800 * time.Millisecond)
+	close(release)
+
+	r := await(is, late)
+	is.Equal(r.Error.Code, "deadline_exceeded")
+	is.True(strings.Contains(r.Error.Message, "are left after the wait")) // before the deadline itself
+	is.Equal(r.Error.Ran, "none")
+	is.Equal(await(is, full).status, 200)
+	is.Equal(len(b.sent()), learned+room)
+}
+
 // Guards against tasks that start again at the successor after a handover, and answers lost or altered by it.
 func TestHandover(t *testing.T) {
 	is := is.New(t)
--- a/weir/process/waitqueue/queue_test.go
+++ b/weir/process/waitqueue/queue_test.go
@@ -87,6 +87,15 @@
 	}
 
 	is.Equal(held, [2]int{30, 10})
+
+	// Alone, a member gets its limit and a quarter for the run queues, over all of its kinds.
+	q.Push("large", "quote", 30, 1, 0, start)
+
+	for i := take(&q); i != nil; i = take(&q) {
+		held[i.Value()]++
+	}
+
+	is.Equal(held, [2]int{37, 12})
 }
 
 // Guards against a flood that fills the queue for the other kinds.
@@ -183,8 +192,14 @@
 		is.True(i.Waiting())
 	}
 
+	for _, i := range taken {
+		q.Release(i)
+	}
+
 	for range waiting {
-		is.True(take(&q) != nil)
+		i := take(&q)
+		is.True(i != nil)
+		q.Release(i)
 	}
 
 	is.True(take(&q) == nil)
@@ -230,7 +245,7 @@
 	is.True(!known)
 
 	for range 1000 {
-		q.Push("m", "scan", 1, 1, 0, start)
+		q.Push("m", "scan", 1000, 1, 0, start)
 	}
 
 	_, known = q.Wait("m", "scan", 1, start.Add(100*time.Millisecond))
@@ -267,7 +282,7 @@
 	var q queue
 
 	for range 1000 {
-		q.Push("m", "scan", 1, 1, 0, start)
+		q.Push("m", "scan", 1000, 1, 0, start)
 	}
 
 	now := start
