--- a/sidecar/tasks/execution.go
+++ b/sidecar/tasks/execution.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/skylarkweir/skylarkweir/sidecar/backend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
@@ -64,7 +66,7 @@
 
 	t.counts.started.Inc(1)
 	t.counts.waited.Update(now.Sub(run.offered).Microseconds())
-	t.event("task_started", run).Dur("queued", now.Sub(run.offered)).Msg("")
+	describe(t.placements.Info().Str("event", "task_started"), run).Dur("queued_ms", now.Sub(run.offered)).Msg("")
 
 	go t.run(run)
 }
@@ -158,7 +160,12 @@
 	}
 
 	if after := t.statistics.Suspect(); after != before {
-		t.log.Info().Str("event", "backend_suspect").Bool("suspect", after).
+		level := zerolog.InfoLevel
+		if after {
+			level = zerolog.WarnLevel
+		}
+
+		t.log.WithLevel(level).Str("event", "backend_suspect").Bool("suspect", after).
 			Int("failure_permille", t.statistics.FailurePermille()).Msg("")
 		t.prune(now)
 	}
@@ -173,7 +180,7 @@
 	t.counts.end(o)
 	t.counts.ran.Update(time.Since(run.started).Microseconds())
 
-	e := t.event("task_ended", run).Dur("ran", time.Since(run.started))
+	e := describe(t.log.Info().Str("event", "task_ended"), run).Dur("run_ms", time.Since(run.started))
 	if f, failed := o.(Failed); failed {
 		e = e.Str("reason", f.kind.Code()).Str("message", f.message)
 	}
--- a/sidecar/tasks/refusal.go
+++ b/sidecar/tasks/refusal.go
@@ -87,6 +87,6 @@
 
 func (t *Table) reject(run *Run, r Rejected) {
 	t.counts.reject(r.reason)
-	t.event("task_rejected", run).Str("reason", reasonName(r.reason)).Str("message", r.message).Msg("")
+	describe(t.log.Info().Str("event", "task_rejected"), run).Str("reason", reasonName(r.reason)).Str("message", r.message).Msg("")
 	run.end(r)
 }
--- a/sidecar/tasks/report.go
+++ b/sidecar/tasks/report.go
@@ -34,9 +34,9 @@
 	return t.starts, t.tombstones, t.bytes
 }
 
-func (t *Table) event(name string, run *Run) *zerolog.Event {
+// describe adds the identity of a task to a line.
+func describe(e *zerolog.Event, run *Run) *zerolog.Event {
 	r := run.request
 
-	return t.log.Info().Str("event", name).Str("submission", r.id.submission).Uint32("index", r.id.index).
-		Uint32("attempt", r.id.attempt).Str("member", r.member).Str("kind", r.kind)
+	return e.Str("submission", r.id.submission).Uint32("task", r.id.index).Uint32("attempt", r.id.attempt).Str("member", r.member).Str("kind", r.kind)
 }
