Issue tickets at the position that placement has applied

Cause: placement follows the log with up to 50 ms delay, while tickets carried the newest position P. In between, the home could place a task on a worker that had left at L < P. If the home was lost then, the close would not have asked that worker, and "ran none" could be untrue. Found by reading; no run has shown it.

Change: the home table stores the position after it has applied the registered workers, and tickets carry that one. A member counts as unlimited only if its limit is the whole fleet in percent, since a limit in slots binds again when the fleet grows.

--- a/entry/home/rules.go
+++ b/entry/home/rules.go
@@ -117,9 +117,13 @@
 }
 
 func (f *follower) apply() {
-	if r := newRules(f.book.State()); !r.equal(f.table.rules.Load()) {
+	s := f.book.State()
+
+	if r := newRules(s); !r.equal(f.table.rules.Load()) {
 		f.table.apply(r)
 	}
+
+	f.table.position.Store(s.Position())
 }
 
 // settleTime bounds how often the rules are derived. Bindings change the state up to 20 times a second for each entry
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -43,6 +43,8 @@
 	incarnation uint64
 	policy      placement.Policy
 	rules       atomic.Pointer[rules]
+	// position is the log position up to which placement follows the log.
+	position atomic.Int64
 
 	shards [shards]shard
 	size   int
@@ -156,6 +158,10 @@
 	return true
 }
 
+// Position returns the log position up to which placement follows the log. A ticket of a higher position might be given
+// to a worker that has left below it, which would not be asked if this home is lost.
+func (t *Table) Position() int64 { return t.position.Load() }
+
 // Inflight returns the number of submissions without an answer.
 func (t *Table) Inflight() int { return int(t.inflight.Load()) }
 
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -110,15 +110,13 @@
 	return e, nil
 }
 
-func newMint(s Settings, key ticket.Key, self *wire.Entry, book *ledger.Book) (*caller.Mint, error) {
+func newMint(s Settings, key ticket.Key, self *wire.Entry, t *home.Table) (*caller.Mint, error) {
 	address, err := netip.ParseAddrPort(self.GetAddress())
 	if err != nil {
 		return nil, merry.Prepend(err, "own address")
 	}
 
-	position := func() int64 { return book.State().Position() }
-
-	return caller.NewMint(key, address, self.GetIncarnation(), position, s.TicketLifetime()), nil
+	return caller.NewMint(key, address, self.GetIncarnation(), t.Position, s.TicketLifetime()), nil
 }
 
 func newTable(s Settings, workers *fleet.Fleet, hub *sidecar.Hub, self *wire.Entry, registry gometrics.Registry, log zerolog.Logger) *home.Table {
--- a/sidecar/tasks/entitlement.go
+++ b/sidecar/tasks/entitlement.go
@@ -46,7 +46,7 @@
 		}
 
 		member := share.NewMember(m.Name(), limit, allowance)
-		if limit >= fleet {
+		if m.Unlimited() {
 			member = member.Unlimited()
 		}
 
--- a/weir/version/agreement/member.go
+++ b/weir/version/agreement/member.go
@@ -34,6 +34,9 @@
 	return fleetSlots * m.hundredths / wholeFleet
 }
 
+// Unlimited tells whether the limit is the whole fleet, however large it is.
+func (m Member) Unlimited() bool { return m.hundredths == wholeFleet }
+
 func (m Member) body() memberBody {
 	b := memberBody{Name: m.name, LimitSlots: m.slots, CredentialSHA256: hex.EncodeToString(m.credential[:])}
 	if m.hundredths > 0 {
