Judge every refusal, late starts and waits for lost workers

The checker compared only the last answer of a record with the starts, so a refusal under a ticket that the caller gave up after code leaving was not checked. Each attempt keeps its ticket now, and each refusal with ran none is compared.

TestLeavingWorkerGetsNoNewWork would have passed with a sidecar that ignores lease epochs: the home does not place an unanswered start elsewhere, so a late start is no second start. It also requires that submissions that arrive more than 3 s after the losses complete within 3 s.

--- a/standin/caller/client.go
+++ b/standin/caller/client.go
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
-	a := Attempt{entry: e.url, at: time.Now()}
+	a := Attempt{entry: e.url, ticket: r.ticket, at: time.Now()}
 	body, status, err := c.post(ctx, e, r.submission.path(), r.ticket, r.submission.body())
 
 	switch {
--- a/standin/caller/record.go
+++ b/standin/caller/record.go
@@ -19,6 +19,8 @@
 // Attempt is one time that a submission was sent.
 type Attempt struct {
 	entry string
+	// ticket is the one that was sent, which may differ from the record's last one.
+	ticket string
 	at    time.Time
 	took  time.Duration
 	// status is zero if no answer came.
@@ -93,6 +95,37 @@
 	return a.ran
 }
 
+// Refusal is an answer that says what ran.
+type Refusal struct{ ticket, code, ran string }
+
+// Ticket returns the ticket that was refused.
+func (r Refusal) Ticket() string { return r.ticket }
+
+// Code returns the error code.
+func (r Refusal) Code() string { return r.code }
+
+// Ran returns what the answer said about started tasks.
+func (r Refusal) Ran() string { return r.ran }
+
+// Refusals returns the refusals of all attempts, those under tickets that were given up for a new one included.
+func (r *Record) Refusals() []Refusal {
+	var out []Refusal
+
+	for _, a := range r.attempts {
+		if a.ticket != "" && a.code != "" {
+			out = append(out, Refusal{a.ticket, a.code, a.ran})
+		}
+	}
+
+	return out
+}
+
+// Arrived returns the time at which the submission had to be sent.
+func (r *Record) Arrived() time.Time { return r.arrived }
+
+// Answered returns the time of the last answer.
+func (r *Record) Answered() time.Time { return r.answered }
+
 // Outputs returns the outputs of a complete answer, in the order of the tasks.
 func (r *Record) Outputs() [][]byte { return r.outputs }
 
--- a/standin/checker/checker.go
+++ b/standin/checker/checker.go
@@ -125,6 +125,10 @@
 	repeatable := map[string]bool{}
 	for _, r := range h.records {
 		repeatable[r.Ticket()] = r.Submission().Repeatable()
+		for _, f := range r.Refusals() {
+			repeatable[f.Ticket()] = r.Submission().Repeatable()
+		}
+
 		out = append(out, h.judge(r)...)
 	}
 
@@ -160,20 +164,19 @@
 		out = append(out, WrongAnswer{r.Ticket(), r.Error()})
 	}
 
-	tasks := h.starts[r.Ticket()]
+	// A caller gives a ticket up for a new one because nothing ran, so the refusals before the last one count as well.
+	for _, f := range r.Refusals() {
+		if tasks := h.starts[f.Ticket()]; f.Ran() == "none" && len(tasks) > 0 {
+			out = append(out, FalseNotRun{f.Ticket(), f.Code(), len(tasks)})
+		}
+	}
 
 	if r.Complete() {
 		for i := range r.Submission().Inputs() {
-			if len(tasks[i]) == 0 {
+			if len(h.starts[r.Ticket()][i]) == 0 {
 				out = append(out, AnswerWithoutStart{r.Ticket(), i})
 			}
 		}
-
-		return out
-	}
-
-	if r.Ran() == "none" && len(tasks) > 0 {
-		out = append(out, FalseNotRun{r.Ticket(), r.Code(), len(tasks)})
 	}
 
 	return out
--- a/standin/scenario/metrics.go
+++ b/standin/scenario/metrics.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,18 +12,27 @@
 	"github.com/skylarkweir/skylarkweir/standin/cluster"
 )
 
-// Metrics adds up the metrics of all entries and sidecars by name, without labels.
-func (s *System) Metrics(ctx context.Context) map[string]float64 {
+// Metrics adds up the metrics of all entries and sidecars by name, without labels, or of the named ones only. Processes
+// that have ended are left out.
+func (s *System) Metrics(ctx context.Context, names ...string) map[string]float64 {
 	s.tb.Helper()
 
 	sum := map[string]float64{}
 
+	wanted := func(name string, p *cluster.Process) bool {
+		return p.Running() && (len(names) == 0 || slices.Contains(names, name))
+	}
+
 	for _, e := range s.cluster.Entries() {
-		s.must(scrape(ctx, e.Admin(), sum))
+		if wanted(e.Name(), e.Process()) {
+			s.must(scrape(ctx, e.Admin(), sum))
+		}
 	}
 
 	for _, w := range s.cluster.Workers() {
-		s.must(scrape(ctx, w.Admin(), sum))
+		if wanted(w.Name(), w.Sidecar()) {
+			s.must(scrape(ctx, w.Admin(), sum))
+		}
 	}
 
 	return sum
--- a/standin/scenario/worker_test.go
+++ b/standin/scenario/worker_test.go
@@ -38,9 +38,33 @@
 	return n
 }
 
+// lateStarts counts the first attempts of submissions that arrived before a time and started at the worker after it. A
+// stopped sidecar rejects what it received during the stop, and a rejected task comes back as another attempt.
+func lateStarts(t *testing.T, s *scenario.System, w *cluster.Worker, arrived, started time.Time) int {
+	t.Helper()
+
+	starts, err := w.Starts(t.Context())
+	is.New(t).NoErr(err)
+
+	before := map[string]bool{}
+	for _, r := range s.History().Records() {
+		before[r.Ticket()] = r.Arrived().Before(arrived)
+	}
+
+	n := 0
+
+	for _, x := range starts {
+		if x.Attempt() == 0 && x.Begin().After(started) && before[x.Submission()] {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Guards against work for a worker that has announced its departure, has fallen silent, or was cut off from all
-// entries. What the stopped sidecar received during the stop is placed elsewhere, so running it as well after the stop
-// would show as a second start.
+// entries: starts of it, late starts of what a stopped sidecar received before its lease lapsed, and submissions that
+// wait for such a worker.
 func TestLeavingWorkerGetsNoNewWork(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
@@ -93,6 +117,24 @@
 
 	report := load.Wait()
 	t.Logf("complete %d of %d, refused %v", report.All().Complete(), report.All().Submitted(), report.All().Refused())
+
+	// The connections outlive the stop, so that no start is repeated on a new one.
+	lapsed := s.Metrics(ctx, workers[1].Name())["skylarkweir_sidecar_tasks_rejected_lease_lapsed_total"]
+	late := lateStarts(t, s, workers[1], end.Add(-leavingLimit), end)
+	t.Logf("silent: %v starts of a lapsed lease rejected, %d late starts", lapsed, late)
+	is.True(lapsed+float64(late) > 0) // the check would show nothing otherwise
+	is.Equal(late, 0)
+
+	waited := 0
+
+	for _, r := range s.History().Records() {
+		if r.Arrived().After(cut.Add(leavingLimit)) && r.Arrived().Before(end) && (!r.Complete() || r.Response() > leavingLimit) {
+			t.Logf("%s took %s: %s %s", r.Ticket(), r.Response(), r.Code(), r.Error())
+			waited++
+		}
+	}
+
+	is.Equal(waited, 0) // nothing is placed on these workers any more
 	s.Check(ctx)
 }
 
