Answer a cancellation once no task can start any more

A cancelled job was answered with ran some as soon as one task was known to have run. Sidecars that had not confirmed the close yet could start queued tasks after that: 0.7 ms after the answer in a plain race, 353 ms after it at a sidecar that was stopped for 0.8 s. Waiting for the present 2 s did not suffice either, since the lease of a stopped sidecar lasts 3 s (a start 302 ms after the answer). Late starts under a lapsed lease were ruled out: the sidecar rejects them.

A cancellation now waits for all confirmations, at most 3.5 s. What ran was stated truly before and after.

--- a/entry/home/closer.go
+++ b/entry/home/closer.go
@@ -77,10 +77,10 @@
 	}
 }
 
-// send closes the submissions and tries again until closeWait is over. After that the answer says that it is unknown
+// send closes the submissions and tries again until cancelWait is over. After that the answer says that it is unknown
 // what ran.
 func (b *batch) send(ctx context.Context, held []*Held) {
-	ctx, cancel := context.WithTimeout(ctx, closeWait)
+	ctx, cancel := context.WithTimeout(ctx, cancelWait)
 	defer cancel()
 
 	ids := make([]string, len(held))
--- a/entry/home/held.go
+++ b/entry/home/held.go
@@ -16,6 +16,8 @@
 const (
 	// closeWait bounds how long a failed submission waits for sidecars to confirm what ran.
 	closeWait = 2 * time.Second
+	// cancelWait is longer than a lease, so that a sidecar that has not confirmed by then cannot start a task either.
+	cancelWait = 3500 * time.Millisecond
 	// linger is how long replies to the starts of an ended submission are still awaited, so that the sidecar is
 	// acknowledged and its slots are counted as held.
 	linger = 5 * time.Second
@@ -324,10 +326,19 @@
 
 	if !h.settle(false) {
 		w.timer.Stop()
-		w.timer = time.AfterFunc(closeWait, h.giveUp)
+		w.timer = time.AfterFunc(waitFor(cause), h.giveUp)
 	}
 }
 
+// waitFor returns how long a failed submission waits for confirmations.
+func waitFor(cause error) time.Duration {
+	if fault.KindOf(cause) == fault.Cancelled {
+		return cancelWait
+	}
+
+	return closeWait
+}
+
 // giveUp ends a submission for which the sidecars did not confirm in time what ran.
 func (h *Held) giveUp() {
 	h.mu.Lock()
@@ -359,7 +370,9 @@
 // settle ends a failed submission once it is known what ran, or if the wait is over. The caller holds mu.
 func (h *Held) settle(late bool) bool {
 	w := h.work
-	if !w.ran && w.pending > 0 && !late {
+	// A cancellation is answered only when the sidecars have confirmed that no task starts any more. Other failures do
+	// not wait for that once it is known that a task ran.
+	if w.pending > 0 && !late && (!w.ran || fault.KindOf(w.cause) == fault.Cancelled) {
 		return false
 	}
 
