--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -9,14 +9,19 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
 )
 
-// maxInput bounds an input in bytes.
-const maxInput = 64 << 20
+const (
+	// maxInput bounds an input in bytes.
+	maxInput = 64 << 20
+	// maxEcho bounds what a record keeps of an echo in bytes.
+	maxEcho = 40
+)
 
 // Server runs tasks by sleeping and keeps a record of each start. The zero value is a healthy server.
 type Server struct {
@@ -29,11 +34,13 @@
 
 // start is the record of one start.
 type start struct {
-	Submission string    `json:"submission"`
-	Task       int       `json:"task"`
-	Attempt    int       `json:"attempt"`
-	Kind       string    `json:"kind"`
-	Start      time.Time `json:"start"`
+	Submission string `json:"submission"`
+	Task       int    `json:"task"`
+	Attempt    int    `json:"attempt"`
+	Kind       string `json:"kind"`
+	// Echo is the beginning of the input's echo, which tells tasks apart whose submission is not known.
+	Echo  string    `json:"echo,omitempty"`
+	Start time.Time `json:"start"`
 	// End is zero while the task runs.
 	End    time.Time `json:"end,omitzero"`
 	Status int       `json:"status"`
@@ -104,13 +111,13 @@
 		panic(http.ErrAbortHandler)
 	}
 
-	st := s.begin(r)
-
 	var in input
 	if json.Unmarshal(body, &in) != nil {
 		in = input{Echo: string(body)}
 	}
 
+	st := s.begin(r, in.Echo)
+
 	status := s.execute(r, in, f)
 	s.end(st, status)
 
@@ -166,7 +173,7 @@
 	return bytes.Repeat(pattern, i.Size/len(pattern)+1)[:i.Size]
 }
 
-func (s *Server) begin(r *http.Request) *start {
+func (s *Server) begin(r *http.Request, echo string) *start {
 	number := func(header string) int {
 		n, _ := strconv.Atoi(r.Header.Get(header))
 		return n
@@ -179,7 +186,7 @@
 
 	st := &start{
 		Submission: r.Header.Get("Weir-Submission"), Task: number("Weir-Task"), Attempt: number("Weir-Attempt"),
-		Kind: kind, Start: time.Now(),
+		Kind: kind, Echo: strings.Clone(echo[:min(len(echo), maxEcho)]), Start: time.Now(),
 	}
 
 	s.mu.Lock()
--- a/standin/caller/client.go
+++ b/standin/caller/client.go
@@ -203,7 +203,8 @@
 		ctx, cancel := context.WithTimeout(ctx, c.patience)
 		defer cancel()
 
-		e.issued = time.Now()
+		// Old tickets are dropped first: if the entry is lost, they must not be used by the next submission.
+		e.tickets, e.issued = nil, time.Now()
 		question, _ := json.Marshal(ticketsBody{Count: c.batch})
 
 		text, status, err := c.post(ctx, e, "/v1/tickets", "", question)
--- a/standin/caller/record.go
+++ b/standin/caller/record.go
@@ -21,8 +21,8 @@
 	entry string
 	// ticket is the one that was sent, which may differ from the record's last one.
 	ticket string
-	at    time.Time
-	took  time.Duration
+	at     time.Time
+	took   time.Duration
 	// status is zero if no answer came.
 	status    int
 	code, ran string
--- a/standin/cluster/worker.go
+++ b/standin/cluster/worker.go
@@ -135,15 +135,18 @@
 
 // TaskStart is a start that a backend server recorded.
 type TaskStart struct {
-	submission, kind string
-	task, attempt    int
-	status           int
-	begin, end       time.Time
+	submission, kind, echo string
+	task, attempt          int
+	status                 int
+	begin, end             time.Time
 }
 
 // Submission returns the ticket.
 func (s TaskStart) Submission() string { return s.submission }
 
+// Echo returns the first 40 bytes of what the input wants echoed.
+func (s TaskStart) Echo() string { return s.echo }
+
 // Task returns the index of the task.
 func (s TaskStart) Task() int { return s.task }
 
@@ -169,6 +172,7 @@
 		Task       int       `json:"task"`
 		Attempt    int       `json:"attempt"`
 		Kind       string    `json:"kind"`
+		Echo       string    `json:"echo"`
 		Start      time.Time `json:"start"`
 		End        time.Time `json:"end"`
 		Status     int       `json:"status"`
@@ -180,7 +184,7 @@
 
 	starts := make([]TaskStart, 0, len(b))
 	for _, s := range b {
-		starts = append(starts, TaskStart{s.Submission, s.Kind, s.Task, s.Attempt, s.Status, s.Start, s.End})
+		starts = append(starts, TaskStart{s.Submission, s.Kind, s.Echo, s.Task, s.Attempt, s.Status, s.Start, s.End})
 	}
 
 	return starts, nil
--- /dev/null
+++ b/standin/scenario/key_test.go
@@ -0,0 +1,173 @@
+package scenario_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+	"github.com/skylarkweir/skylarkweir/standin/scenario"
+)
+
+// refusalLimit is the time within which a key is refused while the log is down, with a margin for a busy machine.
+const refusalLimit = 2500 * time.Millisecond
+
+// keyed is one request that is sent under one key through all entries at once.
+type keyed struct {
+	key     string
+	run     time.Duration
+	entries []*cluster.Entry
+	group   sync.WaitGroup
+
+	mu      sync.Mutex
+	answers []scenario.Answer
+}
+
+func (k *keyed) body() map[string]any {
+	input, _ := json.Marshal(map[string]any{"run_ms": k.run.Milliseconds(), "echo": k.key})
+
+	return map[string]any{"kind": "order", "input": input, "deadline_ms": 8000}
+}
+
+// send repeats the request until it is answered other than by a refusal of the log, first through entry number n.
+func (k *keyed) send(ctx context.Context, n int) {
+	defer k.group.Done()
+
+	const (
+		attempts = 12
+		pause    = 400 * time.Millisecond
+	)
+
+	for i := range attempts {
+		a, err := scenario.Ask(ctx, k.entries[(n+i)%len(k.entries)], http.MethodPost, "/v1/requests", k.key, k.body())
+
+		if err == nil {
+			k.mu.Lock()
+			k.answers = append(k.answers, a)
+			k.mu.Unlock()
+
+			if a.Code() != "log_unavailable" {
+				return
+			}
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// judge compares the answers with the starts of the key.
+func (k *keyed) judge(t *testing.T, starts []cluster.TaskStart) (complete bool) {
+	t.Helper()
+
+	if len(starts) > 1 {
+		t.Errorf("key %s ran %d times", k.key, len(starts))
+	}
+
+	for _, a := range k.answers {
+		switch {
+		case a.Status() == http.StatusOK:
+			complete = true
+
+			if string(a.Output()) != k.key || len(starts) == 0 {
+				t.Errorf("key %s has output %q and %d starts", k.key, a.Output(), len(starts))
+			}
+		case a.Ran() == "none" && len(starts) > 0 && starts[0].Begin().Before(a.Received()):
+			t.Errorf("key %s was refused with %s, ran none, %s after its start", k.key, a.Code(), a.Received().Sub(starts[0].Begin()))
+		}
+
+		if a.Code() == "log_unavailable" && a.Took() > refusalLimit {
+			t.Errorf("key %s was refused with %s after %s", k.key, a.Code(), a.Took())
+		}
+	}
+
+	return complete
+}
+
+// Guards against a key that runs twice, and against refusals as not run of a key that has run, when the key is used at
+// all entries at once, append answers are lost, the log is down, and the home of a third of the keys is killed.
+func TestKeysRunOnce(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+
+	const (
+		seed  = 18
+		count = 200
+		pace  = 60 * time.Millisecond
+	)
+
+	t.Logf("seed %d, %d keys", seed, count)
+
+	s := scenario.Start(ctx, t, 3, 4, kinds())
+	c := s.Cluster()
+	random := rand.New(rand.NewPCG(seed, 0))
+	all := []*keyed{}
+
+	is.NoErr(c.Log().SetFaults(ctx, map[string]any{"lose_answers": true}))
+
+	for i := range count {
+		switch i {
+		case 50:
+			is.NoErr(c.Log().SetFaults(ctx, map[string]any{"down": true}))
+		case 100:
+			is.NoErr(c.Log().SetFaults(ctx, map[string]any{}))
+		case 160:
+			is.NoErr(c.Entries()[2].Process().Kill())
+		}
+
+		key, err := uuid.NewV7()
+		is.NoErr(err)
+
+		k := &keyed{key: key.String(), run: time.Duration(200+random.IntN(600)) * time.Millisecond, entries: c.Entries()}
+		all = append(all, k)
+
+		for n := range k.entries {
+			k.group.Add(1)
+
+			go k.send(ctx, n)
+		}
+
+		s.Pause(ctx, pace)
+	}
+
+	for _, k := range all {
+		k.group.Wait()
+	}
+
+	starts := map[string][]cluster.TaskStart{}
+	for _, x := range s.Starts(ctx) {
+		starts[x.Echo()] = append(starts[x.Echo()], x)
+	}
+
+	complete, ran := 0, 0
+	refused := map[string]int{}
+
+	for _, k := range all {
+		if k.judge(t, starts[k.key]) {
+			complete++
+		}
+
+		ran += min(1, len(starts[k.key]))
+
+		for _, a := range k.answers {
+			if a.Code() != "" {
+				refused[a.Code()+"/"+a.Ran()]++
+			}
+		}
+	}
+
+	t.Logf("%d of %d keys ran, %d complete, refusals %v", ran, count, complete, refused)
+	is.True(complete > count*3/4)
+	is.True(refused["log_unavailable/none"]+refused["log_unavailable/unknown"] > 0)
+}
--- a/standin/scenario/system.go
+++ b/standin/scenario/system.go
@@ -94,9 +94,27 @@
 func (s *System) BeginAs(ctx context.Context, token, text string) *Load {
 	s.tb.Helper()
 
+	return s.begin(ctx, token, text, s.cluster.Entries())
+}
+
+// BeginAt starts a load of the member of WriteAgreement at some of the entries.
+func (s *System) BeginAt(ctx context.Context, text string, entries ...*cluster.Entry) *Load {
+	s.tb.Helper()
+
+	return s.begin(ctx, Token, text, entries)
+}
+
+func (s *System) begin(ctx context.Context, token, text string, entries []*cluster.Entry) *Load {
+	s.tb.Helper()
+
 	settings, err := s.cluster.Load(token, text)
 	s.must(err)
 
+	settings.Entries = nil
+	for _, e := range entries {
+		settings.Entries = append(settings.Entries, e.URL())
+	}
+
 	l := &Load{system: s, done: make(chan struct{})}
 	go l.run(ctx, settings)
 
--- a/standin/scenario/worker_test.go
+++ b/standin/scenario/worker_test.go
@@ -21,7 +21,7 @@
 	{"kind": "order", "weight": 2, "run": "uniform 50ms 400ms", "deadline": "8s"},
 ]`
 
-func startsAfter(t *testing.T, s *scenario.System, w *cluster.Worker, from, to time.Time) int {
+func startsAfter(t *testing.T, w *cluster.Worker, from, to time.Time) int {
 	t.Helper()
 
 	starts, err := w.Starts(t.Context())
@@ -70,11 +70,14 @@
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 
-	t.Log(steady)
+	// The long tasks keep the leaving sidecar from ending at once, so that it could still start something.
+	const long = `"rate": 8, "duration": "2s", "seed": 24, "attempts": 1, "mix": [{"kind": "fit", "run": "fixed 10s"}]`
 
-	s := scenario.Start(ctx, t, 3, 5, kinds())
+	t.Log(steady, long)
+
+	s := scenario.Start(ctx, t, 3, 5, kinds(), cluster.With("slots", 8))
 	workers := s.Cluster().Workers()
-	load := s.Begin(ctx, steady)
+	load, longLoad := s.Begin(ctx, steady), s.Begin(ctx, long)
 
 	s.Pause(ctx, 2*time.Second)
 
@@ -92,6 +95,7 @@
 	s.Pause(ctx, 7*time.Second)
 
 	end := time.Now()
+	is.True(workers[0].Sidecar().Running())
 	is.NoErr(workers[1].Sidecar().Resume())
 
 	for _, c := range []struct {
@@ -104,8 +108,8 @@
 		{"silent", workers[1], silent, end},
 		{"cut off", workers[2], cut, end},
 	} {
-		before := startsAfter(t, s, c.worker, time.Time{}, c.since)
-		after := startsAfter(t, s, c.worker, c.since.Add(leavingLimit), c.until)
+		before := startsAfter(t, c.worker, time.Time{}, c.since)
+		after := startsAfter(t, c.worker, c.since.Add(leavingLimit), c.until)
 		t.Logf("%s: %d starts before, %d after %s", c.name, before, after, leavingLimit)
 		is.True(before > 0) // the check would show nothing otherwise
 		is.Equal(after, 0)
@@ -118,6 +122,9 @@
 	report := load.Wait()
 	t.Logf("complete %d of %d, refused %v", report.All().Complete(), report.All().Submitted(), report.All().Refused())
 
+	longReport := longLoad.Wait()
+	t.Logf("long: complete %d of %d, refused %v", longReport.All().Complete(), longReport.All().Submitted(), longReport.All().Refused())
+
 	// The connections outlive the stop, so that no start is repeated on a new one.
 	lapsed := s.Metrics(ctx, workers[1].Name())["skylarkweir_sidecar_tasks_rejected_lease_lapsed_total"]
 	late := lateStarts(t, s, workers[1], end.Add(-leavingLimit), end)
@@ -171,10 +178,14 @@
 	is.NoErr(c.Workers()[1].SetFaults(ctx, map[string]any{"fail_all": true}))
 	s.Pause(ctx, 3*time.Second)
 	is.NoErr(c.Workers()[1].SetFaults(ctx, map[string]any{}))
-	is.NoErr(c.Workers()[2].Sidecar().Kill())
-	is.True(c.Workers()[2].Sidecar().Wait(ctx) != nil)
-	is.NoErr(c.Workers()[2].Restart(ctx))
-	s.Pause(ctx, 3*time.Second)
+
+	for _, w := range c.Workers()[2:] {
+		is.NoErr(w.Sidecar().Kill())
+		is.True(w.Sidecar().Wait(ctx) != nil)
+		is.NoErr(w.Restart(ctx))
+		s.Pause(ctx, 1500*time.Millisecond)
+	}
+
 	is.NoErr(c.Entries()[0].Process().Kill())
 
 	report := load.Wait()
@@ -224,7 +235,7 @@
 
 	report := load.Wait()
 	t.Logf("complete %d of %d, refused %v", report.All().Complete(), report.All().Submitted(), report.All().Refused())
-	is.True(report.All().Complete() > report.All().Submitted()/2)
 	is.Equal(report.All().Wrong(), 0)
+	is.True(report.All().Complete() > report.All().Submitted()/2)
 	s.Check(ctx)
 }
