Test the check of abandoned tickets, and a key at an entry without the log

The checker's test has a refusal as leaving under a ticket that the caller gave up, and a start under it. TestKeyAtEntryWithoutLog sends a key that runs through one entry to another one that is cut off from the log; it was not run yet.

--- /dev/null
+++ b/standin/checker/checker_test.go
@@ -0,0 +1,84 @@
+package checker_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/caller"
+	"github.com/skylarkweir/skylarkweir/standin/checker"
+	"github.com/skylarkweir/skylarkweir/weir/process/settings"
+)
+
+// leavingEntry refuses the first submission as leaving, ran none, and answers the next one, which has another ticket.
+type leavingEntry struct {
+	issued, submitted atomic.Int64
+}
+
+func (e *leavingEntry) tickets(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(map[string]any{"tickets": []string{fmt.Sprintf("ticket-%d", e.issued.Add(1))}})
+}
+
+func (e *leavingEntry) submit(w http.ResponseWriter, r *http.Request) {
+	if e.submitted.Add(1) == 1 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]any{"code": "leaving", "ran": "none"}})
+
+		return
+	}
+
+	output := []byte("1")
+	sum := sha256.Sum256(output)
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"submission": r.Header.Get("Idempotency-Key"), "state": "complete", "length": len(output),
+		"digest": hex.EncodeToString(sum[:]), "results": []map[string]any{{"index": 0, "output": output}},
+	})
+}
+
+type start struct{ submission string }
+
+func (s start) Submission() string { return s.submission }
+func (s start) Task() int          { return 0 }
+func (s start) Attempt() int       { return 0 }
+
+// Guards against a refusal as not run that goes unchecked because the caller went on with a new ticket.
+func TestRefusalUnderAbandonedTicket(t *testing.T) {
+	is := is.New(t)
+	e := &leavingEntry{}
+	m := http.NewServeMux()
+	m.HandleFunc("/v1/tickets", e.tickets)
+	m.HandleFunc("/v1/requests", e.submit)
+
+	server := httptest.NewServer(m)
+	defer server.Close()
+
+	l := &caller.Load{}
+	is.NoErr(settings.Parse("load", fmt.Appendf(nil, `{"entries": [%q], "token": "token", "rate": 1, "batch": 1, "mix": [{"kind": "order"}]}`, server.URL), l))
+
+	client := caller.NewClient(l)
+	defer client.Close()
+
+	r := client.Submit(t.Context(), caller.NewRequest("order", false, caller.Input(0, 1, "")))
+	is.True(r.Complete())
+	is.Equal(r.Ticket(), "ticket-2")
+
+	h := &checker.History{}
+	h.Record(r)
+	h.Start(start{"ticket-2"})
+	is.Equal(len(h.Violations()), 0)
+
+	h.Start(start{"ticket-1"})
+
+	found := h.Violations()
+	is.Equal(len(found), 1)
+
+	_, ok := found[0].(checker.FalseNotRun)
+	is.True(ok)
+}
--- a/standin/scenario/key_test.go
+++ b/standin/scenario/key_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/cluster"
+	"github.com/skylarkweir/skylarkweir/standin/relay"
 	"github.com/skylarkweir/skylarkweir/standin/scenario"
 )
 
@@ -171,3 +172,46 @@
 	is.True(complete > count*3/4)
 	is.True(refused["log_unavailable/none"]+refused["log_unavailable/unknown"] > 0)
 }
+
+// Guards against an entry without the log that refuses a key as not run while the key runs through another entry.
+func TestKeyAtEntryWithoutLog(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+
+	const count = 8
+
+	s := scenario.Start(ctx, t, 2, 2, kinds())
+	c := s.Cluster()
+	c.Entries()[0].LogRelay().Set(relay.Faults{}.WithCut())
+
+	all := []*keyed{}
+
+	for range count {
+		key, err := uuid.NewV7()
+		is.NoErr(err)
+
+		k := &keyed{key: key.String(), run: time.Second, entries: c.Entries()}
+		all = append(all, k)
+
+		k.group.Add(2)
+
+		go k.send(ctx, 1)
+		s.Pause(ctx, 200*time.Millisecond)
+
+		go k.send(ctx, 0)
+	}
+
+	for _, k := range all {
+		k.group.Wait()
+	}
+
+	starts := map[string][]cluster.TaskStart{}
+	for _, x := range s.Starts(ctx) {
+		starts[x.Echo()] = append(starts[x.Echo()], x)
+	}
+
+	for _, k := range all {
+		is.True(k.judge(t, starts[k.key]))
+	}
+}
