--- a/standin/pages/pages_test.go
+++ b/standin/pages/pages_test.go
@@ -26,21 +26,27 @@
 	os.Exit(code)
 }
 
-// rows returns the cells of the rows of a page whose first cell is a name in backquotes, by that name.
-func rows(is *is.I, page string) map[string][]string {
+// page returns the text of a page.
+func page(is *is.I, name string) string {
 	is.Helper()
 
-	text, err := os.ReadFile(filepath.Join(root, "docs", page))
+	text, err := os.ReadFile(filepath.Join(root, "docs", name))
 	is.NoErr(err)
 
+	return string(text)
+}
+
+// rows returns the cells of the rows of a page whose first cell is a name in backquotes, by that name.
+func rows(is *is.I, name string) map[string][]string {
+	is.Helper()
+
 	all := map[string][]string{}
 
-	for line := range strings.Lines(string(text)) {
+	for line := range strings.Lines(page(is, name)) {
 		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), " | ")
-		name := strings.TrimSpace(cells[0])
 
 		if strings.HasPrefix(line, "| `") {
-			all[strings.Trim(name, "`")] = cells
+			all[strings.Trim(strings.TrimSpace(cells[0]), "`")] = cells
 		}
 	}
 
--- /dev/null
+++ b/standin/pages/protocol_test.go
@@ -0,0 +1,43 @@
+package pages_test
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+)
+
+// Guards against error kinds, rejections and frames that callers and developers do not find on the page, and against
+// operators who look an error kind up in vain.
+func TestProtocolPage(t *testing.T) {
+	is := is.New(t)
+	protocol := rows(is, "protocol.md")
+	text := page(is, "protocol.md")
+
+	for _, k := range fault.Kinds() {
+		cells := protocol[k.Code()]
+		if cells == nil || cells[1] != strconv.Itoa(k.Status()) || !strings.HasPrefix(cells[3], string(fault.RanOf(fault.New(k, "")))) {
+			t.Errorf("%s, status %d, ran %s is not so in protocol.md: %v", k, k.Status(), fault.RanOf(fault.New(k, "")), cells)
+		}
+
+		if !strings.Contains(page(is, "operations.md"), "`"+k.Code()+"`") {
+			t.Errorf("%s is not in operations.md", k)
+		}
+	}
+
+	for number, name := range wire.Rejection_name {
+		if code := strings.ToLower(strings.TrimPrefix(name, "REJECTION_")); number != 0 {
+			is.True(strings.Contains(text, "`"+code+"`"))
+		}
+	}
+
+	for fields, i := (&wire.Frame{}).ProtoReflect().Descriptor().Fields(), 0; i < fields.Len(); i++ {
+		if name := string(fields.Get(i).Message().Name()); !strings.Contains(text, "`"+name+"`") {
+			t.Errorf("the frame %s is not in protocol.md", name)
+		}
+	}
+}
