Give each goroutine of a session an owner with a run method

Cause: the house style asks for goroutines that are methods named run or loop; two sessions started anonymous functions. The exchanges of a session have a file of their own now. Checked: tests of both ends with the race detector.

--- a/entry/sidecar/hub.go
+++ b/entry/sidecar/hub.go
@@ -68,7 +68,7 @@
 	h.log.Info().Str("event", "sidecar_connected").Str("worker", l.worker.Name()).Uint64("incarnation", l.worker.Incarnation()).
 		Str("remote", c.Remote().String()).Msg("")
 
-	go l.accept(ctx)
+	go (&acceptor{l}).run(ctx)
 
 	err := l.run(ctx)
 
--- a/entry/sidecar/link.go
+++ b/entry/sidecar/link.go
@@ -118,15 +118,17 @@
 	return nil
 }
 
-// accept serves the exchanges that the sidecar starts.
-func (l *link) accept(ctx context.Context) {
+// acceptor serves the exchanges that the sidecar starts.
+type acceptor struct{ link *link }
+
+func (a *acceptor) run(ctx context.Context) {
 	for {
-		s, err := l.conn.Accept(ctx)
+		s, err := a.link.conn.Accept(ctx)
 		if err != nil {
 			return
 		}
 
-		go (&exchange{l, s}).run(ctx)
+		go (&exchange{a.link, s}).run(ctx)
 	}
 }
 
--- /dev/null
+++ b/sidecar/entry/exchange.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// firstFrame bounds the wait for the frame that decides an exchange.
+const firstFrame = 10 * time.Second
+
+// acceptor takes the exchanges that the entry starts.
+type acceptor struct {
+	session *Session
+	// end ends the session with the reason.
+	end context.CancelCauseFunc
+}
+
+func (a *acceptor) run(ctx context.Context) {
+	for {
+		stream, err := a.session.connection.Accept(ctx)
+		if err != nil {
+			a.end(err)
+
+			return
+		}
+
+		go (&exchange{a.session, stream}).run(ctx)
+	}
+}
+
+// exchange is a stream that the entry opened.
+type exchange struct {
+	session *Session
+	stream  *quic.Stream
+}
+
+func (e *exchange) run(ctx context.Context) {
+	s, stream := e.session, e.stream
+	stream.SetDeadline(time.Now().Add(firstFrame))
+
+	f, err := stream.Receive()
+	if err != nil {
+		stream.Reset()
+		return
+	}
+
+	stream.SetDeadline(time.Time{})
+
+	switch f.WhichBody() {
+	case wire.Frame_Start_case:
+		err = s.start(ctx, stream, f.GetStart())
+	case wire.Frame_Close_case:
+		err = s.close(stream, f.GetClose())
+	default:
+		err = merry.New("entry started an exchange that sidecars do not answer")
+	}
+
+	if err != nil {
+		s.links.log.Debug().Err(err).Str("event", "exchange_ended").Str("entry", s.entry.GetName()).Msg("")
+		stream.Reset()
+
+		return
+	}
+
+	stream.Close()
+}
+
+func (s *Session) close(stream *quic.Stream, c *wire.Close) error {
+	// The incarnation is read before the table: a table that has tasks of an older one reports them as well.
+	r := &wire.CloseReply{}
+	r.SetIncarnation(s.links.identity.Incarnation())
+
+	closed, err := s.links.table.Close(c.GetSubmissions(), c.GetCancel(), time.Duration(c.GetKeepMs())*time.Millisecond)
+	if err != nil {
+		return err
+	}
+
+	r.SetClosed(closed)
+
+	f := &wire.Frame{}
+	f.SetCloseReply(r)
+
+	return stream.Send(f)
+}
--- a/sidecar/entry/session.go
+++ b/sidecar/entry/session.go
@@ -24,10 +24,6 @@
 	silence = 6 * time.Second
 	// passAgain is the time after which records are sent again that the entry has not applied.
 	passAgain = 5 * time.Second
-	// firstFrame bounds the wait for the frame that decides an exchange.
-	firstFrame = 10 * time.Second
-	// ackTimeout bounds the wait for the acknowledgement of an outcome; without it the outcome stays held.
-	ackTimeout = 10 * time.Second
 )
 
 // origin is the zero of times that are kept as numbers, which so follow the monotonic clock.
@@ -93,8 +89,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 
-	go func() { cancel(s.listen()) }()
-	go func() { cancel(s.accept(ctx)) }()
+	go (&listener{s, cancel}).run()
+	go (&acceptor{s, cancel}).run(ctx)
 
 	err := s.heartbeats(ctx)
 	if cause := context.Cause(ctx); cause != nil {
@@ -226,7 +222,15 @@
 	return s.control.Send(f)
 }
 
-// listen reads the control stream.
+// listener reads the control stream.
+type listener struct {
+	session *Session
+	// end ends the session with the reason.
+	end context.CancelCauseFunc
+}
+
+func (l *listener) run() { l.end(l.session.listen()) }
+
 func (s *Session) listen() error {
 	for {
 		f, err := s.control.Receive()
@@ -249,64 +253,3 @@
 		}
 	}
 }
-
-// accept takes the exchanges that the entry starts.
-func (s *Session) accept(ctx context.Context) error {
-	for {
-		stream, err := s.connection.Accept(ctx)
-		if err != nil {
-			return err
-		}
-
-		go s.serve(ctx, stream)
-	}
-}
-
-// serve answers one exchange.
-func (s *Session) serve(ctx context.Context, stream *quic.Stream) {
-	stream.SetDeadline(time.Now().Add(firstFrame))
-
-	f, err := stream.Receive()
-	if err != nil {
-		stream.Reset()
-		return
-	}
-
-	stream.SetDeadline(time.Time{})
-
-	switch f.WhichBody() {
-	case wire.Frame_Start_case:
-		err = s.start(ctx, stream, f.GetStart())
-	case wire.Frame_Close_case:
-		err = s.close(stream, f.GetClose())
-	default:
-		err = merry.New("entry started an exchange that sidecars do not answer")
-	}
-
-	if err != nil {
-		s.links.log.Debug().Err(err).Str("event", "exchange_ended").Str("entry", s.entry.GetName()).Msg("")
-		stream.Reset()
-
-		return
-	}
-
-	stream.Close()
-}
-
-func (s *Session) close(stream *quic.Stream, c *wire.Close) error {
-	// The incarnation is read before the table: a table that has tasks of an older one reports them as well.
-	r := &wire.CloseReply{}
-	r.SetIncarnation(s.links.identity.Incarnation())
-
-	closed, err := s.links.table.Close(c.GetSubmissions(), c.GetCancel(), time.Duration(c.GetKeepMs())*time.Millisecond)
-	if err != nil {
-		return err
-	}
-
-	r.SetClosed(closed)
-
-	f := &wire.Frame{}
-	f.SetCloseReply(r)
-
-	return stream.Send(f)
-}
--- a/sidecar/entry/start.go
+++ b/sidecar/entry/start.go
@@ -11,6 +11,9 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 )
 
+// ackTimeout bounds the wait for the acknowledgement of an outcome; without it the outcome stays held.
+const ackTimeout = 10 * time.Second
+
 // start answers a Start with the outcome of its task. If the connection ends first, the task goes on and its outcome is
 // held for a repeated start.
 func (s *Session) start(ctx context.Context, stream *quic.Stream, w *wire.Start) error {
