Remove entries from the log that died without a word

Cause: a killed entry stayed registered for ever, so every sidecar and entry kept dialling its address.

Change: an entry that was not reached for entry_lost_after (2 h, longer than regions lose each other) is removed by an EntryLeft record, unless the one that removes it reaches less than half of the entries itself. An entry that finds itself removed registers again; it looks every minute.

Ruled out: the 10 s of workers, since an hour's cut between regions would remove every entry of the other side from the sidecars that still reach it.

--- /dev/null
+++ b/entry/peer/absence.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// lookParts is how often within the time of absence the entries are looked at.
+const lookParts = 20
+
+// Absence removes entries from the log that died without a word. Without it every sidecar and entry would dial the
+// addresses of all entries that ever died.
+type Absence struct {
+	peers    *Peers
+	book     *ledger.Book
+	appender Appender
+	// after is longer than regions lose each other, since an entry that was removed is found by new processes only once
+	// it has registered again.
+	after time.Duration
+	log   zerolog.Logger
+	// due is when an unreached entry is removed, by incarnation. Only Run uses it.
+	due map[uint64]time.Time
+}
+
+// NewAbsence returns a watch that removes entries which were not reached for the given time.
+func NewAbsence(p *Peers, book *ledger.Book, appender Appender, after time.Duration, log zerolog.Logger) *Absence {
+	return &Absence{peers: p, book: book, appender: appender, after: after, log: log, due: map[uint64]time.Time{}}
+}
+
+// Run watches until ctx ends.
+func (a *Absence) Run(ctx context.Context) {
+	tick := time.NewTicker(max(a.after/lookParts, time.Millisecond))
+	defer tick.Stop()
+
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+
+		for _, e := range a.absent(time.Now()) {
+			a.remove(ctx, e)
+		}
+	}
+}
+
+// absent returns the entries that are due. An entry that reaches less than half of the others may be cut off itself.
+func (a *Absence) absent(now time.Time) []ledger.Entry {
+	reached := map[uint64]bool{a.peers.self.GetIncarnation(): true}
+	for _, e := range a.peers.Reached() {
+		reached[e.GetIncarnation()] = true
+	}
+
+	var out []ledger.Entry
+
+	registered, present := a.book.State().Entries(), 0
+	unreached := map[uint64]time.Time{}
+
+	for _, e := range registered {
+		if reached[e.Incarnation()] {
+			present++
+
+			continue
+		}
+
+		due, found := a.due[e.Incarnation()]
+		if !found {
+			// The spread lets one entry append the record before the others do.
+			due = now.Add(a.after + rand.N(a.after/4+1)) //nolint:gosec // no secret
+		}
+
+		unreached[e.Incarnation()] = due
+
+		if !now.Before(due) {
+			out = append(out, e)
+		}
+	}
+
+	a.due = unreached
+
+	if 2*present < len(registered) {
+		return nil
+	}
+
+	return out
+}
+
+func (a *Absence) remove(ctx context.Context, e ledger.Entry) {
+	ctx, stop := context.WithTimeout(ctx, declareWait)
+	defer stop()
+
+	a.log.Warn().Str("event", "entry_removed").Str("peer", e.Name()).Uint64("incarnation", e.Incarnation()).
+		Str("address", e.Address()).Msg("the entry was not reached for a long time")
+
+	var nobody *wire.Entry
+
+	if err := a.appender.Append(ctx, ledger.EntryLeftRecord(e.Wire(), nobody, true)); err != nil {
+		a.log.Warn().Str("event", "append_failed").Str("peer", e.Name()).Err(err).Msg("the removal is not in the log")
+	}
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"net/netip"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	helloWait = 2 * time.Second
 	// joinRetry is the wait between attempts to append the own registration while the log is down.
 	joinRetry = 2 * time.Second
+	// rejoinInterval is how often an entry looks whether it is still registered.
+	rejoinInterval = time.Minute
 	// leaveWait bounds each of the last steps of a shutdown: the record in the log and the end of the HTTP servers.
 	leaveWait = 3 * time.Second
 )
@@ -72,6 +75,7 @@
 	Binder     *binding.Binder
 	Peers      *peer.Peers
 	Silence    *peer.Silence
+	Absence    *peer.Absence
 	Callers    *caller.Server
 	Operator   *operator.Server
 	Readiness  *operator.Readiness
@@ -117,7 +121,7 @@
 	p.parts.Table.Follow(running, p.parts.Book)
 
 	for _, loop := range []func(context.Context){
-		p.parts.Follower.Run, p.parts.Appender.Run, p.parts.Table.Run, p.parts.Peers.Run, p.watch, p.accept, p.join, p.parts.Readiness.Run,
+		p.parts.Follower.Run, p.parts.Appender.Run, p.parts.Table.Run, p.parts.Peers.Run, p.watch, p.accept, p.join, p.parts.Absence.Run, p.parts.Readiness.Run,
 	} {
 		p.group.Go(func() { loop(running) })
 	}
@@ -201,26 +205,34 @@
 	}
 }
 
-// join registers this entry in the log. Other entries and the sidecars find it there; until then they find it through
-// their settings.
+// join keeps this entry registered in the log. Other entries and the sidecars find it there; until then they find it
+// through their settings. After an absence it may have been removed by the others.
 func (p *Process) join(ctx context.Context) {
-	record := ledger.EntryJoinedRecord(p.parts.Self)
+	for ctx.Err() == nil && !p.parts.Readiness.Leaving() {
+		wait := rejoinInterval
 
-	for ctx.Err() == nil {
-		attempt, stop := context.WithTimeout(ctx, startWait)
-		err := p.parts.Appender.Append(attempt, record)
+		if !p.registered() {
+			wait = joinRetry
 
-		stop()
+			attempt, stop := context.WithTimeout(ctx, startWait)
+			if p.parts.Appender.Append(attempt, ledger.EntryJoinedRecord(p.parts.Self)) == nil && p.registered() {
+				wait = rejoinInterval
 
-		if err == nil {
-			p.parts.Log.Info().Str("event", "registered").Msg("the entry is registered in the log")
+				p.parts.Log.Info().Str("event", "registered").Msg("the entry is registered in the log")
+			}
 
-			return
+			stop()
 		}
 
 		select {
-		case <-time.After(joinRetry):
+		case <-time.After(wait):
 		case <-ctx.Done():
 		}
 	}
 }
+
+func (p *Process) registered() bool {
+	return slices.ContainsFunc(p.parts.Book.State().Entries(), func(e ledger.Entry) bool {
+		return e.Incarnation() == p.parts.Self.GetIncarnation()
+	})
+}
--- a/entry/process/settings.go
+++ b/entry/process/settings.go
@@ -41,6 +41,7 @@
 	AnswerMemory   settings.Bytes    `json:"answer_memory" doc:"memory for inputs and answers" default:"96MB" range:"1MB..64GB"`
 	DrainDelay     settings.Duration `json:"drain_delay" doc:"time between the end of readiness and the refusal of new submissions" default:"2s" range:"0s..1m"`
 	DrainLimit     settings.Duration `json:"drain_limit" doc:"longest wait for submissions in flight at shutdown" default:"150s" range:"0s..1h"`
+	EntryLostAfter settings.Duration `json:"entry_lost_after" doc:"time without contact after which another entry is removed from the log; longer than regions lose each other" default:"2h" range:"1s..168h"`
 	LogLevel       string            `json:"log_level" doc:"least severe level that is logged" default:"info" range:"debug|info|warn|error"`
 	LogSample      int               `json:"log_sample" doc:"log every n-th placed task only; refusals, warnings and errors are always logged" default:"1" range:"1..1000000"`
 	Keys           keysFile          `json:"keys"`
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -47,6 +47,7 @@
 			newTable,
 			newHub,
 			newSilence,
+			newAbsence,
 			newPeers,
 			newLocal,
 			newRouter,
@@ -154,6 +155,10 @@
 	return peer.NewPeers(n, self, book, t, silence, s.Peers(), log)
 }
 
+func newAbsence(s Settings, p *peer.Peers, book *ledger.Book, appender *logservice.Appender, log zerolog.Logger) *peer.Absence {
+	return peer.NewAbsence(p, book, appender, s.file.EntryLostAfter.Value(), log)
+}
+
 // held adapts the home table to the interface of the callers' API, since methods that return a concrete type do not
 // implement it.
 type held struct{ table *home.Table }
