--- a/standin/pages/protocol_test.go
+++ b/standin/pages/protocol_test.go
@@ -1,6 +1,8 @@
 package pages_test
 
 import (
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -41,3 +43,25 @@
 		}
 	}
 }
+
+// Guards against a README whose test command leaves out a module.
+func TestReadme(t *testing.T) {
+	is := is.New(t)
+
+	text, err := os.ReadFile(filepath.Join(root, "README.md"))
+	is.NoErr(err)
+
+	workspace, err := os.ReadFile(filepath.Join(root, "go.work"))
+	is.NoErr(err)
+
+	command := "go test -race"
+
+	for line := range strings.Lines(string(workspace)) {
+		if module := strings.TrimSpace(line); strings.HasPrefix(module, "./") {
+			command += " " + module + "/..."
+		}
+	}
+
+	is.True(strings.Contains(string(text), "\n    "+command+"\n"))
+	is.True(strings.Contains(string(text), "\n    go run ./standin demo\n"))
+}
