Attribute a version to the process that reported it

Cause: TestVersionsSpreadAndNeverRevert failed once in a run of all scenarios with two reverted processes. The watch noted the process before it asked for the status; when the scenario killed and restarted the process in between, the next process answered at the same address with version 0, and this counted as a revert of the first one.

Ruled out: a real revert, since no process showed a version between 0 and 3.

Change: an answer counts only if the process still runs after it.

--- a/standin/scenario/watch.go
+++ b/standin/scenario/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -21,7 +22,7 @@
 	mu sync.Mutex
 	// versions holds the newest version of each process, by the process's number.
 	versions map[int]int64
-	// reverted names the processes that went to an older version.
+	// reverted tells which processes went to an older version.
 	reverted []string
 }
 
@@ -75,13 +76,18 @@
 		return
 	}
 
+	// The answer may come from the next process at the same address.
+	if !d.process.Running() {
+		return
+	}
+
 	version := max(v.Version, v.AgreementVersion)
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if version < w.versions[d.process.ID()] {
-		w.reverted = append(w.reverted, d.name)
+	if before := w.versions[d.process.ID()]; version < before {
+		w.reverted = append(w.reverted, fmt.Sprintf("%s from %d to %d", d.name, before, version))
 	}
 
 	w.versions[d.process.ID()] = version
@@ -95,7 +101,7 @@
 	return maps.Clone(w.versions)
 }
 
-// Reverted returns the names of processes that went to an older version.
+// Reverted tells which processes went to an older version.
 func (w *Watch) Reverted() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
