--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -6,8 +6,8 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
