--- a/standin/caller/record.go
+++ b/standin/caller/record.go
@@ -96,7 +96,10 @@
 }
 
 // Refusal is an answer that says what ran.
-type Refusal struct{ ticket, code, ran string }
+type Refusal struct {
+	ticket, code, ran string
+	received          time.Time
+}
 
 // Ticket returns the ticket that was refused.
 func (r Refusal) Ticket() string { return r.ticket }
@@ -107,13 +110,41 @@
 // Ran returns what the answer said about started tasks.
 func (r Refusal) Ran() string { return r.ran }
 
+// Received returns the time at which the refusal was there.
+func (r Refusal) Received() time.Time { return r.received }
+
+// Sending is one time that a submission was sent, answered or not.
+type Sending struct {
+	ticket string
+	at     time.Time
+}
+
+// Ticket returns the ticket that was sent.
+func (s Sending) Ticket() string { return s.ticket }
+
+// At returns the time before which nothing was sent.
+func (s Sending) At() time.Time { return s.at }
+
+// Sendings returns the attempts that were sent, in their order.
+func (r *Record) Sendings() []Sending {
+	var out []Sending
+
+	for _, a := range r.attempts {
+		if a.ticket != "" {
+			out = append(out, Sending{a.ticket, a.at})
+		}
+	}
+
+	return out
+}
+
 // Refusals returns the refusals of all attempts, those under tickets that were given up for a new one included.
 func (r *Record) Refusals() []Refusal {
 	var out []Refusal
 
 	for _, a := range r.attempts {
 		if a.ticket != "" && a.code != "" {
-			out = append(out, Refusal{a.ticket, a.code, a.ran})
+			out = append(out, Refusal{a.ticket, a.code, a.ran, a.at.Add(a.took)})
 		}
 	}
 
