Count interrupted attempts in the rolling restart

TestRollingRestartCutsNothing passed with an entry that closes its callers' connections at SIGTERM instead of draining, since callers sent the submissions again.

--- a/standin/caller/record.go
+++ b/standin/caller/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +56,20 @@
 // Entry returns the address of the entry that was asked last.
 func (r *Record) Entry() string { return r.last().entry }
 
+// Interrupted returns how often the submission was sent and the connection broke before the answer. A refused
+// connection does not count, since nothing was sent on it.
+func (r *Record) Interrupted() int {
+	n := 0
+
+	for _, a := range r.attempts {
+		if a.status == 0 && !a.neverSent && !errors.Is(a.err, syscall.ECONNREFUSED) {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Attempts returns how often the submission was sent.
 func (r *Record) Attempts() int { return len(r.attempts) }
 
