--- a/standin/benchmark/benchmark.go
+++ b/standin/benchmark/benchmark.go
@@ -50,7 +50,12 @@
 }
 
 // IsWaste tells whether a metric counts messages that no task needed: control frames, rejected starts and retries.
+// Names with labels are left out, since their sum counts.
 func IsWaste(name string) bool {
+	if strings.Contains(name, "{") {
+		return false
+	}
+
 	for _, part := range []string{"control_frames", "tasks_rejected", "retries"} {
 		if strings.Contains(name, part) {
 			return true
--- a/standin/scenario/metrics.go
+++ b/standin/scenario/metrics.go
@@ -12,7 +12,8 @@
 	"github.com/skylarkweir/skylarkweir/standin/cluster"
 )
 
-// Metrics adds up the metrics of all entries and sidecars by name, without labels, or of the named ones only. Processes
+// Metrics adds up the metrics of all entries and sidecars, by name with labels and by name alone, or of the named
+// processes only. Processes
 // that have ended are left out.
 func (s *System) Metrics(ctx context.Context, names ...string) map[string]float64 {
 	s.tb.Helper()
@@ -61,6 +62,10 @@
 		base, _, _ := strings.Cut(name, "{")
 		if v, err := strconv.ParseFloat(value, 64); err == nil {
 			sum[base] += v
+
+			if name != base {
+				sum[name] += v
+			}
 		}
 	}
 
