Share the command line of the two daemons

Cause: entry and sidecar each had the same 60 lines for arguments, the check of settings, start, stop and exit codes.

Change: module daemon, a program with settings of any type, built on go-flags and fx. Ruled out: the library weir, which must not depend on either.

--- /dev/null
+++ b/daemon/program.go
@@ -0,0 +1,140 @@
+// Package daemon runs a program that stays up: its arguments, the check of its settings, its start and its graceful end.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+)
+
+// Exit codes.
+const (
+	exitFine = 0
+	// ExitFailure is the code of a program that ended by a failure.
+	ExitFailure  = 1
+	exitSettings = 2
+)
+
+// Program is a daemon with settings of type S.
+type Program[S any] struct {
+	name, description string
+	load              func(file string) (S, error)
+	log               func(s S, out io.Writer) zerolog.Logger
+	options           func(s S, log zerolog.Logger) fx.Option
+}
+
+// New returns a program. The description is shown by --help; load reads and checks a settings file, log makes the
+// logger and options wires the application.
+func New[S any](
+	name, description string, load func(file string) (S, error),
+	log func(s S, out io.Writer) zerolog.Logger, options func(s S, log zerolog.Logger) fx.Option,
+) Program[S] {
+	return Program[S]{name, description, load, log, options}
+}
+
+// arguments are the options of every daemon.
+type arguments struct {
+	Settings      string `long:"settings" value-name:"FILE" description:"settings file, JSON with comments"`
+	CheckSettings bool   `long:"check-settings" description:"check the settings file and exit"`
+	Version       bool   `long:"version" description:"print the version and exit"`
+}
+
+// Main runs the program and returns the exit code: 0 after a graceful shutdown, 1 after a failure, 2 for wrong arguments
+// or settings.
+func (p Program[S]) Main(args []string, stdout, stderr io.Writer) int {
+	var a arguments
+
+	parser := flags.NewNamedParser(p.name, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = p.description
+
+	if _, err := parser.AddGroup("Options", "", &a); err != nil {
+		fmt.Fprintln(stderr, err)
+
+		return ExitFailure
+	}
+
+	rest, err := parser.ParseArgs(args)
+
+	var e *flags.Error
+	if errors.As(err, &e) && e.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, e.Message)
+
+		return exitFine
+	}
+
+	switch {
+	case err != nil:
+		fmt.Fprintln(stderr, err)
+
+		return exitSettings
+	case len(rest) > 0:
+		fmt.Fprintf(stderr, "unexpected argument %q\n", rest[0])
+
+		return exitSettings
+	case a.Version:
+		fmt.Fprintln(stdout, p.version())
+
+		return exitFine
+	case a.Settings == "":
+		fmt.Fprintln(stderr, "--settings is required, see --help")
+
+		return exitSettings
+	}
+
+	s, err := p.load(a.Settings)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+
+		return exitSettings
+	}
+
+	if a.CheckSettings {
+		fmt.Fprintf(stdout, "%s: fine\n", a.Settings)
+
+		return exitFine
+	}
+
+	return p.serve(s, stderr)
+}
+
+// serve runs the application until a signal, an operator or a failure ends it.
+func (p Program[S]) serve(s S, stderr io.Writer) int {
+	log := p.log(s, stderr)
+	app := fx.New(p.options(s, log))
+
+	starting, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+
+	if err := app.Start(starting); err != nil {
+		log.Error().Err(err).Str("event", "start_failed").Msg("the program does not start")
+
+		return ExitFailure
+	}
+
+	end := <-app.Wait()
+
+	stopping, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+
+	if err := app.Stop(stopping); err != nil {
+		log.Error().Err(err).Str("event", "stop_failed").Msg("the graceful shutdown is not complete")
+
+		return ExitFailure
+	}
+
+	return end.ExitCode
+}
+
+func (p Program[S]) version() string {
+	if b, ok := debug.ReadBuildInfo(); ok {
+		return p.name + " " + b.Main.Version
+	}
+
+	return p.name
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"github.com/skylarkweir/skylarkweir/daemon"
 	"github.com/skylarkweir/skylarkweir/entry/binding"
 	"github.com/skylarkweir/skylarkweir/entry/caller"
 	"github.com/skylarkweir/skylarkweir/entry/home"
@@ -146,7 +147,7 @@
 func (p *Process) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		p.parts.Log.Error().Err(err).Str("event", "http_failed").Msg("an HTTP server ended")
-		_ = p.parts.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+		_ = p.parts.Shutdowner.Shutdown(fx.ExitCode(daemon.ExitFailure))
 	}
 }
 
--- a/sidecar/process/process.go
+++ b/sidecar/process/process.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"github.com/skylarkweir/skylarkweir/daemon"
 	"github.com/skylarkweir/skylarkweir/sidecar/backend"
 	"github.com/skylarkweir/skylarkweir/sidecar/entry"
 	"github.com/skylarkweir/skylarkweir/sidecar/operator"
@@ -126,7 +127,7 @@
 func (p *Process) serve() {
 	if err := p.parts.Server.Loop(); err != nil {
 		p.parts.Log.Error().Err(err).Str("event", "admin_failed").Msg("")
-		_ = p.parts.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+		_ = p.parts.Shutdowner.Shutdown(fx.ExitCode(daemon.ExitFailure))
 	}
 }
 
