Say unknown for tickets of another key, and let restarts be watched safely

Cause 1: a ticket signed with a replaced key was refused with "ran none", though its submission may have run before the replacement. It says "unknown" now.

Cause 2: the race detector reported a read of a process's address by a scenario's watch during a restart. What a restart changes is an immutable value behind an atomic pointer now; the lists of entries and workers have a lock.

--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,10 +35,10 @@
 	directory string
 	ticketKey string
 	log       *Log
-	entries   []*Entry
-	workers   []*Worker
 
 	mutex     sync.Mutex
+	entries   []*Entry
+	workers   []*Worker
 	processes []*Process
 	closers   []io.Closer
 	closed    bool
@@ -62,10 +63,20 @@
 func (c *Cluster) Log() *Log { return c.log }
 
 // Entries returns the entries in the order of their start.
-func (c *Cluster) Entries() []*Entry { return c.entries }
+func (c *Cluster) Entries() []*Entry {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return slices.Clone(c.entries)
+}
 
 // Workers returns the workers in the order of their start.
-func (c *Cluster) Workers() []*Worker { return c.workers }
+func (c *Cluster) Workers() []*Worker {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return slices.Clone(c.workers)
+}
 
 // Processes returns all processes that were started.
 func (c *Cluster) Processes() []*Process {
@@ -113,7 +124,7 @@
 	l := &caller.Load{}
 
 	urls := ""
-	for i, e := range c.entries {
+	for i, e := range c.Entries() {
 		if i > 0 {
 			urls += ", "
 		}
@@ -126,17 +137,17 @@
 
 // WaitReady waits until every running entry and sidecar says that it is ready.
 func (c *Cluster) WaitReady(ctx context.Context) error {
-	for _, w := range c.workers {
-		if w.sidecar.Running() {
-			if err := waitFor(ctx, w.sidecar, w.admin+"/readyz"); err != nil {
+	for _, w := range c.Workers() {
+		if w.Sidecar().Running() {
+			if err := waitFor(ctx, w.Sidecar(), w.Admin()+"/readyz"); err != nil {
 				return err
 			}
 		}
 	}
 
-	for _, e := range c.entries {
-		if e.process.Running() {
-			if err := waitFor(ctx, e.process, e.admin+"/readyz"); err != nil {
+	for _, e := range c.Entries() {
+		if e.Process().Running() {
+			if err := waitFor(ctx, e.Process(), e.Admin()+"/readyz"); err != nil {
 				return err
 			}
 		}
--- a/standin/cluster/entry.go
+++ b/standin/cluster/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"regexp"
 	"strings"
+	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 
@@ -30,12 +31,18 @@
 	// file is the settings file, rewritten with the chosen addresses after the first start.
 	file     string
 	settings map[string]any
-	process  *Process
+	// present is replaced by Restart, while a watch may read it.
+	present         atomic.Pointer[presentEntry]
+	relay, logRelay *relay.Relay
+}
+
+// presentEntry is what changes with a restart. It is immutable.
+type presentEntry struct {
+	process *Process
 	// url and admin are HTTP addresses with scheme.
 	url, admin string
 	// address is where other processes reach the entry over QUIC, listen where it listens itself.
 	address, listen string
-	relay, logRelay *relay.Relay
 }
 
 // StartEntry starts an entry and waits until it listens. It knows the entries that were started before.
@@ -44,8 +51,8 @@
 	e := &Entry{cluster: c, name: name, file: c.path(name + ".jsonc")}
 
 	peers := []string{}
-	for _, other := range c.entries {
-		peers = append(peers, other.address)
+	for _, other := range c.Entries() {
+		peers = append(peers, other.Address())
 	}
 
 	base := map[string]any{
@@ -63,7 +70,9 @@
 		return nil, err
 	}
 
+	c.mutex.Lock()
 	c.entries = append(c.entries, e)
+	c.mutex.Unlock()
 
 	return e, nil
 }
@@ -102,14 +111,13 @@
 		return err
 	}
 
-	e.process = p
-	e.url, e.admin, e.address = "http://"+b.Callers, "http://"+b.Admin, b.QUIC
-
-	if e.listen = b.QUIC; e.relay != nil {
-		e.listen, _ = e.settings["listen"].(string)
+	listen := b.QUIC
+	if e.relay != nil {
+		listen, _ = e.settings["listen"].(string)
 	}
 
-	e.settings["callers"], e.settings["admin"], e.settings["listen"] = b.Callers, b.Admin, e.listen
+	e.present.Store(&presentEntry{p, "http://" + b.Callers, "http://" + b.Admin, b.QUIC, listen})
+	e.settings["callers"], e.settings["admin"], e.settings["listen"] = b.Callers, b.Admin, listen
 
 	return nil
 }
@@ -118,19 +126,19 @@
 func (e *Entry) Name() string { return e.name }
 
 // URL returns the address of the callers' HTTP API.
-func (e *Entry) URL() string { return e.url }
+func (e *Entry) URL() string { return e.present.Load().url }
 
 // Admin returns the address of the admin HTTP API.
-func (e *Entry) Admin() string { return e.admin }
+func (e *Entry) Admin() string { return e.present.Load().admin }
 
 // Address returns where other processes reach the entry, which is its relay if it has one.
-func (e *Entry) Address() string { return e.address }
+func (e *Entry) Address() string { return e.present.Load().address }
 
 // Source returns the address from which the entry's own QUIC traffic comes, for faults of single clients of relays.
-func (e *Entry) Source() string { return e.listen }
+func (e *Entry) Source() string { return e.present.Load().listen }
 
 // Process returns the running process; Restart replaces it.
-func (e *Entry) Process() *Process { return e.process }
+func (e *Entry) Process() *Process { return e.present.Load().process }
 
 // Relay returns the relay in front of the entry, or nil.
 func (e *Entry) Relay() *relay.Relay { return e.relay }
@@ -140,7 +148,7 @@
 
 // Status decodes the answer to GET /v1/status.
 func (e *Entry) Status(ctx context.Context, into any) error {
-	return get(ctx, e.admin+"/v1/status", into)
+	return get(ctx, e.Admin()+"/v1/status", into)
 }
 
 func (c *Cluster) keys() map[string]string {
--- a/standin/cluster/worker.go
+++ b/standin/cluster/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"regexp"
+	"sync/atomic"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/standin/relay"
@@ -19,15 +20,24 @@
 
 // Worker is a sidecar with its stand-in backend server.
 type Worker struct {
-	cluster          *Cluster
-	name, file       string
-	settings         map[string]any
-	sidecar, backend *Process
-	// admin is the sidecar's admin address, backendURL the address of the backend server; both with scheme.
-	admin, backendURL string
+	cluster    *Cluster
+	name, file string
+	settings   map[string]any
+	backend    atomic.Pointer[Process]
+	// backendURL is the address of the backend server, with scheme.
+	backendURL string
+	// present is replaced by Restart, while a watch may read it.
+	present atomic.Pointer[presentSidecar]
+	relay   *relay.Relay
+}
+
+// presentSidecar is what changes with a restart. It is immutable.
+type presentSidecar struct {
+	process *Process
+	// admin is the admin address with scheme.
+	admin string
 	// address is where the sidecar's QUIC traffic comes from.
 	address string
-	relay   *relay.Relay
 }
 
 // StartWorker starts a backend server and its sidecar, and waits until they listen. The sidecar begins with all entries
@@ -46,7 +56,8 @@
 		return nil, err
 	}
 
-	w.backend, w.backendURL = backend, "http://"+found[1]
+	w.backendURL = "http://" + found[1]
+	w.backend.Store(backend)
 	target := w.backendURL
 
 	if p.relayed {
@@ -58,8 +69,8 @@
 	}
 
 	entries := []string{}
-	for _, e := range c.entries {
-		entries = append(entries, e.address)
+	for _, e := range c.Entries() {
+		entries = append(entries, e.Address())
 	}
 
 	w.settings = p.over(map[string]any{
@@ -71,7 +82,9 @@
 		return nil, err
 	}
 
+	c.mutex.Lock()
 	c.workers = append(c.workers, w)
+	c.mutex.Unlock()
 
 	return w, nil
 }
@@ -83,7 +96,7 @@
 		return err
 	}
 
-	w.sidecar, w.admin, w.address = p, "http://"+b.Admin, b.QUIC
+	w.present.Store(&presentSidecar{p, "http://" + b.Admin, b.QUIC})
 	w.settings["listen"], w.settings["admin"] = b.QUIC, b.Admin
 
 	return nil
@@ -100,7 +113,7 @@
 		return err
 	}
 
-	w.backend = p
+	w.backend.Store(p)
 
 	return nil
 }
@@ -109,23 +122,23 @@
 func (w *Worker) Name() string { return w.name }
 
 // Admin returns the sidecar's admin address.
-func (w *Worker) Admin() string { return w.admin }
+func (w *Worker) Admin() string { return w.present.Load().admin }
 
 // Source returns the address from which the sidecar's QUIC traffic comes, for faults of single clients of relays.
-func (w *Worker) Source() string { return w.address }
+func (w *Worker) Source() string { return w.present.Load().address }
 
 // Sidecar returns the running sidecar; Restart replaces it.
-func (w *Worker) Sidecar() *Process { return w.sidecar }
+func (w *Worker) Sidecar() *Process { return w.present.Load().process }
 
 // Backend returns the running backend server; RestartBackend replaces it.
-func (w *Worker) Backend() *Process { return w.backend }
+func (w *Worker) Backend() *Process { return w.backend.Load() }
 
 // Relay returns the relay between the sidecar and the backend server, or nil.
 func (w *Worker) Relay() *relay.Relay { return w.relay }
 
 // Status decodes the answer of the sidecar to GET /v1/status.
 func (w *Worker) Status(ctx context.Context, into any) error {
-	return get(ctx, w.admin+"/v1/status", into)
+	return get(ctx, w.Admin()+"/v1/status", into)
 }
 
 // SetFaults replaces the faults of the backend server; the keys are those of its POST /admin/faults.
@@ -195,7 +208,7 @@
 func (c *Cluster) Starts(ctx context.Context) (map[string]map[int]int, error) {
 	all := map[string]map[int]int{}
 
-	for _, w := range c.workers {
+	for _, w := range c.Workers() {
 		starts, err := w.Starts(ctx)
 		if err != nil {
 			return nil, err
--- a/weir/request/ticket/ticket.go
+++ b/weir/request/ticket/ticket.go
@@ -91,7 +91,8 @@
 	}
 
 	if !hmac.Equal(raw[:macSize], k.mac(raw[macSize:])) {
-		return Ticket{}, fault.New(fault.InvalidRequest, "ticket is not signed by this system")
+		// It may be of the time before the key was replaced, so nothing is known about its submission.
+		return Ticket{}, fault.WithRan(fault.New(fault.InvalidRequest, "ticket is not signed by this system"), fault.RanUnknown)
 	}
 
 	m := &wire.Ticket{}
--- a/weir/request/ticket/ticket_test.go
+++ b/weir/request/ticket/ticket_test.go
@@ -38,4 +38,5 @@
 
 	_, err := ticket.Key("other").Parse(text)
 	is.Equal(fault.KindOf(err), fault.InvalidRequest) // other key
+	is.Equal(fault.RanOf(err), fault.RanUnknown)      // the key may have been replaced since
 }
