standin: measure what one entry or sidecar uses at several sizes

The capacity page needs slopes of CPU, memory and control traffic for an entry and a sidecar. A fleet of 690 real sidecars does not fit on one machine, so one real process is measured against fakes that speak the wire protocol from the measuring process. CPU time is read from the threads' schedstat, because the ticks of /proc/<pid>/stat are too coarse for an idle process; wall time was ruled out since the machine is shared.

--- /dev/null
+++ b/standin/capacity/agreement.go
@@ -0,0 +1,59 @@
+package capacity
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
+)
+
+// publication returns a record with an agreement of n members and ten kinds. The first member has the token.
+func publication(base int64, n int, token string) ([]byte, error) {
+	const (
+		kinds = 10
+		whole = 100
+	)
+
+	members, list := []any{}, []any{}
+
+	for i := range n {
+		sum := sha256.Sum256(fmt.Appendf(nil, "%s%d", token, i))
+		if i == 0 {
+			sum = sha256.Sum256([]byte(token))
+		}
+
+		members = append(members, map[string]any{
+			"name": fmt.Sprintf("member-%03d", i), "limit_percent": whole, "credential_sha256": hex.EncodeToString(sum[:]),
+		})
+	}
+
+	for i := range kinds {
+		name := "scan"
+		if i > 0 {
+			name = fmt.Sprintf("kind-%d", i)
+		}
+
+		list = append(list, map[string]any{
+			"name": name, "service": "service", "share_percent": whole / kinds, "urgent": i%2 == 1, "max_cores": 2,
+		})
+	}
+
+	text, err := json.Marshal(map[string]any{"agreement": "capacity", "members": members, "kinds": list})
+	if err != nil {
+		return nil, err
+	}
+
+	a, err := agreement.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+
+	nonce := make([]byte, 16)
+	_, _ = rand.Read(nonce)
+
+	return ledger.PublicationRecord(base, nonce, "capacity", a), nil
+}
--- /dev/null
+++ b/standin/capacity/bench.go
@@ -0,0 +1,194 @@
+// Package capacity measures what one entry or one sidecar uses at several sizes of its surroundings, which fakes in the
+// measuring process stand in for, and fits lines to it. CPU time and memory are read from /proc by process id, so the
+// package works on Linux only.
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+)
+
+// Bench holds what the measurements share.
+type Bench struct {
+	Programs  cluster.Programs
+	Directory string
+	Out       io.Writer
+	// Settle is waited before each measurement and Window is its length.
+	Settle, Window time.Duration
+	// Workers, Members, Tasks and Starts are the sizes that a measurement does not vary.
+	Workers, Members, Tasks int
+	// Input is the length of a task's input in bytes.
+	Input int
+	// LogLevel is that of the measured processes.
+	LogLevel string
+
+	clusters int
+}
+
+// Measure is a measurement at several points.
+type Measure func(b *Bench, ctx context.Context, points []int) error
+
+// Measures returns the measurements by name.
+func Measures() map[string]Measure {
+	return map[string]Measure{
+		"entry-workers":   (*Bench).EntryWorkers,
+		"entry-starts":    (*Bench).EntryStarts,
+		"entry-members":   (*Bench).EntryMembers,
+		"entry-held":      (*Bench).EntryHeld,
+		"entry-peers":     (*Bench).EntryPeers,
+		"entry-change":    (*Bench).EntryChange,
+		"entry-loss":      (*Bench).EntryLoss,
+		"sidecar-entries": (*Bench).SidecarEntries,
+		"sidecar-starts":  (*Bench).SidecarStarts,
+		"sidecar-members": (*Bench).SidecarMembers,
+		"sidecar-change":  (*Bench).SidecarChange,
+		"fleet-change":    (*Bench).FleetChange,
+	}
+}
+
+const (
+	token       = "capacity-token"
+	entrySlots  = 8
+	pollEvery   = 10 * time.Millisecond
+	longestWait = time.Minute
+)
+
+// site is a cluster with fakes.
+type site struct {
+	bench    *Bench
+	cluster  *cluster.Cluster
+	log      *logservice.Client
+	keys     quic.Keys
+	entry    *cluster.Entry
+	sidecars *Sidecars
+	// base is the version in force.
+	base int64
+}
+
+// open starts a log and one entry with an agreement in force.
+func (b *Bench) open(ctx context.Context) (*site, error) {
+	s, err := b.openLog(ctx)
+	if err != nil {
+		return nil, err
+	}
+
+	if err := s.startEntry(ctx); err != nil {
+		s.close()
+
+		return nil, err
+	}
+
+	return s, nil
+}
+
+func (b *Bench) openLog(ctx context.Context) (*site, error) {
+	b.clusters++
+
+	c, err := cluster.New(b.Programs, filepath.Join(b.Directory, fmt.Sprintf("cluster-%d", b.clusters)))
+	if err != nil {
+		return nil, err
+	}
+
+	s := &site{bench: b, cluster: c}
+
+	if err := c.StartLog(ctx); err != nil {
+		s.close()
+
+		return nil, err
+	}
+
+	s.log = logservice.NewClient(c.Log().URL())
+
+	path := func(file string) string { return filepath.Join(c.Directory(), "keys", file) }
+	if s.keys, err = quic.LoadKeys(path("certificate.pem"), path("key.pem"), path("authority.pem")); err != nil {
+		s.close()
+
+		return nil, err
+	}
+
+	_, err = s.publish(ctx, b.Members)
+
+	return s, err
+}
+
+func (s *site) startEntry(ctx context.Context) error {
+	e, err := s.cluster.StartEntry(ctx, "entry", cluster.With("log_level", s.bench.LogLevel), cluster.With("append_budget", appendBudget))
+	if err != nil {
+		return err
+	}
+
+	s.entry = e
+	s.sidecars = &Sidecars{address: e.Address()}
+
+	return s.sidecars.node.Listen("127.0.0.1:0", s.keys)
+}
+
+// appendBudget lets one entry register a whole fleet, which is the work of many entries otherwise.
+const appendBudget = 200
+
+func (s *site) close() {
+	if s.sidecars != nil {
+		_ = s.sidecars.Close()
+	}
+
+	s.cluster.Close()
+}
+
+// publish appends an agreement of n members and returns the position that contains it.
+func (s *site) publish(ctx context.Context, n int) (position int64, err error) {
+	r, err := publication(s.base, n, token)
+	if err != nil {
+		return 0, err
+	}
+
+	at, err := s.log.Append(ctx, r)
+	if err != nil {
+		return 0, err
+	}
+
+	s.base++
+
+	return at + 1, nil
+}
+
+func (s *site) usage(ctx context.Context) (Usage, error) {
+	return Read(ctx, s.entry.Process().ID(), s.entry.Admin())
+}
+
+// row settles, measures the entry over the window and adds a row to the table.
+func (s *site) row(ctx context.Context, t *table, x int) error {
+	return t.measure(ctx, s.bench, x, s.usage)
+}
+
+// wait polls until done returns true.
+func wait(ctx context.Context, what string, done func() bool) error {
+	for end := time.Now().Add(longestWait); !done(); {
+		if time.Now().After(end) {
+			return merry.Errorf("%s: not within %s", what, longestWait)
+		}
+
+		if err := sleep(ctx, pollEvery); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/capacity/sidecars.go
@@ -0,0 +1,251 @@
+package capacity
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// The sizes and intervals of real sidecars.
+const (
+	workerSlots    = 64
+	workerMemoryMB = 256 << 10
+	domains        = 6
+	perRack        = 3
+	heartbeatEvery = time.Second
+	renewEvery     = 500 * time.Millisecond
+)
+
+// Sidecars are fake sidecars that share one socket. They complete every task at once with its input.
+type Sidecars struct {
+	node    quic.Node
+	address string
+
+	mu  sync.Mutex
+	all []*fakeSidecar
+}
+
+// fakeSidecar is one connection.
+type fakeSidecar struct {
+	worker     *wire.Worker
+	connection *quic.Conn
+	control    *quic.Stream
+	stop       context.CancelFunc
+	sequence   atomic.Uint64
+	// renewed is the time of the latest heartbeat, replies that renew the lease included.
+	renewed  atomic.Int64
+	position atomic.Int64
+}
+
+// fullWorker returns the worker with this number, in one of 6 failure domains.
+func fullWorker(i int) *wire.Worker {
+	return wire.Worker_builder{
+		Name: fmt.Sprintf("fake-%04d", i), Incarnation: rand.Uint64() | 1, Slots: workerSlots, MemoryMb: workerMemoryMB, //nolint:gosec // no secret
+		FailureDomain: fmt.Sprintf("domain-%d", i%domains), Rack: fmt.Sprintf("rack-%03d", i/perRack),
+	}.Build()
+}
+
+// Grow connects and registers sidecars until there are n.
+func (s *Sidecars) Grow(ctx context.Context, n int) error {
+	const together = 16
+
+	var (
+		group sync.WaitGroup
+		first atomic.Pointer[error]
+	)
+
+	places := make(chan struct{}, together)
+
+	for i := len(s.all); i < n; i++ {
+		places <- struct{}{}
+
+		group.Go(func() {
+			defer func() { <-places }()
+
+			if err := s.connect(ctx, i); err != nil {
+				first.CompareAndSwap(nil, &err)
+			}
+		})
+	}
+
+	group.Wait()
+
+	if err := first.Load(); err != nil {
+		return *err
+	}
+
+	return nil
+}
+
+func (s *Sidecars) connect(ctx context.Context, i int) error {
+	c, err := s.node.Dial(ctx, s.address)
+	if err != nil {
+		return err
+	}
+
+	f := &fakeSidecar{worker: fullWorker(i), connection: c}
+
+	if f.control, err = c.Open(ctx); err != nil {
+		return err
+	}
+
+	hello := wire.Hello_builder{Role: wire.Role_ROLE_SIDECAR, Worker: f.worker}.Build()
+	if err := f.control.Send(wire.Frame_builder{Hello: hello}.Build()); err != nil {
+		return err
+	}
+
+	if _, err := f.control.Receive(); err != nil {
+		return err
+	}
+
+	// The connection outlives the call.
+	ctx, f.stop = context.WithCancel(context.WithoutCancel(ctx))
+
+	go f.beats(ctx)
+	go f.listen()
+	go f.accept(ctx)
+
+	r, err := c.RoundTrip(ctx, wire.Frame_builder{Register: wire.Register_builder{Worker: f.worker}.Build()}.Build())
+	if err != nil {
+		return err
+	}
+
+	if !r.GetRegisterReply().GetOk() {
+		return merry.Errorf("registration of %s: %s", f.worker.GetName(), r.GetRegisterReply().GetMessage())
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.all = append(s.all, f)
+
+	return nil
+}
+
+// Reached returns how many sidecars were sent the log up to the position.
+func (s *Sidecars) Reached(position int64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	n := 0
+
+	for _, f := range s.all {
+		if f.position.Load() >= position {
+			n++
+		}
+	}
+
+	return n
+}
+
+// Silence makes the last n sidecars silent without a word, as a failure domain that is lost.
+func (s *Sidecars) Silence(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, f := range s.all[len(s.all)-n:] {
+		f.stop()
+	}
+}
+
+// Close ends all connections.
+func (s *Sidecars) Close() error {
+	for _, f := range s.all {
+		f.stop()
+	}
+
+	return s.node.Close()
+}
+
+func (f *fakeSidecar) load(sequence uint64) *wire.Load {
+	return wire.Load_builder{Sequence: sequence, Slots: workerSlots}.Build()
+}
+
+func (f *fakeSidecar) beats(ctx context.Context) {
+	timer := time.NewTimer(rand.N(heartbeatEvery)) //nolint:gosec // no secret
+	defer timer.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+
+		if rest := heartbeatEvery - time.Since(time.Unix(0, f.renewed.Load())); rest > 0 {
+			timer.Reset(rest)
+
+			continue
+		}
+
+		f.renewed.Store(time.Now().UnixNano())
+		n := f.sequence.Add(1)
+		h := wire.Heartbeat_builder{Sequence: n, LeaseEpoch: 1, Load: f.load(n), Position: f.position.Load(), RegisteredPlusOne: 1}.Build()
+
+		if f.control.Send(wire.Frame_builder{Heartbeat: h}.Build()) != nil {
+			return
+		}
+
+		timer.Reset(heartbeatEvery)
+	}
+}
+
+func (f *fakeSidecar) listen() {
+	for {
+		in, err := f.control.Receive()
+		if err != nil {
+			return
+		}
+
+		if r := in.GetRecords(); r != nil {
+			f.position.Store(max(r.GetThrough(), r.GetSnapshotPosition(), f.position.Load()))
+		}
+	}
+}
+
+func (f *fakeSidecar) accept(ctx context.Context) {
+	for {
+		s, err := f.connection.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		go f.serve(s)
+	}
+}
+
+func (f *fakeSidecar) serve(s *quic.Stream) {
+	defer s.Close()
+
+	in, err := s.Receive()
+	if err != nil || !in.HasStart() {
+		return
+	}
+
+	digest := sha256.Sum256(in.GetStart().GetInput())
+	n := f.sequence.Add(1)
+	r := wire.StartReply_builder{
+		Id: in.GetStart().GetId(), Load: f.load(n),
+		Completed: wire.Completed_builder{Output: in.GetStart().GetInput(), Digest: digest[:], RunUs: 1}.Build(),
+	}.Build()
+
+	now, last := time.Now().UnixNano(), f.renewed.Load()
+	if now-last > int64(renewEvery) && f.renewed.CompareAndSwap(last, now) {
+		r.SetHeartbeatSequence(n)
+		r.SetLeaseEpoch(1)
+		r.SetPosition(f.position.Load())
+	}
+
+	if s.Send(wire.Frame_builder{StartReply: r}.Build()) == nil {
+		_, _ = s.Receive()
+	}
+}
--- /dev/null
+++ b/standin/capacity/table.go
@@ -0,0 +1,129 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// table prints rows as they come, and the fits at its end.
+type table struct {
+	out     io.Writer
+	columns []string
+	points  [][]Point
+}
+
+// usageColumns are the columns of measure.
+func usageColumns() []string {
+	return []string{"cpu %", "memory MB", "in B/s", "out B/s", "frames/s"}
+}
+
+func newTable(out io.Writer, x string, columns ...string) *table {
+	t := &table{out: out, columns: columns, points: make([][]Point, len(columns))}
+	t.line(x, columns)
+
+	return t
+}
+
+func (t *table) line(first string, rest []string) {
+	fmt.Fprintf(t.out, "%12s", first)
+
+	for _, c := range rest {
+		fmt.Fprintf(t.out, " %14s", c)
+	}
+
+	fmt.Fprintln(t.out)
+}
+
+func (t *table) row(x int, values ...float64) {
+	texts := make([]string, 0, len(values))
+
+	for i, v := range values {
+		t.points[i] = append(t.points[i], Point{float64(x), v})
+		texts = append(texts, fmt.Sprintf("%.3f", v))
+	}
+
+	t.line(fmt.Sprint(x), texts)
+}
+
+// fits prints the lines.
+func (t *table) fits() {
+	for i, c := range t.columns {
+		l := Fit(t.points[i])
+		fmt.Fprintf(t.out, "fit %-14s slope %.6g  intercept %.6g  largest residual %.3g\n",
+			strings.TrimSpace(c), l.Slope, l.Intercept, l.Residual)
+	}
+}
+
+// measure settles, reads the usage at both ends of the window and adds a row.
+func (t *table) measure(ctx context.Context, b *Bench, x int, read func(context.Context) (Usage, error), more ...func(window time.Duration) float64) error {
+	if err := sleep(ctx, b.Settle); err != nil {
+		return err
+	}
+
+	for _, m := range more {
+		m(0)
+	}
+
+	first, err := read(ctx)
+	if err != nil {
+		return err
+	}
+
+	if err := sleep(ctx, b.Window); err != nil {
+		return err
+	}
+
+	last, err := read(ctx)
+	if err != nil {
+		return err
+	}
+
+	took := last.at.Sub(first.at)
+	if took <= 0 {
+		return merry.New("the window is empty")
+	}
+
+	values := last.since(first)
+	for _, m := range more {
+		values = append(values, m(took))
+	}
+
+	t.row(x, values...)
+
+	return nil
+}
+
+// since returns the values of usageColumns.
+func (u Usage) since(first Usage) []float64 {
+	s := u.at.Sub(first.at).Seconds()
+
+	const (
+		percent = 100
+		mega    = 1e6
+	)
+
+	return []float64{
+		(u.cpu - first.cpu).Seconds() / s * percent, u.resident / mega,
+		(u.in - first.in) / s, (u.out - first.out) / s, (u.frames - first.frames) / s,
+	}
+}
+
+// rate returns a function that gives the growth of a counter over the window, for measure.
+func rate(read func() int64) func(time.Duration) float64 {
+	var first int64
+
+	return func(window time.Duration) float64 {
+		if window == 0 {
+			first = read()
+
+			return 0
+		}
+
+		return float64(read()-first) / window.Seconds()
+	}
+}
--- /dev/null
+++ b/standin/command/capacity.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"context"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/standin/capacity"
+	"github.com/skylarkweir/skylarkweir/standin/cluster"
+)
+
+// capacityCommand measures slopes for the capacity page.
+type capacityCommand struct {
+	console  *console
+	Settle   time.Duration `long:"settle" default:"3s" description:"wait before each measurement"`
+	Window   time.Duration `long:"window" default:"5s" description:"length of a measurement"`
+	Workers  int           `long:"workers" default:"690" description:"workers where they are not varied"`
+	Members  int           `long:"members" default:"190" description:"members where they are not varied"`
+	Tasks    int           `long:"tasks" default:"20" description:"tasks of a job"`
+	Input    int           `long:"input" default:"200" description:"bytes of a task's input"`
+	LogLevel string        `long:"log-level" default:"info" description:"log level of the measured processes"`
+	Points   []int         `long:"point" required:"true" description:"a size to measure at; may be given several times"`
+	Args     struct {
+		Measure string `positional-arg-name:"MEASURE"`
+	} `positional-args:"true" required:"true"`
+}
+
+func newCapacity(c *console) noun {
+	return noun{
+		"capacity", "Measure what an entry or a sidecar uses",
+		"Starts one entry or one sidecar with fakes around it, reads its CPU time and memory from /proc at several sizes, and " +
+			"fits lines. The measures are " + strings.Join(measures(), ", ") + ".\n\n" +
+			"Example, from the root of the repository:\n  go run ./standin capacity entry-workers --point 12 --point 48",
+		&capacityCommand{console: c},
+	}
+}
+
+func measures() []string { return slices.Sorted(maps.Keys(capacity.Measures())) }
+
+// Execute runs the command.
+func (c *capacityCommand) Execute([]string) error {
+	measure, found := capacity.Measures()[c.Args.Measure]
+	if !found {
+		return usageError{"unknown measure " + c.Args.Measure + "; the measures are " + strings.Join(measures(), ", ")}
+	}
+
+	ctx, stop := interrupted()
+	defer stop()
+
+	return c.run(ctx, measure)
+}
+
+func (c *capacityCommand) run(ctx context.Context, measure capacity.Measure) error {
+	directory, err := os.MkdirTemp("", "skylarkweir-capacity-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+
+	programs, err := cluster.Build(ctx, directory)
+	if err != nil {
+		return err
+	}
+
+	b := &capacity.Bench{
+		Programs: programs, Directory: directory, Out: c.console.out, Settle: c.Settle, Window: c.Window, Workers: c.Workers,
+		Members: c.Members, Tasks: c.Tasks, Input: c.Input, LogLevel: c.LogLevel,
+	}
+
+	return measure(b, ctx, c.Points)
+}
