standin: read the control traffic of sidecars too

The sidecar's metrics have the prefix skylarkweir_sidecar_, the entry's weir_entry_; the first version looked for one only and printed zero for the other. Counters that are not found are an error now, so that a renamed metric fails the test and gives no figure of zero.

--- a/standin/capacity/usage.go
+++ b/standin/capacity/usage.go
@@ -34,17 +34,24 @@
 		return u, err
 	}
 
+	found := 0
+
 	for name, value := range all {
-		switch strings.TrimPrefix(name, "weir_entry_") {
-		case "control_bytes_in":
-			u.in = value
-		case "control_bytes_out":
-			u.out = value
-		case "control_frames":
-			u.frames = value
+		for suffix, counter := range map[string]*float64{
+			"_control_bytes_in": &u.in, "_control_bytes_out": &u.out, "_control_frames": &u.frames,
+		} {
+			// Entries and sidecars have different prefixes.
+			if strings.HasSuffix(name, suffix) {
+				*counter = value
+				found++
+			}
 		}
 	}
 
+	if found != 3 {
+		return u, merry.Errorf("%s: %d of the 3 metrics of control traffic", admin, found)
+	}
+
 	if u.cpu, err = cpuTime(pid); err != nil {
 		return u, err
 	}
