sidecar: pass records on only to entries that stay behind

A sidecar that received a new agreement from one entry sent it to all others at once, because it judged them by their last acknowledged positions, which are up to a heartbeat old. Nearly all of them had it from the log.

At 690 sidecars and 12 entries each entry received 17 MB for each change that way. Records are now sent after the entry was behind the same position for 1.5 s, which is longer than a heartbeat interval. A switch-off was ruled out: sidecars carry versions around partitions and log outages.

--- a/sidecar/entry/session.go
+++ b/sidecar/entry/session.go
@@ -22,6 +22,10 @@
 	// silence is the time without an acknowledgement after which the connection is given up. It is longer than a
 	// lease, so that a short pause of the entry costs an epoch and no connection.
 	silence = 6 * time.Second
+	// passDelay is how long an entry has to be behind before records are sent to it. It is longer than heartbeatInterval,
+	// so that the entry's position was acknowledged in between: entries mostly have the records already, and without
+	// the delay each sidecar sent each new agreement back to all other entries.
+	passDelay = 1500 * time.Millisecond
 	// passAgain is the time after which records are sent again that the entry has not applied.
 	passAgain = 5 * time.Second
 	// firstFrame bounds the wait for the frame that decides an exchange.
@@ -37,6 +41,18 @@
 type passed struct {
 	position int64
 	at       time.Time
+	// awaited is a position that the entry was behind at since.
+	awaited int64
+	since   time.Time
+}
+
+// late tells whether the entry at its position has been behind the present one for passDelay.
+func (p *passed) late(entry, present int64, now time.Time) bool {
+	if entry >= p.awaited {
+		p.awaited, p.since = present, now
+	}
+
+	return entry < p.awaited && now.Sub(p.since) >= passDelay
 }
 
 // Session is an established connection to an entry.
@@ -208,17 +224,17 @@
 
 // pass sends the records that the entry lacks and that were not sent to it yet.
 func (s *Session) pass(through *passed) error {
-	position := s.links.book.State().Position()
-	if position <= s.position.Load() || position <= through.position && time.Since(through.at) < passAgain {
+	position, entry := s.links.book.State().Position(), s.position.Load()
+	if !through.late(entry, position, time.Now()) || position <= through.position && time.Since(through.at) < passAgain {
 		return nil
 	}
 
-	records := s.links.book.Since(s.position.Load())
+	records := s.links.book.Since(entry)
 	if records == nil {
 		return nil
 	}
 
-	*through = passed{records.GetThrough(), time.Now()}
+	through.position, through.at = records.GetThrough(), time.Now()
 
 	f := &wire.Frame{}
 	f.SetRecords(records)
