peer: confirm the silence of a whole failure domain at once

An exchange between entries named at most 32 silent workers, in random order, and each replaces the result of the one before. A worker is declared lost only while the latest exchange with each peer names it, so when 115 workers are lost together a worker was confirmed by p peers with probability (32/115)^p.

The bound is 1024 names now, above the size of the fleet. A fixed order with the old bound was ruled out: workers that are never confirmed would keep their places. Should an entry connect to a subset of the workers only, it has to leave the others out of its exchanges; docs/CAPACITY.md says so.

--- a/entry/peer/silence.go
+++ b/entry/peer/silence.go
@@ -20,8 +20,9 @@
 	watchInterval = time.Second
 	// heardWithin is the silence up to which this entry still hears from a worker.
 	heardWithin = 2 * time.Second
-	// maxSuspected bounds the names in an exchange: at 690 workers an entry is connected to 64 of them only.
-	maxSuspected = 32
+	// maxSuspected bounds the names in an exchange. It is above the 690 workers of a fleet: a worker is declared lost only
+	// while the latest exchanges with all peers name it, which workers beyond the bound hardly reach.
+	maxSuspected = 1024
 	// declareSpread is the span over which the declarations of several entries are spread, to save appends.
 	declareSpread = 2 * time.Second
 	// declareWait bounds one append; the worker is declared again later if it fails.
--- a/standin/capacity/bench.go
+++ b/standin/capacity/bench.go
@@ -25,7 +25,7 @@
 	// Settle is waited before each measurement and Window is its length.
 	Settle, Window time.Duration
 	// Workers, Members, Tasks and Starts are the sizes that a measurement does not vary.
-	Workers, Members, Tasks int
+	Workers, Members, Tasks, Entries int
 	// Input is the length of a task's input in bytes.
 	Input int
 	// LogLevel is that of the measured processes.
@@ -59,7 +59,7 @@
 	token       = "capacity-token"
 	entrySlots  = 8
 	pollEvery   = 10 * time.Millisecond
-	longestWait = time.Minute
+	longestWait = 75 * time.Second
 )
 
 // site is a cluster with fakes.
--- a/standin/command/capacity.go
+++ b/standin/command/capacity.go
@@ -19,6 +19,7 @@
 	Window   time.Duration `long:"window" default:"5s" description:"length of a measurement"`
 	Workers  int           `long:"workers" default:"690" description:"workers where they are not varied"`
 	Members  int           `long:"members" default:"190" description:"members where they are not varied"`
+	Entries  int           `long:"entries" default:"1" description:"entries for entry-loss"`
 	Tasks    int           `long:"tasks" default:"20" description:"tasks of a job"`
 	Input    int           `long:"input" default:"200" description:"bytes of a task's input"`
 	LogLevel string        `long:"log-level" default:"info" description:"log level of the measured processes"`
@@ -67,7 +68,7 @@
 
 	b := &capacity.Bench{
 		Programs: programs, Directory: directory, Out: c.console.out, Settle: c.Settle, Window: c.Window, Workers: c.Workers,
-		Members: c.Members, Tasks: c.Tasks, Input: c.Input, LogLevel: c.LogLevel,
+		Members: c.Members, Tasks: c.Tasks, Entries: c.Entries, Input: c.Input, LogLevel: c.LogLevel,
 	}
 
 	return measure(b, ctx, c.Points)
