--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -532,6 +532,62 @@
 	}
 }
 
+// Guards against the loss of a whole failure domain that is confirmed in parts, which takes the longer the more entries
+// there are.
+func TestFailureDomainLoss(t *testing.T) {
+	t.Parallel()
+
+	const lost, heard = 115, 115
+
+	is := is.New(t)
+	keys := keysOf(t)
+
+	var (
+		entries []*entry
+		others  []string
+	)
+
+	for i := range 4 {
+		e := start(t, keys, uint64(i)+1, others...)
+		entries, others = append(entries, e), append(others, e.self.GetAddress())
+	}
+
+	for _, e := range entries {
+		eventually(is, func() bool { return len(e.peers.Reached()) == len(entries)-1 })
+	}
+
+	var alive []*fleet.Worker
+
+	for i := range lost + heard {
+		w := wire.Worker_builder{Name: fmt.Sprintf("w%03d", i), Incarnation: 1}.Build()
+		entries[0].book.Advance([]ledger.Record{ledger.NewRecord(int64(i), time.Now(), ledger.WorkerJoinedRecord(w))}, int64(i)+1)
+
+		for _, e := range entries {
+			if c := e.fleet.Connect(w, time.Now()); i >= lost {
+				alive = append(alive, c)
+			}
+		}
+	}
+
+	declared := map[string]bool{}
+
+	for begin := time.Now(); len(declared) < lost && time.Since(begin) < 20*time.Second; time.Sleep(200 * time.Millisecond) {
+		for _, w := range alive {
+			entries[0].fleet.Hear(w, time.Now())
+		}
+
+		for _, e := range entries {
+			e.appender.mu.Lock()
+			for _, r := range e.appender.records {
+				declared[string(r)] = true
+			}
+			e.appender.mu.Unlock()
+		}
+	}
+
+	is.Equal(len(declared), lost)
+}
+
 // Guards against submissions that are handed to an entry after it has handed on its own.
 func TestHandoverToLeavingEntry(t *testing.T) {
 	t.Parallel()
