--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,6 +126,49 @@
 	is.Equal(await(is, h).status, 200)
 }
 
+// Guards against starts of tasks that can no longer end in time: the slots would be wasted.
+func TestLateTasksAreNotStarted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b := newBench(t, "a")
+	release := make(chan struct{})
+
+	const learned = 30 // run times, from which one is estimated
+
+	b.start = func(_ context.Context, _ *fleet.Worker, s *wire.Start) (*wire.StartReply, bool, error) {
+		if len(b.sent()) > learned {
+			<-release
+		}
+
+		r := completed(s, s.GetInput())
+		r.GetCompleted().SetRunUs(1e6)
+
+		return r, true, nil
+	}
+
+	go b.heartbeats(t.Context())
+
+	h, err := b.table.Submit(b.submission(learned, options{}))
+	is.NoErr(err)
+	await(is, h)
+
+	full, err := b.table.Submit(b.submission(room, options{deadline: 20 * time.Second}))
+	is.NoErr(err)
+	eventually(is, func() bool { return len(b.sent()) == learned+room })
+
+	late, err := b.table.Submit(b.submission(1, options{deadline: 1500 * time.Millisecond}))
+	is.NoErr(err)
+	time.Sleep(800 * time.Millisecond)
+	close(release)
+
+	r := await(is, late)
+	is.Equal(r.Error.Code, "deadline_exceeded")
+	is.True(strings.Contains(r.Error.Message, "are left after the wait")) // before the deadline itself
+	is.Equal(r.Error.Ran, "none")
+	is.Equal(await(is, full).status, 200)
+	is.Equal(len(b.sent()), learned+room)
+}
+
 // Guards against tasks that start again at the successor after a handover, and answers lost or altered by it.
 func TestHandover(t *testing.T) {
 	is := is.New(t)
@@ -310,12 +354,12 @@
 	}
 
 	for line := range bytes.Lines(out.Bytes()) {
-		var l struct{ Message, Submission, Member, Kind, Reason string }
+		var l struct{ Event, Submission, Member, Kind, Reason string }
 
 		is.NoErr(json.Unmarshal(line, &l))
 		is.Equal(l.Member, "mill")
 		is.True(l.Submission != "" && l.Kind != "")
-		logged = append(logged, l.Message+" "+l.Reason)
+		logged = append(logged, l.Event+" "+l.Reason)
 	}
 
 	tasks := []string{
@@ -325,11 +369,14 @@
 	is.Equal(kept, tasks)
 	is.Equal(logged, append(tasks, "submission_ended complete", "submission_refused invalid_request"))
 
-	for name, n := range map[string]int64{"starts": 3, "retries": 1, "rejects.queue_full": 1, "refusals.invalid_request": 1, "ended.complete": 1} {
+	for name, n := range map[string]int64{
+		"weir_entry_starts_total": 3, "weir_entry_retries_total": 1, `weir_entry_rejects_total{reason="queue_full"}`: 1,
+		`weir_entry_refusals_total{code="invalid_request"}`: 1, `weir_entry_submissions_ended_total{outcome="complete"}`: 1,
+	} {
 		is.Equal(registry.Get(name).(metrics.Counter).Count(), n)
 	}
 
-	is.Equal(registry.Get("wait_us").(metrics.Histogram).Count(), int64(3))
+	is.Equal(registry.Get("weir_entry_queue_wait_seconds").(metrics.Histogram).Count(), int64(3))
 }
 
 // Guards against a suspect that is never tried again, and against a task that is lost with a failed probe.
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -17,7 +17,9 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/placement"
 	"github.com/skylarkweir/skylarkweir/weir/process/retrybudget"
 	"github.com/skylarkweir/skylarkweir/weir/process/waitqueue"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/request/submission"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
 )
 
 const (
@@ -35,10 +37,14 @@
 	workers  *fleet.Fleet
 	sidecars Sidecars
 	log      zerolog.Logger
+	// placements is log with the sampling of placements.
+	placements zerolog.Logger
 	// incarnation is this entry's; zero leaves the home of a ticket unchecked.
 	incarnation uint64
 	policy      placement.Policy
 	rules       atomic.Pointer[rules]
+	// position is the log position up to which placement follows the log.
+	position atomic.Int64
 
 	shards [shards]shard
 	size   int
@@ -56,6 +62,7 @@
 	expiry expiry
 	closer closer
 	budget retrybudget.Budget
+	spent  spent
 	runs   estimate.RunTimes
 
 	metricsOnce sync.Once
@@ -77,7 +84,7 @@
 
 // Use sets what the table works with. It is called once, before any other method.
 func (t *Table) Use(workers *fleet.Fleet, sidecars Sidecars, log zerolog.Logger) {
-	t.workers, t.sidecars, t.log = workers, sidecars, log
+	t.workers, t.sidecars, t.log, t.placements = workers, sidecars, log, log
 	t.closer.sidecars = sidecars
 	workers.Watch(t.changed)
 }
@@ -96,6 +103,11 @@
 // Choose sets the placement policy; the default is two choices.
 func (t *Table) Choose(p placement.Policy) { t.policy = p }
 
+// Sample logs every n-th placement of a task only. All other lines are logged. It is called after Use and before Run.
+func (t *Table) Sample(n int) {
+	t.placements = t.log.Sample(&zerolog.BasicSampler{N: uint32(n)}) //nolint:gosec // the range is checked by the settings
+}
+
 // Measure sets the registry of the metrics. It is called before Run.
 func (t *Table) Measure(r metrics.Registry) { t.registry = r }
 
@@ -130,6 +142,26 @@
 	return h, found
 }
 
+// Abandon makes sure that a submission that is not held never runs, and returns false if it is held. A caller may cancel
+// a submission whose message is still on its way.
+func (t *Table) Abandon(id string, k ticket.Ticket) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if _, found := s.held[id]; found {
+		return false
+	}
+
+	t.spent.add(k, time.Now())
+
+	return true
+}
+
+// Position returns the log position up to which placement follows the log. A ticket of a higher position might be given
+// to a worker that has left below it, which would not be asked if this home is lost.
+func (t *Table) Position() int64 { return t.position.Load() }
+
 // Inflight returns the number of submissions without an answer.
 func (t *Table) Inflight() int { return int(t.inflight.Load()) }
 
@@ -149,12 +181,17 @@
 		return h, h.matches(s)
 	}
 
+	if t.spent.has(s.Ticket()) {
+		return nil, fault.New(fault.TicketRefused, "the submission was refused before; another try needs a new ticket or key")
+	}
+
 	// Counted before the check for leaving, so that Drain does not miss a submission that is being admitted.
 	t.inflight.Add(1)
 
 	h, err := t.admit(s, now)
 	if err != nil {
 		t.less()
+		t.spend(s, err, now)
 
 		return nil, err
 	}
@@ -167,6 +204,15 @@
 	return h, nil
 }
 
+// spend makes a refusal as not run final. Refusals by an entry that is leaving or is not the home are final anyway.
+func (t *Table) spend(s submission.Submission, err error, now time.Time) {
+	if k := fault.KindOf(err); k == fault.Leaving || k == fault.UnknownSubmission || fault.RanOf(err) != fault.RanNone {
+		return
+	}
+
+	t.spent.add(s.Ticket(), now)
+}
+
 func (t *Table) shard(id string) *shard { return &t.shards[xxhash.Sum64String(id)%shards] }
 
 func (s *shard) put(h *Held) {
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -47,6 +47,7 @@
 			newTable,
 			newHub,
 			newSilence,
+			newAbsence,
 			newPeers,
 			newLocal,
 			newRouter,
@@ -110,20 +111,19 @@
 	return e, nil
 }
 
-func newMint(s Settings, key ticket.Key, self *wire.Entry, book *ledger.Book) (*caller.Mint, error) {
+func newMint(s Settings, key ticket.Key, self *wire.Entry, t *home.Table) (*caller.Mint, error) {
 	address, err := netip.ParseAddrPort(self.GetAddress())
 	if err != nil {
 		return nil, merry.Prepend(err, "own address")
 	}
 
-	position := func() int64 { return book.State().Position() }
-
-	return caller.NewMint(key, address, self.GetIncarnation(), position, s.TicketLifetime()), nil
+	return caller.NewMint(key, address, self.GetIncarnation(), t.Position, s.TicketLifetime()), nil
 }
 
 func newTable(s Settings, workers *fleet.Fleet, hub *sidecar.Hub, self *wire.Entry, registry gometrics.Registry, log zerolog.Logger) *home.Table {
 	t := &home.Table{}
 	t.Use(workers, hub, log)
+	t.Sample(s.file.LogSample)
 	t.Own(self.GetIncarnation())
 	t.Limit(s.file.QueueTasks, s.file.Submissions, int(s.file.AnswerMemory.Value()))
 	t.Measure(registry)
@@ -155,6 +155,10 @@
 	return peer.NewPeers(n, self, book, t, silence, s.Peers(), log)
 }
 
+func newAbsence(s Settings, p *peer.Peers, book *ledger.Book, appender *logservice.Appender, log zerolog.Logger) *peer.Absence {
+	return peer.NewAbsence(p, book, appender, s.file.EntryLostAfter.Value(), log)
+}
+
 // held adapts the home table to the interface of the callers' API, since methods that return a concrete type do not
 // implement it.
 type held struct{ table *home.Table }
@@ -176,6 +180,9 @@
 	return found, ok
 }
 
+// Abandon makes sure that a submission that is not held never runs.
+func (h held) Abandon(id string, t ticket.Ticket) bool { return h.table.Abandon(id, t) }
+
 func newLocal(s Settings, mint *caller.Mint, t *home.Table, book *ledger.Book, peers *peer.Peers) *caller.Local {
 	slots := caller.NewSlots(min(s.Slots(), runtime.GOMAXPROCS(0)))
 	l := caller.NewLocal(mint, held{t}, book, slots, s.file.MaxTasks)
--- a/sidecar/tasks/execution.go
+++ b/sidecar/tasks/execution.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/skylarkweir/skylarkweir/sidecar/backend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
@@ -14,6 +16,9 @@
 	// recheck is the age of a decision to start from which on the lease is checked again right before the call to the
 	// backend server. A process that was stopped in between finds an older decision.
 	recheck = 50 * time.Millisecond
+	// stopTime is how long the slots of a cancelled task stay held. The backend server learns of it by the end of the
+	// connection, and without this wait the next task would run beside it, above the member's allowance.
+	stopTime = 100 * time.Millisecond
 	// outputs is the number of outputs that the moving average of their size goes back to.
 	outputs = 32
 	// overhead is the number of bytes that each held body costs beyond its length.
@@ -61,7 +66,7 @@
 
 	t.counts.started.Inc(1)
 	t.counts.waited.Update(now.Sub(run.offered).Microseconds())
-	t.event("task_started", run).Dur("queued", now.Sub(run.offered)).Msg("")
+	describe(t.placements.Info().Str("event", "task_started"), run).Dur("queued_ms", now.Sub(run.offered)).Msg("")
 
 	go t.run(run)
 }
@@ -97,7 +102,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.scheduler.Release(run.task)
+	t.vacate(run, result)
 	delete(t.running, run)
 	run.running = false
 
@@ -124,6 +129,24 @@
 	t.serve()
 }
 
+// vacate gives the slots of an ended task back, later if the backend server may still be working on it.
+func (t *Table) vacate(run *Run, result backend.Result) {
+	f, failed := result.(backend.Failed)
+	if !failed || f.Kind() != fault.DeadlineExceeded && f.Kind() != fault.Cancelled {
+		t.scheduler.Release(run.task)
+
+		return
+	}
+
+	time.AfterFunc(stopTime, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+
+		t.scheduler.Release(run.task)
+		t.serve()
+	})
+}
+
 // judge counts the result in the backend server's statistics. Ends by deadline or cancellation decide nothing.
 func (t *Table) judge(run *Run, now time.Time, failed, decided bool) {
 	before := t.statistics.Suspect()
@@ -137,7 +160,12 @@
 	}
 
 	if after := t.statistics.Suspect(); after != before {
-		t.log.Info().Str("event", "backend_suspect").Bool("suspect", after).
+		level := zerolog.InfoLevel
+		if after {
+			level = zerolog.WarnLevel
+		}
+
+		t.log.WithLevel(level).Str("event", "backend_suspect").Bool("suspect", after).
 			Int("failure_permille", t.statistics.FailurePermille()).Msg("")
 		t.prune(now)
 	}
@@ -152,7 +180,7 @@
 	t.counts.end(o)
 	t.counts.ran.Update(time.Since(run.started).Microseconds())
 
-	e := t.event("task_ended", run).Dur("ran", time.Since(run.started))
+	e := describe(t.log.Info().Str("event", "task_ended"), run).Dur("run_ms", time.Since(run.started))
 	if f, failed := o.(Failed); failed {
 		e = e.Str("reason", f.kind.Code()).Str("message", f.message)
 	}
--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -21,6 +21,8 @@
 	backend    Backend
 	statistics *ejection.Statistics
 	log        zerolog.Logger
+	// placements is log with the sampling of started tasks.
+	placements zerolog.Logger
 	counts     counts
 
 	// mu orders every decision on a start with every close.
@@ -41,12 +43,17 @@
 // NewTable returns an empty table. It rejects every start until it is configured.
 func NewTable(l Limits, b Backend, s *ejection.Statistics, r metrics.Registry, log zerolog.Logger) *Table {
 	return &Table{
-		limits: NewLimits(l.starts, l.bytes), backend: b, statistics: s, counts: newCounts(r), log: log,
+		limits: NewLimits(l.starts, l.bytes), backend: b, statistics: s, counts: newCounts(r), log: log, placements: log,
 		submissions: map[string]*submission{},
 		queued:      map[*Run]struct{}{}, running: map[*Run]struct{}{},
 	}
 }
 
+// Sample logs every n-th started task only. All other lines are logged. It is called before any task is started.
+func (t *Table) Sample(n int) {
+	t.placements = t.log.Sample(&zerolog.BasicSampler{N: uint32(n)}) //nolint:gosec // the range is checked by the settings
+}
+
 // Configure sets the capacity and the agreed kinds and members. Queued tasks that can no longer run here are rejected.
 func (t *Table) Configure(c share.Capacity, kinds []share.Kind, members []share.Member) {
 	t.mu.Lock()
@@ -100,7 +107,7 @@
 
 	if _, waits := t.queued[run]; waits {
 		t.counts.queued.Inc(1)
-		t.event("task_queued", run).Msg("")
+		describe(t.log.Info().Str("event", "task_queued"), run).Msg("")
 	}
 
 	return run
@@ -137,5 +144,5 @@
 	t.bytes += run.size
 	t.queued[run] = struct{}{}
 	t.counts.accepted.Inc(1)
-	t.event("task_accepted", run).Msg("")
+	describe(t.log.Info().Str("event", "task_accepted"), run).Msg("")
 }
