--- a/standin/capacity/usage.go
+++ b/standin/capacity/usage.go
@@ -38,7 +38,7 @@
 
 	for name, value := range all {
 		for suffix, counter := range map[string]*float64{
-			"_control_bytes_in": &u.in, "_control_bytes_out": &u.out, "_control_frames": &u.frames,
+			"_control_received_bytes_total": &u.in, "_control_sent_bytes_total": &u.out, "_control_frames_total": &u.frames,
 		} {
 			// Entries and sidecars have different prefixes.
 			if strings.HasSuffix(name, suffix) {
