Make a refusal as not run final for its ticket

Cause: standin/scenario.TestNoTaskStartsTwice found 8 submissions that were refused with deadline_unreachable, ran none, and had tasks started by a later resubmission of the same ticket. A copy of a submission that another entry delays could do the same after its caller was told that nothing ran (I4).

A caller takes a new ticket to try again; a key chosen by a caller stays refused with the ticket it is bound to. Ruled out: keeping a whole record, which in a flood of refusals fills the table; accepting the resubmission, since the home cannot tell a new try from a delayed copy.

Checked: TestNoTaskStartsTwice and TestLostAndDelayedMessages pass in one run each; the new test fails on a scratch copy without the check; go test -race of entry/home and entry/sidecar, linter. entry/peer TestLateReply failed once in a run of all packages on a busy machine and passed twice alone.

--- a/entry/home/bench_test.go
+++ b/entry/home/bench_test.go
@@ -79,7 +79,7 @@
 	b.table.Use(b.fleet, b, zerolog.Nop())
 
 	for _, n := range names {
-		b.connect(n, 1)
+		b.connect(n)
 	}
 
 	b.table.Follow(tb.Context(), b.book)
@@ -95,8 +95,8 @@
 	}.Build()
 }
 
-func (b *bench) connect(name string, incarnation uint64) {
-	w := b.fleet.Connect(descriptor(name, incarnation), time.Now())
+func (b *bench) connect(name string) {
+	w := b.fleet.Connect(descriptor(name, 1), time.Now())
 	b.workers[name] = w
 }
 
--- a/entry/home/expiry.go
+++ b/entry/home/expiry.go
@@ -73,6 +73,7 @@
 	}
 
 	t.memory.compact()
+	t.refusals.sweep(now)
 }
 
 // sweep returns the submissions that are due.
--- a/entry/home/failure_test.go
+++ b/entry/home/failure_test.go
@@ -186,7 +186,7 @@
 	time.Sleep(100 * time.Millisecond)
 	is.Equal(len(b.sent()), 1) // not placed elsewhere
 
-	b.connect(broken.Load().Name(), 1)
+	b.connect(broken.Load().Name())
 	is.Equal(await(is, h).status, 200)
 
 	sent := b.sent()
--- a/entry/home/keeping_test.go
+++ b/entry/home/keeping_test.go
@@ -294,7 +294,7 @@
 	is := is.New(t)
 	b := newBench(t, "a")
 	b.start = hang
-	b.connect("b", 1)
+	b.connect("b")
 
 	h, err := b.table.Submit(b.submission(40, options{position: 50}))
 	is.NoErr(err)
--- a/entry/home/submit_test.go
+++ b/entry/home/submit_test.go
@@ -102,6 +102,33 @@
 	is.Equal(fault.KindOf(err), fault.NoWorkers)
 }
 
+// Guards against a copy of a submission that arrives late and runs after the caller was told "not run" (I4).
+func TestRefusalIsFinalForTheTicket(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "a")
+	b.fleet.Disconnect(b.workers["a"])
+
+	s := b.submission(3, options{})
+	_, err := b.table.Submit(s)
+	is.Equal(fault.KindOf(err), fault.NoWorkers)
+	is.Equal(fault.RanOf(err), fault.RanNone)
+
+	b.connect("a")
+	eventually(is, func() bool {
+		_, err := b.table.Submit(b.submission(1, options{}))
+
+		return err == nil
+	})
+
+	_, err = b.table.Submit(s)
+	is.Equal(fault.KindOf(err), fault.NoWorkers)
+	is.Equal(fault.RanOf(err), fault.RanNone)
+
+	for _, x := range b.sent() {
+		is.True(x.GetId().GetSubmission() != s.ID())
+	}
+}
+
 // Guards against starts on a worker that the closing entry would not ask, since it registered after the ticket (I4).
 func TestOnlyWorkersBelowThePositionAreUsed(t *testing.T) {
 	is := is.New(t)
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/placement"
 	"github.com/skylarkweir/skylarkweir/weir/process/retrybudget"
 	"github.com/skylarkweir/skylarkweir/weir/process/waitqueue"
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/request/submission"
 )
 
@@ -56,7 +57,9 @@
 	expiry expiry
 	closer closer
 	budget retrybudget.Budget
-	runs   estimate.RunTimes
+	// refusals is consulted under the lock of the shard, like the submissions held.
+	refusals refusals
+	runs     estimate.RunTimes
 
 	metricsOnce sync.Once
 	registry    metrics.Registry
@@ -149,6 +152,10 @@
 		return h, h.matches(s)
 	}
 
+	if k, refused := t.refusals.find(s.Ticket()); refused {
+		return nil, fault.WithRan(fault.New(k, "the ticket was refused before, take a new one"), fault.RanNone)
+	}
+
 	// Counted before the check for leaving, so that Drain does not miss a submission that is being admitted.
 	t.inflight.Add(1)
 
@@ -156,7 +163,7 @@
 	if err != nil {
 		t.less()
 
-		return nil, err
+		return nil, t.remember(s.Ticket(), err)
 	}
 
 	d.put(h)
