--- a/entry/home/expiry.go
+++ b/entry/home/expiry.go
@@ -73,7 +73,6 @@
 	}
 
 	t.memory.compact()
-	t.refusals.sweep(now)
 }
 
 // sweep returns the submissions that are due.
--- a/sidecar/process/process.go
+++ b/sidecar/process/process.go
@@ -35,7 +35,10 @@
 			func() *entry.Identity { return entry.NewIdentity(s.Worker()) },
 			func() *backend.Client { return backend.NewClient(s.Backend(), s.Slots(), s.MaxOutput()) },
 			func(c *backend.Client, st *ejection.Statistics, r metrics.Registry) *tasks.Table {
-				return tasks.NewTable(tasks.NewLimits(s.TableStarts(), s.OutcomeMemory()), c, st, r, log)
+				t := tasks.NewTable(tasks.NewLimits(s.TableStarts(), s.OutcomeMemory()), c, st, r, log)
+				t.Sample(s.LogSample())
+
+				return t
 			},
 			func(t *tasks.Table, b *ledger.Book, i *entry.Identity) *tasks.Follower {
 				return tasks.NewFollower(t, b, i, share.NewCapacity(s.Slots(), s.MemoryMB(), s.QueueTasks(), s.AllowanceDelay()))
@@ -70,6 +73,7 @@
 	Settings   Settings
 	Log        zerolog.Logger
 	Node       *quic.Node
+	Book       *ledger.Book
 	Client     *backend.Client
 	Watch      *backend.Watch
 	Table      *tasks.Table
@@ -151,20 +155,3 @@
 
 	return err
 }
-
-func (p *Process) gauges() {
-	for name, value := range map[string]func() int64{
-		"control.bytes_in":  func() int64 { in, _ := p.parts.Node.Traffic().Control(); return in },
-		"control.bytes_out": func() int64 { _, out := p.parts.Node.Traffic().Control(); return out },
-		"control.frames":    func() int64 { return p.parts.Node.Traffic().ControlFrames() },
-		"work.bytes_in":     func() int64 { in, _ := p.parts.Node.Traffic().Work(); return in },
-		"work.bytes_out":    func() int64 { _, out := p.parts.Node.Traffic().Work(); return out },
-		"slots.held":        func() int64 { return int64(p.parts.Table.Load().GetHeldSlots()) },
-		"slots.queued":      func() int64 { return int64(p.parts.Table.Load().GetQueuedSlots()) },
-		"table.starts":      func() int64 { n, _, _ := p.parts.Table.Held(); return int64(n) },
-		"table.tombstones":  func() int64 { _, n, _ := p.parts.Table.Held(); return int64(n) },
-		"table.bytes":       func() int64 { _, _, n := p.parts.Table.Held(); return n },
-	} {
-		_ = p.parts.Registry.Register(name, metrics.NewFunctionalGauge(value))
-	}
-}
