Read metrics by their new names in the scenarios

TestLeavingWorkerGetsNoNewWork read a name that no process exposes any more, so it saw no rejected starts of a lapsed lease and failed.

--- a/standin/scenario/home_test.go
+++ b/standin/scenario/home_test.go
@@ -154,7 +154,7 @@
 		}
 	}
 
-	repeated := s.Metrics(ctx)["skylarkweir_sidecar_tasks_repeated_total"]
+	repeated := s.Metrics(ctx)["weir_sidecar_tasks_repeated_total"]
 	t.Logf("%v starts were repeated", repeated)
 
 	for _, j := range all {
--- a/standin/scenario/metrics.go
+++ b/standin/scenario/metrics.go
@@ -12,7 +12,7 @@
 	"github.com/skylarkweir/skylarkweir/standin/cluster"
 )
 
-// Metrics adds up the metrics of all entries and sidecars by name, without labels, or of the named ones only. Processes
+// Metrics adds up the metrics of all entries and sidecars by name with labels, or of the named ones only. Processes
 // that have ended are left out.
 func (s *System) Metrics(ctx context.Context, names ...string) map[string]float64 {
 	s.tb.Helper()
@@ -53,14 +53,16 @@
 
 	lines := bufio.NewScanner(a.Body)
 	for lines.Scan() {
-		name, value, found := strings.Cut(lines.Text(), " ")
-		if !found || strings.HasPrefix(name, "#") {
+		line := lines.Text()
+
+		// The name may have spaces in its labels.
+		i := strings.LastIndexByte(line, ' ')
+		if i < 0 || strings.HasPrefix(line, "#") {
 			continue
 		}
 
-		base, _, _ := strings.Cut(name, "{")
-		if v, err := strconv.ParseFloat(value, 64); err == nil {
-			sum[base] += v
+		if v, err := strconv.ParseFloat(line[i+1:], 64); err == nil {
+			sum[line[:i]] += v
 		}
 	}
 
--- a/standin/scenario/worker_test.go
+++ b/standin/scenario/worker_test.go
@@ -126,7 +126,7 @@
 	t.Logf("long: complete %d of %d, refused %v", longReport.All().Complete(), longReport.All().Submitted(), longReport.All().Refused())
 
 	// The connections outlive the stop, so that no start is repeated on a new one.
-	lapsed := s.Metrics(ctx, workers[1].Name())["skylarkweir_sidecar_tasks_rejected_lease_lapsed_total"]
+	lapsed := s.Metrics(ctx, workers[1].Name())[`weir_sidecar_tasks_rejected_total{reason="lease_lapsed"}`]
 	late := lateStarts(t, s, workers[1], end.Add(-leavingLimit), end)
 	t.Logf("silent: %v starts of a lapsed lease rejected, %d late starts", lapsed, late)
 	is.True(lapsed+float64(late) > 0) // the check would show nothing otherwise
