--- a/standin/scenario/metrics.go
+++ b/standin/scenario/metrics.go
@@ -12,7 +12,8 @@
 	"github.com/skylarkweir/skylarkweir/standin/cluster"
 )
 
-// Metrics adds up the metrics of all entries and sidecars by name with labels, or of the named ones only. Processes
+// Metrics adds up the metrics of all entries and sidecars, by name with labels and by name alone, or of the named
+// processes only. Processes
 // that have ended are left out.
 func (s *System) Metrics(ctx context.Context, names ...string) map[string]float64 {
 	s.tb.Helper()
@@ -53,16 +54,18 @@
 
 	lines := bufio.NewScanner(a.Body)
 	for lines.Scan() {
-		line := lines.Text()
-
-		// The name may have spaces in its labels.
-		i := strings.LastIndexByte(line, ' ')
-		if i < 0 || strings.HasPrefix(line, "#") {
+		name, value, found := strings.Cut(lines.Text(), " ")
+		if !found || strings.HasPrefix(name, "#") {
 			continue
 		}
 
-		if v, err := strconv.ParseFloat(line[i+1:], 64); err == nil {
-			sum[line[:i]] += v
+		base, _, _ := strings.Cut(name, "{")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			sum[base] += v
+
+			if name != base {
+				sum[name] += v
+			}
 		}
 	}
 
