--- a/standin/scenario/loss_test.go
+++ b/standin/scenario/loss_test.go
@@ -183,7 +183,7 @@
 		before = 8
 		after  = 4
 		flood  = `"rate": 40, "duration": "20s", "seed": 22, "attempts": 1, "mix": [
-			{"kind": "quote", "form": "repeatable", "run": "uniform 200ms 300ms", "deadline": "2s"}]`
+			{"kind": "quote", "form": "repeatable", "run": "uniform 100ms 500ms", "deadline": "2s"}]`
 		calm = `"rate": 8, "duration": "18s", "seed": 23, "attempts": 4, "patience": "500ms", "mix": [
 			{"kind": "fit", "run": "uniform 50ms 200ms", "deadline": "4s"}]`
 	)
