--- /dev/null
+++ b/entry/caller/identity.go
@@ -0,0 +1,78 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
+)
+
+func (s *Server) authenticate(r *http.Request) (string, error) {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return "", fault.New(fault.Unauthenticated, "the header Authorization holds no bearer token")
+	}
+
+	state := s.book.State()
+	if !state.Ready() {
+		return "", fault.New(fault.NoAgreement, "no agreement has been read yet")
+	}
+
+	m, found := state.Agreement().MemberByToken(token)
+	if !found {
+		return "", fault.New(fault.Unauthenticated, "the token belongs to no member")
+	}
+
+	return m.Name(), nil
+}
+
+// identify returns the identity of a submission: a ticket of the caller, one bound to its key, or a new one. The id
+// is empty if the caller must not learn it.
+func (s *Server) identify(r *http.Request, member string) (string, ticket.Ticket, error) {
+	key := r.Header.Get(keyHeader)
+	if key == "" {
+		id, t := s.mint.Issue(member)
+
+		return id, t, nil
+	}
+
+	if len(key) != uuidLength {
+		t, err := s.mint.Verify(key, member)
+
+		return key, t, onKey(err)
+	}
+
+	u, err := uuid.Parse(key)
+	if err != nil {
+		return "", ticket.Ticket{}, onKey(fault.Wrap(fault.InvalidRequest, err, "%s %q is no UUID", keyHeader, key))
+	}
+
+	id, err := s.binder.Bind(r.Context(), member, u)
+	if err != nil {
+		return "", ticket.Ticket{}, onKey(err)
+	}
+
+	t, err := s.mint.Verify(id, member)
+
+	return id, t, err
+}
+
+// onKey names the header as the field at fault where the request is at fault.
+func onKey(err error) error {
+	if err == nil || fault.KindOf(err) != fault.InvalidRequest {
+		return err
+	}
+
+	return fault.WithField(err, keyHeader)
+}
+
+func (s *Server) known(r *http.Request, member string) (string, ticket.Ticket, error) {
+	id := mux.Vars(r)["id"]
+	t, err := s.mint.Verify(id, member)
+
+	return id, t, err
+}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +17,6 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
-	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
@@ -29,10 +27,6 @@
 	bodyWait = 30 * time.Second
 	// warmWait is how long the first requests wait for a new entry to become ready.
 	warmWait = 2 * time.Second
-	// eventInterval is how often the progress of a submission is compared with the last event.
-	eventInterval = 100 * time.Millisecond
-	// remoteEventInterval is longer, since each comparison is a message to the home.
-	remoteEventInterval = 500 * time.Millisecond
 	keyHeader           = "Idempotency-Key"
 	uuidLength          = 36
 )
@@ -145,25 +139,6 @@
 	}
 }
 
-func (s *Server) authenticate(r *http.Request) (string, error) {
-	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") || token == "" {
-		return "", fault.New(fault.Unauthenticated, "the header Authorization holds no bearer token")
-	}
-
-	state := s.book.State()
-	if !state.Ready() {
-		return "", fault.New(fault.NoAgreement, "no agreement has been read yet")
-	}
-
-	m, found := state.Agreement().MemberByToken(token)
-	if !found {
-		return "", fault.New(fault.Unauthenticated, "the token belongs to no member")
-	}
-
-	return m.Name(), nil
-}
-
 func (s *Server) write(w http.ResponseWriter, name string, reply Reply) {
 	code := "ok"
 
@@ -276,53 +251,6 @@
 	}
 }
 
-// identify returns the identity of a submission: a ticket of the caller, one bound to its key, or a new one. The id
-// is empty if the caller must not learn it.
-func (s *Server) identify(r *http.Request, member string) (string, ticket.Ticket, error) {
-	key := r.Header.Get(keyHeader)
-	if key == "" {
-		id, t := s.mint.Issue(member)
-
-		return id, t, nil
-	}
-
-	if len(key) != uuidLength {
-		t, err := s.mint.Verify(key, member)
-
-		return key, t, onKey(err)
-	}
-
-	u, err := uuid.Parse(key)
-	if err != nil {
-		return "", ticket.Ticket{}, onKey(fault.Wrap(fault.InvalidRequest, err, "%s %q is no UUID", keyHeader, key))
-	}
-
-	id, err := s.binder.Bind(r.Context(), member, u)
-	if err != nil {
-		return "", ticket.Ticket{}, onKey(err)
-	}
-
-	t, err := s.mint.Verify(id, member)
-
-	return id, t, err
-}
-
-// onKey names the header as the field at fault where the request is at fault.
-func onKey(err error) error {
-	if err == nil || fault.KindOf(err) != fault.InvalidRequest {
-		return err
-	}
-
-	return fault.WithField(err, keyHeader)
-}
-
-func (s *Server) known(r *http.Request, member string) (string, ticket.Ticket, error) {
-	id := mux.Vars(r)["id"]
-	t, err := s.mint.Verify(id, member)
-
-	return id, t, err
-}
-
 func (s *Server) state(_ http.ResponseWriter, r *http.Request, member string) Reply {
 	id, t, err := s.known(r, member)
 	if err != nil {
@@ -340,93 +268,3 @@
 
 	return s.router.Cancel(r.Context(), id, t)
 }
-
-type event struct {
-	progress
-	Status int             `json:"status,omitempty"`
-	Error  json.RawMessage `json:"error,omitempty"`
-}
-
-// events writes a line for each change of the progress, until the submission ends or the caller has gone.
-func (s *Server) events(w http.ResponseWriter, r *http.Request, member string) Reply {
-	id, t, err := s.known(r, member)
-	if err != nil {
-		return Refuse(err, id)
-	}
-
-	interval := remoteEventInterval
-	if s.local.Holds(id, t) {
-		interval = eventInterval
-	}
-
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-
-	var last event
-
-	for first := true; ; first = false {
-		reply := s.router.State(r.Context(), id, t)
-		if first && unanswered(reply) {
-			return reply
-		}
-
-		// An event tells that there is an answer; it does not deliver it.
-		reply.Written(false)
-
-		if first {
-			w.Header().Set("Content-Type", "application/x-ndjson")
-		}
-
-		e := eventOf(id, reply, last)
-		if first || e.progress != last.progress {
-			if json.NewEncoder(w).Encode(e) != nil || http.NewResponseController(w).Flush() != nil {
-				return Reply{}
-			}
-		}
-
-		if e.State != stateRunning {
-			return Reply{}
-		}
-
-		last = e
-
-		select {
-		case <-tick.C:
-		case <-r.Context().Done():
-			return Reply{}
-		}
-	}
-}
-
-// unanswered tells apart a question that could not be answered from a submission that has failed.
-func unanswered(r Reply) bool { return r.refused || r.Status() == fault.UnknownSubmission.Status() }
-
-func eventOf(id string, reply Reply, last event) event {
-	e := event{progress: progress{id, stateOf(reply.Status()), last.Ended, last.Total}}
-	if unanswered(reply) {
-		e.State = stateUnknown
-	}
-
-	if reply.Status() == http.StatusAccepted {
-		_ = json.Unmarshal(reply.Body(), &e.progress)
-
-		return e
-	}
-
-	e.Status = reply.Status()
-
-	if reply.Status() != http.StatusOK {
-		var failed struct {
-			Error json.RawMessage `json:"error"`
-		}
-
-		_ = json.Unmarshal(reply.Body(), &failed)
-		e.Error = failed.Error
-
-		return e
-	}
-
-	e.Ended = e.Total
-
-	return e
-}
--- a/weir/process/waitqueue/queue.go
+++ b/weir/process/waitqueue/queue.go
@@ -25,17 +25,6 @@
 	pass uint64
 }
 
-// kind holds the flows of one kind of work.
-type kind[T any] struct {
-	name string
-	// share is in percent, and at least 1.
-	share  int
-	urgent bool
-	tasks  int
-	held   int
-	flows  []*Flow[T]
-}
-
 // member counts over all kinds.
 type member struct {
 	tasks, held int
@@ -47,50 +36,6 @@
 // queues of the sidecars for other members; the quarter keeps those queues from running dry.
 func (m *member) full() bool { return m.held >= m.limit+max(m.limit/4, 1) }
 
-// Flow holds the waiting tasks of one member and kind, first come first.
-type Flow[T any] struct {
-	kind        *kind[T]
-	member      *member
-	held        int
-	tasks       int
-	drain       drain
-	first, last *Item[T]
-	// skipped is the last pass in which the head of this flow found no place.
-	skipped uint64
-	// blocked is true if no worker had room for the head; only news of a worker or another head can change that.
-	blocked bool
-	// moves counts the items moved back in the pass moving.
-	moves  int
-	moving uint64
-}
-
-// Item is a waiting task.
-type Item[T any] struct {
-	value      T
-	slots      int
-	flow       *Flow[T]
-	prev, next *Item[T]
-	waiting    bool
-	since      time.Time
-	// moved is the last pass in which the item was moved back.
-	moved uint64
-}
-
-// Value returns the task.
-func (i *Item[T]) Value() T { return i.value }
-
-// Waiting tells whether the item is in the queue.
-func (i *Item[T]) Waiting() bool { return i.waiting }
-
-// Since returns when the item was first pushed.
-func (i *Item[T]) Since() time.Time { return i.since }
-
-// Slots returns the size of the task.
-func (i *Item[T]) Slots() int { return i.slots }
-
-// Blocked tells whether no worker had room when the head of the item's flow was last tried.
-func (i *Item[T]) Blocked() bool { return i.flow.blocked }
-
 // SetBound sets the number of tasks that may wait.
 func (q *Queue[T]) SetBound(tasks int) { q.bound = tasks }
 
@@ -327,34 +272,6 @@
 	return class, float64(k.held) / float64(k.share)
 }
 
-// next returns the flow of the member that holds the least in proportion to its limit.
-func (k *kind[T]) next(pass uint64) *Flow[T] {
-	var best *Flow[T]
-
-	for _, f := range k.flows {
-		if f.first == nil || f.skipped == pass || f.member.full() {
-			continue
-		}
-
-		if best == nil || f.held*best.member.limit < best.held*f.member.limit {
-			best = f
-		}
-	}
-
-	return best
-}
-
-// find returns the flow of the member, or nil.
-func (k *kind[T]) find(m *member) *Flow[T] {
-	for _, f := range k.flows {
-		if f.member == m {
-			return f
-		}
-	}
-
-	return nil
-}
-
 func (q *Queue[T]) kind(name string) *kind[T] {
 	if k, found := q.kinds[name]; found {
 		return k
@@ -385,70 +302,3 @@
 
 	return m
 }
-
-func (q *Queue[T]) flow(owner, name string, limit int) *Flow[T] {
-	k, m := q.kind(name), q.member(owner)
-	m.limit = max(limit, 1)
-
-	if f := k.find(m); f != nil {
-		return f
-	}
-
-	f := &Flow[T]{kind: k, member: m}
-	k.flows = append(k.flows, f)
-
-	return f
-}
-
-// insert links the item behind another one, or at the head if that is nil.
-func (q *Queue[T]) insert(i, behind *Item[T]) {
-	f := i.flow
-	i.prev, i.next = behind, f.first
-
-	if behind != nil {
-		i.next = behind.next
-		behind.next = i
-	} else {
-		f.first = i
-	}
-
-	if i.next != nil {
-		i.next.prev = i
-	} else {
-		f.last = i
-	}
-
-	if f.first == i {
-		f.blocked = false
-	}
-
-	i.waiting = true
-	q.count(f, 1)
-}
-
-func (q *Queue[T]) unlink(i *Item[T]) {
-	f := i.flow
-
-	if i.prev != nil {
-		i.prev.next = i.next
-	} else {
-		f.first = i.next
-		f.blocked = false
-	}
-
-	if i.next != nil {
-		i.next.prev = i.prev
-	} else {
-		f.last = i.prev
-	}
-
-	i.prev, i.next, i.waiting = nil, nil, false
-	q.count(f, -1)
-}
-
-func (q *Queue[T]) count(f *Flow[T], n int) {
-	f.tasks += n
-	f.kind.tasks += n
-	f.member.tasks += n
-	q.tasks += n
-}
