--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -26,9 +26,9 @@
 	// bodyWait bounds how long a caller may take to send its body.
 	bodyWait = 30 * time.Second
 	// warmWait is how long the first requests wait for a new entry to become ready.
-	warmWait = 2 * time.Second
-	keyHeader           = "Idempotency-Key"
-	uuidLength          = 36
+	warmWait   = 2 * time.Second
+	keyHeader  = "Idempotency-Key"
+	uuidLength = 36
 )
 
 // Binder binds keys chosen by callers to tickets.
