Compare the split of limits over workers with one over entries

Cause: the design chose the split over workers by argument; the simple alternative, a split over the entries, had no figure.

The split over workers stays; the other exists in the benchmark only.

--- a/standin/benchmark/benchmark.go
+++ b/standin/benchmark/benchmark.go
@@ -81,8 +81,8 @@
 // Limit bounds one run.
 const Limit = 4 * time.Minute
 
-// share is the part of the fleet that a kind of the flood benchmark is entitled to.
-func share(kind string) float64 {
+// agreedShare is the part of the fleet that a kind of the flood benchmark is entitled to.
+func agreedShare(kind string) float64 {
 	return map[string]float64{"stock": 0.5, "quote": 0.3, "batch": 0.2}[kind]
 }
 
@@ -90,7 +90,7 @@
 func Kinds() []string { return []string{"stock", "quote", "batch"} }
 
 // Below returns a load of a kind that uses nine tenths of its share.
-func Below(kind string) string { return kindLoad(kind, 0.9*share(kind), 31) }
+func Below(kind string) string { return kindLoad(kind, 0.9*agreedShare(kind), 31) }
 
 // Flood returns a load of a kind of three times the fleet's capacity.
 func Flood(kind string) string { return kindLoad(kind, 3, 32) }
--- /dev/null
+++ b/standin/benchmark/limits_test.go
@@ -0,0 +1,29 @@
+package benchmark_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/skylarkweir/skylarkweir/standin/benchmark"
+)
+
+// BenchmarkLimits compares the split of a member's limit over workers with one over entries, for a member that always
+// has more to do. It reports the part of the limit that is used on average, and the largest part held at once.
+func BenchmarkLimits(b *testing.B) {
+	const seed = 20261204
+
+	for _, serving := range []int{4, 1} {
+		for _, way := range []string{benchmark.ByWorkers, benchmark.ByEntries} {
+			b.Run(fmt.Sprintf("split=%s/serving=%d", way, serving), func(b *testing.B) {
+				b.Log("seed", seed)
+
+				for range b.N {
+					used, peak := benchmark.Limits(way, serving, rand.New(rand.NewPCG(seed, 1)))
+					b.ReportMetric(used, "used")
+					b.ReportMetric(peak, "peak")
+				}
+			})
+		}
+	}
+}
