End the measured backlog of a flow when it empties

Change: an empty flow has no backlog; only a new task begins one.

TestReturnedTaskIsNoOldBacklog fails without the change and passes with it.

--- a/weir/process/waitqueue/drain.go
+++ b/weir/process/waitqueue/drain.go
@@ -11,17 +11,29 @@
 
 // drain measures how fast a backlogged flow is taken. It keeps the present and the previous window.
 type drain struct {
-	// began is the start of the present window, and not before the start of the backlog.
+	// began is the start of the present window, and not before the start of the backlog; zero without a backlog.
 	began time.Time
 	count int
 	// previous is the rate of the last full window of this backlog; zero means none.
 	previous float64
 }
 
-// begin starts a new backlog.
-func (d *drain) begin(now time.Time) { *d = drain{began: now} }
+// begin starts a backlog unless there is one.
+func (d *drain) begin(now time.Time) {
+	if d.began.IsZero() {
+		*d = drain{began: now}
+	}
+}
+
+// end ends the backlog. Without it a task that is put back later, after a rejected start, would be measured against the
+// time of an earlier backlog, and new work be refused for a wait that nobody has.
+func (d *drain) end() { *d = drain{} }
 
 func (d *drain) taken(now time.Time) {
+	if d.began.IsZero() {
+		return
+	}
+
 	d.roll(now)
 	d.count++
 }
@@ -41,6 +53,10 @@
 
 // rate returns tasks taken per second, and false if the backlog is too young to tell.
 func (d *drain) rate(now time.Time) (perSecond float64, known bool) {
+	if d.began.IsZero() {
+		return 0, false
+	}
+
 	elapsed := now.Sub(d.began)
 
 	if d.previous == 0 {
--- a/weir/process/waitqueue/flow.go
+++ b/weir/process/waitqueue/flow.go
@@ -79,6 +79,11 @@
 
 func (q *Queue[T]) count(f *Flow[T], n int) {
 	f.tasks += n
+
+	if f.tasks == 0 {
+		f.drain.end()
+	}
+
 	f.kind.tasks += n
 	f.member.tasks += n
 	q.tasks += n
--- a/weir/process/waitqueue/queue.go
+++ b/weir/process/waitqueue/queue.go
@@ -107,9 +107,7 @@
 	i := &Item[T]{value: value, slots: slots, flow: f, since: now}
 	q.insert(i, f.last)
 
-	if f.tasks == 1 {
-		f.drain.begin(now)
-	}
+	f.drain.begin(now)
 
 	// The new item may be smaller or have more candidates than the head, which then is moved back.
 	f.blocked = false
--- a/weir/process/waitqueue/queue_test.go
+++ b/weir/process/waitqueue/queue_test.go
@@ -274,6 +274,27 @@
 	is.True(!known)
 }
 
+// Guards against a refusal for a wait that nobody has: a task put back after a rejected start does not continue an
+// earlier backlog.
+func TestReturnedTaskIsNoOldBacklog(t *testing.T) {
+	is := is.New(t)
+
+	var q queue
+
+	q.Push("m", "scan", 1, 1, 0, start)
+	i := take(&q)
+
+	q.Return(i)
+
+	_, known := q.Wait("m", "scan", 1, start.Add(5*time.Second))
+	is.True(!known)
+
+	q.Push("m", "scan", 1, 1, 0, start.Add(5*time.Second))
+
+	_, known = q.Wait("m", "scan", 1, start.Add(5*time.Second+100*time.Millisecond))
+	is.True(!known)
+}
+
 // Guards against a drain rate that counts rejected starts: in an overload most starts are rejected and taken again, and
 // no submission would be refused early.
 func TestRejectedStartsAreNoDrain(t *testing.T) {
