Keep sessions of repeatable jobs with a bounded set of entries

Cause: every sidecar had a session with every entry and a keep-alive both ways each 150 ms, also without work.

Change: package sessionset chooses the entries of a sidecar by weighted rendezvous hashing and sizes the set from an estimate of the number of sidecars that needs no list. Sessions without work have keep-alives each 750 ms and end after 2.5 s; with work the times that bound two runs of one task are unchanged. One timer a process replaces three goroutines a session; queued frames go in one write. A restarted process answers packets for its predecessor with a stateless reset.

Also fixed, each with a test: an entry that left or moved stayed in the list of a sidecar; a sidecar that was restarted during the drain of its backend server, or after it had left, used it again; an announcement that was delayed until after the departure brought the backend server back; surplus reservations of a launched job were kept until their time limit; the UDP socket stayed open and the node half set up if the QUIC listener could not be opened.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -141,6 +141,8 @@
 	d := a.dispatcher
 	a.lastLaunch = uptime.Now()
 
+	var surplus []*sidecar
+
 	for _, number := range a.grantOrder() {
 		s := d.sidecars[number]
 		if s == nil {
@@ -163,11 +165,19 @@
 				ExpectedMs: uint32(a.expectedRun.Milliseconds()), Priority: uint32(a.job.Policy().Priority()),
 			}.Build()}.Build())
 		}
+
+		if len(indices) < a.granted[number] && a.requested[number] == 0 {
+			surplus = append(surplus, s)
+		}
 	}
 
 	clear(a.granted)
 
 	if a.unplaced() == 0 {
+		for _, s := range surplus {
+			s.releaseJob(a.number)
+		}
+
 		a.releaseReservations()
 		a.retryTimer.Stop()
 	}
@@ -377,23 +387,26 @@
 	a.retryTimer.Reset(retryInterval)
 }
 
-// handleSidecarLoss marks the tasks at a lost sidecar. They are placed again once they can no longer run there.
-func (a *activeJob) handleSidecarLoss(s *sidecar) {
+// handleSidecarLoss marks the tasks at a lost sidecar and returns their number. They are placed again once they can no
+// longer run there.
+func (a *activeJob) handleSidecarLoss(s *sidecar) int {
 	delete(a.requested, s.number)
 	delete(a.granted, s.number)
 
-	lost := false
+	lost := 0
 
 	for i := range a.placements {
 		if a.placements[i].sidecar == s.number {
 			a.placements[i].sidecarLost = true
-			lost = true
+			lost++
 		}
 	}
 
-	if lost {
+	if lost > 0 {
 		time.AfterFunc(lostTaskRunLimit, func() { a.freeLostTasks(s.number) })
 	}
+
+	return lost
 }
 
 // freeLostTasks places the tasks that were at a lost sidecar again.
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -31,8 +31,8 @@
 	// pauseThreshold is the delay of a clock check above which this process counts as paused: its callers may have
 	// resubmitted their jobs to another entry.
 	pauseThreshold = 400 * time.Millisecond
-	// pauseCheckInterval is the time between clock checks.
-	pauseCheckInterval = 100 * time.Millisecond
+	// tickInterval is the time between clock checks, and between checks of the sessions.
+	tickInterval = 100 * time.Millisecond
 	// drainPollInterval is how often Drain checks whether all jobs have ended.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -56,7 +56,9 @@
 	runTimes                         runTimeEstimator
 	releaseRate                      admission.ReleaseRateEstimator
 	routeFetcher                     routeFetcher
-	shuttingDown                     bool
+	// sidecarEstimate is the estimated number of sidecars in the deployment, as of the last tick.
+	sidecarEstimate int
+	shuttingDown    bool
 }
 
 // NewDispatcher returns a dispatcher to which no sidecar is connected.
@@ -344,9 +346,9 @@
 	return nil
 }
 
-// Run detects pauses of this process until the context ends.
+// Run detects pauses of this process and keeps the sessions with sidecars alive until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
-	t := time.NewTicker(pauseCheckInterval)
+	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 
 	last := uptime.Now()
@@ -355,11 +357,13 @@
 		select {
 		case <-t.C:
 			now := uptime.Now()
-			if now-last > pauseCheckInterval+pauseThreshold {
+			if now-last > tickInterval+pauseThreshold {
 				d.handlePause(now - last)
 			}
 
 			last = now
+
+			d.keepSessions(now)
 		case <-ctx.Done():
 			return
 		}
--- a/entry/repeatable/fixture_test.go
+++ b/entry/repeatable/fixture_test.go
@@ -14,6 +14,7 @@
 	sidecar "github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
 )
@@ -135,12 +136,13 @@
 	is.New(f.t).NoErr(s.node.Listen("127.0.0.1:0", f.keys))
 	f.t.Cleanup(func() { cancel(); _ = s.node.Close() })
 
-	links := sidecar.NewLinks(s.node, s.worker, rand.Uint64(), zerolog.Nop())
+	links := sidecar.NewLinks(s.node, s.worker, sessionset.NewSidecar(name, "domain"), rand.Uint64(), zerolog.Nop())
 	for _, e := range f.entries {
-		links.Add(ctx, e.node.Address().String())
+		links.Add(sessionset.NewEntry(e.node.Address().String(), "domain"))
 	}
 
 	go s.worker.Run(ctx)
+	go links.Run(ctx)
 
 	s.announce(false)
 
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -27,7 +27,8 @@
 	// was requested since that report and is not reserved yet.
 	report              *wire.Room
 	requestedMillicores int64
-	lastReport          time.Duration
+	// sentRoutesVersion is the version of the routes that was sent last with a keep-alive.
+	sentRoutesVersion uint64
 }
 
 func (s *sidecar) send(f *wire.Frame) { s.Send(f) }
@@ -35,7 +36,7 @@
 // canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service
 // and has the required label.
 func (s *sidecar) canRun(j job.Job, now time.Duration) bool {
-	if !s.report.GetOpen() || s.report.GetService() != j.Policy().Service() || !s.AliveAt(now) {
+	if !s.report.GetOpen() || s.report.GetService() != j.Policy().Service() || !s.Responsive(now) {
 		return false
 	}
 
@@ -89,6 +90,7 @@
 	// The entry releases reservations that it no longer needs. The maximum wait covers the case in which it cannot.
 	maxWait := a.job.Timeout() - (now - a.arrived)
 
+	s.SetActive(true, now)
 	s.send(wire.Frame_builder{Reserve: wire.Reserve_builder{
 		Job: a.number, Tasks: uint32(tasks), Cpu: a.job.Size().Millicores(), Memory: a.job.Size().MemoryMB(),
 		Priority: uint32(a.job.Policy().Priority()), WaitedMs: uint32(max(0, (now - a.arrived).Milliseconds())),
@@ -132,11 +134,14 @@
 func (d *Dispatcher) ServeAttached(
 	ctx context.Context, self string, incarnation uint64, t *session.Session, a *wire.Attach,
 ) {
-	s := d.attach(a, t)
-	s.send(wire.Frame_builder{Attached: wire.Attached_builder{Entry: self, Incarnation: incarnation}.Build()}.Build())
+	if a.GetIdleKeepAlives() {
+		t.AllowIdleKeepAlives()
+	}
 
-	k := &keepAliveSender{d, s}
-	go k.run(ctx)
+	s := d.attach(a, t)
+	s.send(wire.Frame_builder{Attached: wire.Attached_builder{
+		Entry: self, Incarnation: incarnation, IdleKeepAlives: a.GetIdleKeepAlives(),
+	}.Build()}.Build())
 
 	s.Run(ctx, func(f *wire.Frame) { d.handleFrame(s, f) })
 	d.detach(s)
@@ -148,6 +153,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
+	for _, s := range d.sidecars {
+		if s.name == a.GetSidecar() && s.incarnation != a.GetIncarnation() {
+			// Nothing else may tell for a while that the earlier process has ended.
+			s.End("the sidecar was restarted")
+		}
+	}
+
 	d.lastSidecarNumber++
 	s := &sidecar{
 		Session: t, number: d.lastSidecarNumber, name: a.GetSidecar(), incarnation: a.GetIncarnation(), report: &wire.Room{},
@@ -173,43 +185,14 @@
 
 	delete(d.sidecars, s.number)
 
-	d.log.Warn().Str("event", "sidecar_lost").Str("sidecar", s.name).Dur("silent", s.SinceContact()).
-		Int("sidecars", len(d.sidecars)).
-		Msg("session with a sidecar ended; its tasks are placed again once they can no longer run there")
-
+	lost := 0
 	for _, a := range d.activeJobs {
-		a.handleSidecarLoss(s)
+		lost += a.handleSidecarLoss(s)
 	}
-}
 
-// keepAliveSender keeps the session with a sidecar alive from this side, and sends the version of the routes in force.
-type keepAliveSender struct {
-	dispatcher *Dispatcher
-	sidecar    *sidecar
-}
-
-func (k *keepAliveSender) run(ctx context.Context) {
-	t := time.NewTicker(session.KeepAliveInterval)
-	defer t.Stop()
-
-	sentVersion := uint64(0)
-
-	for {
-		// Every other frame keeps the session alive too.
-		if v := k.dispatcher.routes.Version(); v != sentVersion || k.sidecar.SinceSent() >= session.KeepAliveInterval/2 {
-			k.sidecar.send(wire.Frame_builder{KeepAlive: wire.KeepAlive_builder{RoutesVersion: v}.Build()}.Build())
-
-			sentVersion = v
-		}
-
-		select {
-		case <-t.C:
-		case <-k.sidecar.Done():
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
+	d.log.Warn().Str("event", "sidecar_lost").Str("sidecar", s.name).Dur("silent", s.SinceContact()).
+		Int("sidecars", len(d.sidecars)).Int("tasks", lost).
+		Msg("session with a sidecar ended; its tasks are placed again once they can no longer run there")
 }
 
 func (d *Dispatcher) handleFrame(s *sidecar, f *wire.Frame) {
@@ -233,8 +216,9 @@
 			d.clearRequests(s)
 		}
 
-		s.report, s.requestedMillicores, s.lastReport = f.GetRoom(), 0, uptime.Now()
+		s.report, s.requestedMillicores = f.GetRoom(), 0
 		d.fetchNewerRoutes(s)
+		d.answerKeepAlive(s, uptime.Now())
 	case wire.Frame_Reserved_case:
 		m := f.GetReserved()
 		s.report.SetFreeCpu(m.GetFreeCpu())
--- a/sidecar/process/repeatable.go
+++ b/sidecar/process/repeatable.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/skylarkweir/skylarkweir/sidecar/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
@@ -18,8 +20,8 @@
 const (
 	// millicoresPerSlot is the size of a slot, which is one core, in the unit of job sizes.
 	millicoresPerSlot = 1000
-	// entryDialInterval is how often the sidecar connects to entries that were registered in the meantime.
-	entryDialInterval = time.Second
+	// entryListInterval is how often the sidecar looks for entries that were registered in the meantime.
+	entryListInterval = time.Second
 )
 
 // repeatableRunner runs repeatable jobs at a backend server under leases. It does nothing unless the settings enable
@@ -43,7 +45,8 @@
 
 	return &repeatableRunner{
 		settings: s, replica: replica, worker: w,
-		links:     repeatable.NewLinks(n, w, rand.Uint64(), log),
+		links: repeatable.NewLinks(
+			n, w, sessionset.NewSidecar(s.Worker().GetName(), s.FailureDomain()), rand.Uint64(), log),
 		announcer: leasedbackend.NewAnnouncer(c, w, s.Service(), s.FailureDomain(), capacity, log),
 	}
 }
@@ -59,12 +62,13 @@
 
 	group.Go(func() { r.worker.Run(ctx) })
 	group.Go(func() { r.announcer.Run(ctx) })
+	group.Go(func() { r.links.Run(ctx) })
 
-	t := time.NewTicker(entryDialInterval)
+	t := time.NewTicker(entryListInterval)
 	defer t.Stop()
 
 	for {
-		r.dialEntries(ctx)
+		r.addEntries()
 
 		select {
 		case <-t.C:
@@ -74,14 +78,18 @@
 	}
 }
 
-// dialEntries adds links to the entries of the settings and to the registered ones.
-func (r *repeatableRunner) dialEntries(ctx context.Context) {
-	for _, address := range r.settings.Entries() {
-		r.links.Add(ctx, address)
+// addEntries passes the entries of the settings, and the registered ones with their failure domains, to the links.
+func (r *repeatableRunner) addEntries() {
+	registered := r.replica.State().Entries()
+
+	for _, e := range registered {
+		r.links.Add(sessionset.NewEntry(e.Address(), e.FailureDomain()))
 	}
 
-	for _, e := range r.replica.State().Entries() {
-		r.links.Add(ctx, e.Address())
+	for _, address := range r.settings.Entries() {
+		if !slices.ContainsFunc(registered, func(e ledger.Entry) bool { return e.Address() == address }) {
+			r.links.Add(sessionset.NewEntry(address, ""))
+		}
 	}
 }
 
--- a/sidecar/repeatable/backend.go
+++ b/sidecar/repeatable/backend.go
@@ -198,6 +198,8 @@
 	capacity              job.Size
 	labels                []string
 	draining              bool
+	// departed is true in the last announcement that is saved of a backend server that has left.
+	departed bool
 }
 
 // Instance returns the id of the incarnation.
@@ -218,10 +220,30 @@
 // Labels returns the labels that tasks can require.
 func (a Announcement) Labels() []string { return a.labels }
 
+// Draining reports whether the backend server accepts no new tasks because it is about to leave.
+func (a Announcement) Draining() bool { return a.draining }
+
+// Departed reports whether the backend server has left, so that what was saved of it is out of date.
+func (a Announcement) Departed() bool { return a.departed }
+
+// precedesDepartureOf reports whether the announcement comes from the incarnation that has left with the announcement
+// gone, as one that was delayed on its way does.
+func (a Announcement) precedesDepartureOf(gone Announcement) bool {
+	if a.instance != gone.instance || a.startedAtMS != gone.startedAtMS {
+		return false
+	}
+
+	// Without the time of the start, a lower sequence number may be that of a new incarnation with the same id.
+	return a.startedAtMS != 0 || a.sequence >= gone.sequence
+}
+
 // NewAnnouncement returns an announcement of an incarnation of a backend server.
 func NewAnnouncement(
 	instance, service, failureDomain string, startedAtMS, sequence int64, capacity job.Size, labels []string,
 	draining bool,
 ) Announcement {
-	return Announcement{instance, service, failureDomain, startedAtMS, sequence, capacity, labels, draining}
+	return Announcement{
+		instance: instance, service: service, failureDomain: failureDomain, startedAtMS: startedAtMS, sequence: sequence,
+		capacity: capacity, labels: labels, draining: draining,
+	}
 }
--- /dev/null
+++ b/sidecar/repeatable/departure_test.go
@@ -0,0 +1,97 @@
+package repeatable_test
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
+	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// savedAnnouncements keeps what a worker saves, as the store does.
+type savedAnnouncements struct {
+	mu  sync.Mutex
+	all []repeatable.Announcement
+}
+
+func (s *savedAnnouncements) save(a repeatable.Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.all = append(s.all, a)
+}
+
+func (s *savedAnnouncements) last() repeatable.Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.all[len(s.all)-1]
+}
+
+// Guards against a restarted sidecar that uses a backend server which drains: the saved announcement has to say so.
+func TestDrainIsSaved(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+
+	var saved savedAnnouncements
+
+	fx.worker.SaveWith(saved.save)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	is.True(!saved.last().Draining())
+
+	fx.announce(2, true)
+	fx.awaitOpen(false)
+	is.True(saved.last().Draining())
+
+	// The sidecar is restarted.
+	restarted := newFixture(t, fx.backend)
+	restarted.worker.Restore(t.Context(), saved.last())
+	is.True(restarted.awaitCapacity().GetCapacityCpu() > 0) // it knows the backend server
+	is.True(!restarted.awaitCapacity().GetOpen())
+}
+
+// awaitCapacity waits for a report of a backend server with a capacity.
+func (fx *fixture) awaitCapacity() *wire.Room {
+	fx.t.Helper()
+
+	for {
+		if r := fx.awaitOpen(false); r.GetCapacityCpu() > 0 {
+			return r
+		}
+	}
+}
+
+// Guards against a restarted sidecar that uses a backend server which has left.
+func TestDepartureIsSaved(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+
+	var saved savedAnnouncements
+
+	fx.worker.SaveWith(saved.save)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.worker.Depart("i-1")
+	is.True(saved.last().Departed())
+}
+
+// Guards against an announcement that was delayed on its way and brings a backend server back that has left.
+func TestLateAnnouncementAfterDeparture(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(3, false)
+	fx.awaitOpen(true)
+	fx.worker.Depart("i-1")
+	fx.awaitOpen(false)
+
+	is.True(!fx.announce(4, false))
+
+	w := repeatable.NewWorker("other", fx.backend, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
+	is.True(w.Announce(t.Context(), repeatable.NewAnnouncement( // another sidecar has not seen it leave
+		"i-1", "service", "domain", fx.backend.StartedAtMS(), 4, repeatable.Announcement{}.Capacity(), nil, false)))
+}
--- a/sidecar/repeatable/links.go
+++ b/sidecar/repeatable/links.go
@@ -2,142 +2,204 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
-	"github.com/skylarkweir/skylarkweir/weir/connection/session"
-	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
 const (
-	// dialTimeout limits the time to open a session.
-	dialTimeout = 500 * time.Millisecond
-	// minRedialDelay and maxRedialDelay limit the pause before an entry is dialled again.
-	minRedialDelay = 50 * time.Millisecond
-	maxRedialDelay = 250 * time.Millisecond
-	// unreachableTimeout is how long an entry is dialled without success. An entry that was known only from a directory
-	// may be gone for good.
-	unreachableTimeout = 30 * time.Second
+	// settleDelay is how long changes of the known entries are collected before the set is chosen again.
+	settleDelay = 50 * time.Millisecond
+	// reviewInterval is how often the set is reviewed without a change.
+	reviewInterval = 250 * time.Millisecond
+	// replaceDelay is how long an entry of the set may be without a session before another one takes its place.
+	replaceDelay = 400 * time.Millisecond
+	// surplusDelay is how long a session is kept after its entry left the set.
+	surplusDelay = 5 * time.Second
+	// seedDelay is how long a sidecar waits for a listed entry before it dials the seeds, which are few.
+	seedDelay = 500 * time.Millisecond
 )
 
-// Links keeps a session with each known entry, and dials entries again when a session ends.
+// Links keeps sessions with a set of the known entries, which package sessionset chooses.
 type Links struct {
 	node        *quic.Node
 	worker      *Worker
+	self        sessionset.Sidecar
 	incarnation uint64
 	log         zerolog.Logger
+	started     time.Time
+	// changed holds a value if the set has to be chosen again.
+	changed chan struct{}
 
 	mu sync.Mutex
-	// active holds the addresses for which a link runs.
-	active map[string]bool
+	// listed and seeds are the known entries, by address. The seeds are used while no entry is listed.
+	listed, seeds map[string]sessionset.Entry
+	// links has the entries to which sessions are kept, by address.
+	links map[string]*link
+	// size is the wanted number of sessions.
+	size int
 }
 
 // NewLinks returns the links of a sidecar process. The incarnation is a random number that identifies the process.
-func NewLinks(n *quic.Node, w *Worker, incarnation uint64, log zerolog.Logger) *Links {
-	return &Links{node: n, worker: w, incarnation: incarnation, log: log, active: map[string]bool{}}
+func NewLinks(
+	n *quic.Node, w *Worker, self sessionset.Sidecar, incarnation uint64, log zerolog.Logger,
+) *Links {
+	return &Links{
+		node: n, worker: w, self: self, incarnation: incarnation, log: log, started: time.Now(),
+		changed: make(chan struct{}, 1),
+		listed:  map[string]sessionset.Entry{}, seeds: map[string]sessionset.Entry{}, links: map[string]*link{},
+	}
 }
 
-// Add starts to dial an entry unless a link to the address runs already.
-func (l *Links) Add(ctx context.Context, address string) {
+// Add adds an entry, or replaces what is known of it.
+func (l *Links) Add(e sessionset.Entry) { l.add(l.listed, e) }
+
+// AddSeed adds an entry whose address may be out of date. It is dialled only while no other entry is known.
+func (l *Links) AddSeed(e sessionset.Entry) { l.add(l.seeds, e) }
+
+func (l *Links) add(known map[string]sessionset.Entry, e sessionset.Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.active[address] {
-		return
-	}
-
-	l.active[address] = true
-	k := &link{links: l, address: address}
+	if known[e.Address()] != e {
+		known[e.Address()] = e
 
-	go k.run(ctx)
+		l.notify()
+	}
 }
 
-func (l *Links) remove(address string) {
+// Remove removes an entry that is no longer listed.
+func (l *Links) Remove(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	delete(l.active, address)
+	delete(l.listed, address)
+	l.notify()
 }
 
-// link keeps a session with the entry at one address. It ends when the entry cannot be reached for unreachableTimeout.
-type link struct {
-	links   *Links
-	address string
+func (l *Links) notify() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
 }
 
-func (k *link) run(ctx context.Context) {
-	defer k.links.remove(k.address)
+// Run keeps the sessions until the context ends.
+func (l *Links) Run(ctx context.Context) {
+	t := time.NewTimer(reviewInterval)
+	defer t.Stop()
 
-	delay := minRedialDelay
-	lastReached := time.Now()
+	for {
+		select {
+		case <-l.changed:
+			t.Reset(settleDelay)
+
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				return
+			}
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+
+		l.review(ctx)
+		t.Reset(reviewInterval)
+	}
+}
+
+// review chooses the set again, begins the missing links and ends those that are no longer needed.
+func (l *Links) review(ctx context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 
-	for ctx.Err() == nil && time.Since(lastReached) < unreachableTimeout {
-		entry, s, err := k.dial(ctx)
-		if err == nil {
-			k.links.worker.Serve(ctx, entry, s)
+	known := l.known()
+	l.size = sessionset.Size(l.size, len(known), l.worker.estimatedSidecars())
+	wanted := l.wanted(known)
 
-			lastReached = time.Now()
-			delay = minRedialDelay
-		} else {
-			delay = min(2*delay, maxRedialDelay)
+	for _, e := range wanted {
+		if l.links[e.Address()] == nil {
+			l.begin(ctx, e)
 		}
+	}
 
-		select {
-		case <-time.After(delay):
-		case <-ctx.Done():
+	now := time.Now()
+
+	for address, k := range l.links {
+		inSet := slices.ContainsFunc(wanted, func(e sessionset.Entry) bool { return e.Address() == address })
+
+		switch {
+		case inSet:
+			k.surplusSince = time.Time{}
+		case k.surplusSince.IsZero():
+			k.surplusSince = now
+		case now.Sub(k.surplusSince) >= surplusDelay && k.isIdle():
+			l.end(k)
 		}
 	}
 
-	k.links.log.Info().Str("event", "entry_forgotten").Str("address", k.address).
-		Msg("entry is no longer dialled: it was unreachable for 30 s, or the sidecar is shutting down")
+	l.worker.setSessionShare(len(known), sessionset.Share(l.size, len(known)))
 }
 
-// dial opens a session and returns it with the name of the entry.
-func (k *link) dial(ctx context.Context) (string, *session.Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-
-	c, err := k.links.node.Dial(ctx, k.address)
-	if err != nil {
-		return "", nil, err
+// known returns the entries that may be in the set.
+func (l *Links) known() []sessionset.Entry {
+	source := l.listed
+	if len(l.listed) == 0 && time.Since(l.started) >= seedDelay {
+		source = l.seeds
 	}
 
-	entry, s, err := k.attach(ctx, c)
-	if err != nil {
-		c.Close("no session")
+	known := make([]sessionset.Entry, 0, len(source))
+	for _, e := range source {
+		known = append(known, e)
 	}
 
-	return entry, s, err
+	return known
 }
 
-func (k *link) attach(ctx context.Context, c *quic.Conn) (string, *session.Session, error) {
-	s, err := c.Open(ctx)
-	if err != nil {
-		return "", nil, err
-	}
+// wanted returns the set that is chosen from all known entries, and a replacement for each of them that has been without
+// a session for replaceDelay. It is dialled beside its replacement.
+func (l *Links) wanted(known []sessionset.Entry) []sessionset.Entry {
+	preferred := sessionset.Choose(l.self, known, l.size)
+	reachable := slices.DeleteFunc(slices.Clone(known), func(e sessionset.Entry) bool {
+		k := l.links[e.Address()]
 
-	s.SetDeadline(time.Now().Add(dialTimeout))
+		return k != nil && k.session == nil && time.Since(k.withoutSessionSince) >= replaceDelay
+	})
 
-	if err := s.Send(wire.Frame_builder{Attach: wire.Attach_builder{
-		Sidecar: k.links.worker.name, Incarnation: k.links.incarnation,
-	}.Build()}.Build()); err != nil {
-		return "", nil, err
+	for _, e := range sessionset.Choose(l.self, reachable, l.size) {
+		if !slices.Contains(preferred, e) {
+			preferred = append(preferred, e)
+		}
 	}
 
-	f, err := s.Receive()
-	if err != nil {
-		return "", nil, err
-	}
+	return preferred
+}
 
-	if !f.HasAttached() {
-		return "", nil, merry.New("entry did not answer the Attach frame with Attached")
-	}
+func (l *Links) begin(ctx context.Context, e sessionset.Entry) {
+	ctx, cancel := context.WithCancel(ctx)
+	k := &link{links: l, entry: e, cancel: cancel, withoutSessionSince: time.Now()}
+	l.links[e.Address()] = k
+
+	l.log.Info().Str("event", "entry_chosen").Str("address", e.Address()).Str("failure_domain", e.FailureDomain()).
+		Int("set", l.size).Msg("entry joined the set of sessions")
 
-	s.SetDeadline(time.Time{})
+	go k.run(ctx)
+}
 
-	return f.GetAttached().GetEntry(), session.New(c, s), nil
+func (l *Links) end(k *link) {
+	delete(l.links, k.entry.Address())
+	k.cancel()
+
+	l.log.Info().Str("event", "entry_dropped").Str("address", k.entry.Address()).Int("set", l.size).
+		Msg("entry left the set of sessions")
 }
+
+// isIdle reports whether the link may end: neither side has work of the other.
+func (k *link) isIdle() bool { return k.session == nil || k.session.Idle(uptime.Now()) }
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
@@ -36,11 +37,15 @@
 	reportedFreeCPU int64
 	// routesVersion is the newest version of the routes that the entry has.
 	routesVersion uint64
+	// sidecars is the entry's estimate of the number of sidecars in the deployment, zero if it has none.
+	sidecars atomic.Int64
+	// startedAt is when the session began, on the clock of package uptime.
+	startedAt time.Duration
 }
 
 // Serve handles the frames of an entry until the session ends, then stops the entry's tasks.
 func (w *Worker) Serve(ctx context.Context, entry string, t *session.Session) {
-	s := &entrySession{Session: t, worker: w, entry: entry}
+	s := &entrySession{Session: t, worker: w, entry: entry, startedAt: uptime.Now()}
 
 	w.mu.Lock()
 	w.lastSession++
@@ -51,9 +56,6 @@
 
 	w.log.Info().Str("event", "entry_connected").Str("entry", entry).Msg("entry connected")
 
-	p := &periodicReporter{s}
-	go p.run(ctx)
-
 	t.Run(ctx, s.handleFrame)
 	w.endSession(s)
 }
@@ -83,29 +85,6 @@
 	w.schedule(uptime.Now())
 }
 
-// periodicReporter sends a report when none was sent for a while. The reports keep the session alive.
-type periodicReporter struct{ session *entrySession }
-
-func (p *periodicReporter) run(ctx context.Context) {
-	t := time.NewTicker(session.KeepAliveInterval)
-	defer t.Stop()
-
-	for {
-		select {
-		case <-t.C:
-			p.session.worker.mu.Lock()
-			if now := uptime.Now(); now-p.session.reportedAt >= session.KeepAliveInterval/2 {
-				p.session.report(now, p.session.worker.report(now))
-			}
-			p.session.worker.mu.Unlock()
-		case <-p.session.Done():
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (s *entrySession) send(f *wire.Frame) { s.Send(f) }
 
 // needsReport reports whether the free capacity has changed by minReportChange and the last report is old enough for
@@ -119,15 +98,12 @@
 }
 
 // reportNow sends the current capacity to the entry.
-func (s *entrySession) reportNow() {
-	now := uptime.Now()
-	s.report(now, s.worker.report(now))
-}
+func (s *entrySession) reportNow() { s.report(s.worker.newReport(uptime.Now())) }
 
 // report sends a capacity report to the entry.
-func (s *entrySession) report(now time.Duration, capacity *wire.Room) {
-	s.reportedAt, s.reportedFreeCPU = now, s.worker.reportableFreeCPU()
-	s.send(wire.Frame_builder{Room: capacity}.Build())
+func (s *entrySession) report(r *capacityReport) {
+	s.reportedAt, s.reportedFreeCPU = r.at, s.worker.reportableFreeCPU()
+	s.send(r.frame(s.Active()))
 }
 
 func (s *entrySession) sendEnded(jobNumber uint64, index uint32, r wire.Result, run time.Duration) {
@@ -140,6 +116,7 @@
 func (s *entrySession) handleFrame(f *wire.Frame) {
 	switch f.WhichBody() {
 	case wire.Frame_KeepAlive_case:
+		s.sidecars.Store(int64(f.GetKeepAlive().GetSidecars()))
 		s.worker.routes.RecordVersion(s, f.GetKeepAlive().GetRoutesVersion())
 	case wire.Frame_Reserve_case:
 		s.reserve(f.GetReserve())
@@ -171,6 +148,8 @@
 	}
 
 	now := uptime.Now()
+	s.SetActive(true, now)
+
 	ms := func(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 	w.pool.Add(reservation.NewRequest(
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/ejection"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
@@ -19,6 +20,8 @@
 	// checkInterval is how often the worker checks for expired reservations and overdue tasks, and how long it waits
 	// before it repeats an unanswered stop.
 	checkInterval = 50 * time.Millisecond
+	// idleCheckInterval replaces checkInterval while there is nothing to check but the sessions.
+	idleCheckInterval = session.KeepAliveInterval
 	// rateWindow is the minimum time over which launch rates are averaged.
 	rateWindow = time.Second
 )
@@ -48,8 +51,14 @@
 	launchRates launchMeter
 	// slowness is the moving average of the ratio of run time to expected run time, zero if no run time is known.
 	slowness float64
-	// save is called with the first announcement of each incarnation.
+	// save is called with the first announcement of each incarnation, with one that changes its drain state, and with the
+	// last one when the backend server has left.
 	save func(Announcement)
+	// gone is the last announcement of the incarnation that left last.
+	gone Announcement
+	// knownEntries and sessionShare describe the set of sessions: the number of entries that are known, and the part of
+	// them, in thousandths, that has a session.
+	knownEntries, sessionShare uint32
 }
 
 // NewWorker returns a worker that waits for its backend server to announce itself. Without metrics nothing is counted.
@@ -66,26 +75,33 @@
 	return w
 }
 
-// Run expires reservations and stops overdue tasks until the context ends.
+// Run expires reservations, stops overdue tasks and keeps the sessions alive until the context ends.
 func (w *Worker) Run(ctx context.Context) {
-	t := time.NewTicker(checkInterval)
+	t := time.NewTimer(checkInterval)
 	defer t.Stop()
 
 	for {
 		select {
 		case <-t.C:
-			w.sweep()
+			t.Reset(w.sweep())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (w *Worker) sweep() {
+// sweep does the periodic work and returns the time until the next call, which is longer while there is no work.
+func (w *Worker) sweep() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	now := uptime.Now()
+
+	working := w.keepSessions(now)
+	if !working && len(w.tasks) == 0 {
+		return idleCheckInterval
+	}
+
 	if n := w.pool.Expire(now); n > 0 {
 		w.log.Warn().Str("event", "reservations_expired").Int("count", n).
 			Msg("reservations expired before their tasks were launched")
@@ -103,10 +119,12 @@
 	}
 
 	w.schedule(now)
+
+	return checkInterval
 }
 
-// SaveWith sets the function that saves the first announcement of each incarnation, so that after a restart of the
-// sidecar Restore can pass it on before the backend server announces itself again.
+// SaveWith sets the function that saves what a restarted sidecar has to know of the backend server before it announces
+// itself again: Restore passes it on.
 func (w *Worker) SaveWith(f func(Announcement)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -120,7 +138,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.incarnation != nil {
+	if w.incarnation != nil || a.precedesDepartureOf(w.gone) {
 		return
 	}
 
@@ -137,6 +155,10 @@
 
 	current := w.incarnation
 
+	if a.precedesDepartureOf(w.gone) {
+		return false
+	}
+
 	switch {
 	case current == nil || current.announcement.instance != a.instance ||
 		current.announcement.startedAtMS < a.startedAtMS:
@@ -145,16 +167,14 @@
 		}
 
 		w.beginIncarnation(ctx, a)
-
-		if w.save != nil {
-			w.save(a)
-		}
+		w.saveAnnouncement(a)
 	case current.announcement.startedAtMS > a.startedAtMS || current.announcement.sequence > a.sequence:
 		return false
 	default:
 		if current.announcement.draining != a.draining {
 			w.log.Info().Str("event", "backend_state").Str("instance", a.instance).Bool("draining", a.draining).
 				Int64("sequence", a.sequence).Msg("backend server changed its drain state")
+			w.saveAnnouncement(a)
 		}
 
 		current.announcement = a
@@ -165,6 +185,12 @@
 	return true
 }
 
+func (w *Worker) saveAnnouncement(a Announcement) {
+	if w.save != nil {
+		w.save(a)
+	}
+}
+
 // beginIncarnation begins a new incarnation of the backend server. The tasks of the previous one no longer run.
 func (w *Worker) beginIncarnation(ctx context.Context, a Announcement) {
 	w.endIncarnation("the backend server announced a new incarnation")
@@ -185,9 +211,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.incarnation != nil && w.incarnation.announcement.instance == instance {
-		w.endIncarnation("the backend server left")
+	if w.incarnation == nil || w.incarnation.announcement.instance != instance {
+		return
 	}
+
+	w.gone = w.incarnation.announcement
+	w.gone.departed = true
+	w.saveAnnouncement(w.gone)
+	w.endIncarnation("the backend server left")
 }
 
 // endIncarnation ends the current incarnation of the backend server, if there is one, and reports its tasks as lost.
@@ -249,62 +280,6 @@
 	w.reportDue(now)
 }
 
-// reportDue sends a report to the entries that need one.
-func (w *Worker) reportDue(now time.Duration) {
-	var capacity *wire.Room
-
-	for _, s := range w.sessions {
-		if !s.needsReport(now, w.reportableFreeCPU()) {
-			continue
-		}
-
-		if capacity == nil {
-			capacity = w.report(now)
-		}
-
-		s.report(now, capacity)
-	}
-}
-
-// reportableFreeCPU returns the free capacity in millicores, or -1 if no tasks are accepted: a worker that accepts
-// no tasks has to differ from one that is full.
-func (w *Worker) reportableFreeCPU() int64 {
-	if !w.acceptsTasks() {
-		return -1
-	}
-
-	return w.pool.Free().Millicores()
-}
-
-// report returns a report of the capacity and its use.
-func (w *Worker) report(now time.Duration) *wire.Room {
-	b := wire.Room_builder{
-		Open:          w.acceptsTasks(),
-		Suspect:       w.stats.Suspect(),
-		FreeCpu:       w.pool.Free().Millicores(),
-		FreeMemory:    w.pool.Free().MemoryMB(),
-		QueuedCpu:     w.pool.QueuedCPU(),
-		LaunchedCpu:   w.launchRates.rates(now),
-		RunningCpu:    w.runningCPU(),
-		RoutesVersion: w.routes.Version(),
-	}
-
-	if w.incarnation != nil {
-		b.Service = w.incarnation.announcement.service
-		b.FailureDomain = w.incarnation.announcement.failureDomain
-		b.Labels = w.incarnation.announcement.labels
-		b.CapacityCpu = w.incarnation.announcement.capacity.Millicores()
-		b.CapacityMemory = w.incarnation.announcement.capacity.MemoryMB()
-		b.SlownessPermille = uint32(w.slowness * 1000)
-	}
-
-	if b.Suspect && !w.stats.AllowsProbe(time.Now()) {
-		b.Open = false
-	}
-
-	return b.Build()
-}
-
 // cpuEndingSoon returns the capacity, in millicores, of the tasks that are expected to end within a round trip
 // to an entry.
 func (w *Worker) cpuEndingSoon(now time.Duration) int64 {
--- a/sidecar/repeatable/worker_test.go
+++ b/sidecar/repeatable/worker_test.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -57,10 +58,11 @@
 	is.NoErr(sidecarNode.Listen("127.0.0.1:0", keys))
 	t.Cleanup(func() { _ = sidecarNode.Close(); _ = fx.node.Close() })
 
-	fx.links = repeatable.NewLinks(sidecarNode, fx.worker, 1, zerolog.Nop())
-	fx.links.Add(t.Context(), fx.node.Address().String())
+	fx.links = repeatable.NewLinks(sidecarNode, fx.worker, sessionset.NewSidecar("sidecar", "domain"), 1, zerolog.Nop())
+	fx.links.Add(sessionset.NewEntry(fx.node.Address().String(), "domain"))
 
 	go fx.worker.Run(t.Context())
+	go fx.links.Run(t.Context())
 
 	fx.attach()
 
@@ -86,7 +88,10 @@
 	is.Equal(f.GetAttach().GetSidecar(), "sidecar")
 
 	fx.entry = session.New(c, s)
-	fx.entry.Send(wire.Frame_builder{Attached: wire.Attached_builder{Entry: "entry"}.Build()}.Build())
+	fx.entry.AllowIdleKeepAlives()
+	fx.entry.Send(wire.Frame_builder{
+		Attached: wire.Attached_builder{Entry: "entry", IdleKeepAlives: true}.Build(),
+	}.Build())
 	fx.stopKeepAlives = make(chan struct{})
 
 	go fx.run()
--- a/weir/connection/quic/conn.go
+++ b/weir/connection/quic/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"iter"
 	"net"
 	"time"
 
@@ -76,6 +78,8 @@
 	quic    *quicgo.Stream
 	reader  *bufio.Reader
 	traffic *Traffic
+	// batch is reused by SendAll.
+	batch bytes.Buffer
 }
 
 func newStream(s *quicgo.Stream, t *Traffic) *Stream {
@@ -94,6 +98,33 @@
 	return nil
 }
 
+// maxRetainedBatch bounds the buffer that a stream keeps between two calls of SendAll, in bytes.
+const maxRetainedBatch = 16 << 10
+
+// SendAll writes frames in one write, so that small frames share a packet.
+func (s *Stream) SendAll(frames iter.Seq[*wire.Frame]) error {
+	if s.batch.Cap() > maxRetainedBatch {
+		s.batch = bytes.Buffer{}
+	}
+
+	s.batch.Reset()
+
+	for f := range frames {
+		n, err := protodelim.MarshalTo(&s.batch, f)
+		if err != nil {
+			return merry.Prepend(err, "encode frame")
+		}
+
+		s.traffic.count(f, n, false)
+	}
+
+	if _, err := s.quic.Write(s.batch.Bytes()); err != nil {
+		return merry.Prepend(err, "send frames")
+	}
+
+	return nil
+}
+
 // Receive reads one frame.
 func (s *Stream) Receive() (*wire.Frame, error) {
 	f := &wire.Frame{}
--- a/weir/connection/quic/keys.go
+++ b/weir/connection/quic/keys.go
@@ -1,11 +1,13 @@
 package quic
 
 import (
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
 
 	"github.com/ansel1/merry/v2"
+	quicgo "github.com/quic-go/quic-go"
 )
 
 // serverName is the DNS name in every certificate. Addresses change too often to be certified.
@@ -37,6 +39,20 @@
 	return Keys{certificate, pool}, nil
 }
 
+// statelessReset returns the key from which a process derives the tokens that tell a peer that its connection belongs to
+// an earlier process at the same address. It follows from the private key, so it survives a restart. It is nil, which
+// turns the tokens off, if the private key cannot be encoded.
+func (k Keys) statelessReset() *quicgo.StatelessResetKey {
+	der, err := x509.MarshalPKCS8PrivateKey(k.certificate.PrivateKey)
+	if err != nil {
+		return nil
+	}
+
+	key := quicgo.StatelessResetKey(sha256.Sum256(append([]byte("stateless reset "), der...)))
+
+	return &key
+}
+
 func (k Keys) server() *tls.Config {
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
--- a/weir/connection/quic/node.go
+++ b/weir/connection/quic/node.go
@@ -81,11 +81,14 @@
 		return merry.Prependf(err, "listen on %s", address)
 	}
 
-	n.transport = &quicgo.Transport{Conn: socket}
+	n.transport = &quicgo.Transport{Conn: socket, StatelessResetKey: keys.statelessReset()}
 	n.clientConfig = keys.client()
 
 	n.listener, err = n.transport.Listen(keys.server(), quicConfig())
 	if err != nil {
+		_ = socket.Close()
+		n.transport = nil
+
 		return merry.Prependf(err, "listen on %s", address)
 	}
 
@@ -141,5 +144,7 @@
 		HandshakeIdleTimeout: handshakeTimeout,
 		MaxIdleTimeout:       idleTimeout,
 		MaxIncomingStreams:   maxIncomingStreams,
+		// Frames are small, and a process may have hundreds of connections: probes would be most of its packets.
+		DisablePathMTUDiscovery: true,
 	}
 }
--- /dev/null
+++ b/weir/connection/session/session_test.go
@@ -0,0 +1,171 @@
+package session_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/session"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
+)
+
+// waitTimeout limits every wait of a test.
+const waitTimeout = 20 * time.Second
+
+// pair is the two ends of a session over loopback.
+type pair struct {
+	near, far *session.Session
+	// frames holds the frames that the near end has received.
+	frames chan *wire.Frame
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+
+	is := is.New(t)
+	keys, err := quic.SharedKeys(t.Name())
+	is.NoErr(err)
+
+	nearNode, farNode := &quic.Node{}, &quic.Node{}
+	is.NoErr(nearNode.Listen("127.0.0.1:0", keys))
+	is.NoErr(farNode.Listen("127.0.0.1:0", keys))
+	t.Cleanup(func() { _ = nearNode.Close(); _ = farNode.Close() })
+
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+
+	c, err := farNode.Dial(ctx, nearNode.Address().String())
+	is.NoErr(err)
+	s, err := c.Open(ctx)
+	is.NoErr(err)
+	is.NoErr(s.Send(wire.Frame_builder{Attach: &wire.Attach{}}.Build()))
+
+	accepted, err := nearNode.Accept(ctx)
+	is.NoErr(err)
+	stream, err := accepted.Accept(ctx)
+	is.NoErr(err)
+
+	_, err = stream.Receive()
+	is.NoErr(err)
+
+	p := &pair{near: session.New(accepted, stream), far: session.New(c, s), frames: make(chan *wire.Frame, 1024)}
+	go p.run(t.Context())
+	go p.runFar(t.Context())
+
+	return p
+}
+
+func (p *pair) run(ctx context.Context) { p.near.Run(ctx, func(f *wire.Frame) { p.frames <- f }) }
+
+func (p *pair) runFar(ctx context.Context) { p.far.Run(ctx, func(*wire.Frame) {}) }
+
+// receive waits for the next frame at the near end.
+func (p *pair) receive(t *testing.T) *wire.Frame {
+	t.Helper()
+
+	select {
+	case f := <-p.frames:
+		return f
+	case <-time.After(waitTimeout):
+		t.Fatalf("no frame arrived within %s", waitTimeout)
+
+		return nil
+	}
+}
+
+// Guards against a session with work that outlives the time which bounds two runs of one task, and against one without
+// work that ends although nothing runs.
+func TestTimeoutFollowsTheWork(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.near.AllowIdleKeepAlives()
+
+	now := uptime.Now()
+	is.True(p.near.AliveAt(now + session.IdleTimeout - session.Timeout))
+
+	p.near.SetActive(true, now)
+	is.True(!p.near.AliveAt(now + session.Timeout))
+
+	p.near.SetActive(false, now)
+	is.True(p.near.AliveAt(now + session.Timeout))
+
+	p.near.EndIfUnresponsive(now + session.IdleTimeout + time.Second)
+	is.True(!p.near.Alive())
+}
+
+// Guards against a session that ends at its first request because the last idle keep-alive is older than the time for a
+// session with work.
+func TestPeerHasTimeToAnswerTheFirstRequest(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.near.AllowIdleKeepAlives()
+
+	begin := uptime.Now() + session.IdleKeepAliveInterval
+	p.near.SetActive(true, begin)
+	is.True(p.near.AliveAt(begin + session.Timeout - session.KeepAliveInterval))
+
+	// Further requests do not give an unresponsive peer more time.
+	p.near.SetActive(true, begin+session.Timeout/2)
+	is.True(!p.near.AliveAt(begin + session.Timeout))
+}
+
+// Guards against a peer of an older version, which sends and expects keep-alives at the short interval only.
+func TestPeerWithoutIdleKeepAlives(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	now := uptime.Now()
+
+	is.True(p.near.KeepAliveDue(now + session.KeepAliveInterval))
+	is.True(!p.near.AliveAt(now + session.Timeout + session.KeepAliveInterval))
+}
+
+// Guards against a side without work that sends keep-alives at the long interval while the peer has work and expects
+// them at the short one.
+func TestKeepAlivesFollowTheWorkOfThePeer(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.near.AllowIdleKeepAlives()
+	p.near.Send(wire.Frame_builder{KeepAlive: &wire.KeepAlive{}}.Build())
+
+	is.True(!p.near.KeepAliveDue(uptime.Now() + session.KeepAliveInterval))
+
+	p.far.Send(wire.Frame_builder{KeepAlive: wire.KeepAlive_builder{Active: true}.Build()}.Build())
+	p.receive(t)
+
+	now := uptime.Now()
+	is.True(!p.near.Idle(now))
+	is.True(p.near.KeepAliveDue(now + session.KeepAliveInterval))
+	is.True(p.near.Idle(now + session.Timeout + session.KeepAliveInterval)) // the peer has said nothing since
+}
+
+// Guards against new work for a peer whose idle keep-alive is overdue.
+func TestOverduePeerGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.near.AllowIdleKeepAlives()
+
+	now := uptime.Now()
+	is.True(p.near.Responsive(now + session.IdleKeepAliveInterval))
+	is.True(!p.near.Responsive(now + session.IdleKeepAliveInterval + session.Timeout + session.KeepAliveInterval))
+	is.True(p.near.Alive())
+}
+
+// Guards against frames that are lost or change their order when they are sent in one write.
+func TestQueuedFramesKeepTheirOrder(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+
+	const frames = 500
+
+	for n := range frames {
+		p.far.Send(wire.Frame_builder{Release: wire.Release_builder{Job: uint64(n)}.Build()}.Build())
+	}
+
+	for n := range frames {
+		is.Equal(p.receive(t).GetRelease().GetJob(), uint64(n))
+	}
+}
--- a/weir/process/reservation/pool.go
+++ b/weir/process/reservation/pool.go
@@ -304,6 +304,17 @@
 	}
 }
 
+// AddSessions adds the sessions that have requests or reservations.
+func (p *Pool) AddSessions(inUse map[uint64]bool) {
+	for _, r := range p.requests {
+		inUse[r.key.session] = true
+	}
+
+	for k := range p.reserved {
+		inUse[k.session] = true
+	}
+}
+
 // Clear drops all requests and reservations, for a backend server that accepts no more tasks.
 func (p *Pool) Clear() {
 	p.requests = nil
