Handle unexpected frames of peers as errors, and keep running resolutions

Cause: an entry that answered Hello or a forward with another frame than the expected one made dial and forward return a nil error, since merry.Prepend of nil is nil. dial then used a nil connection, and the process ended; forward said that the entry is not the home, so that a submission that ran could be treated as not run. Evicting results of lost homes dropped expired resolutions that were still running, so a second close of the same submission ran beside the first. The default bound of submissions in home differed from the setting's.

Change: both return an error that names the unexpected frame; eviction keeps what runs; one default.

--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -25,9 +25,9 @@
 const (
 	// shardCount is the number of locks of the table, so that calls for different submissions rarely share one.
 	shardCount = 64
-	// defaultMaxSubmissions limits the submissions in the table. An ended submission with a small answer takes about
-	// 765 bytes (BenchmarkHeldMemory), so a full table takes 115 MB.
-	defaultMaxSubmissions = 150000
+	// defaultMaxSubmissions is the default of the setting submissions. An ended submission with a small answer takes about
+	// 765 bytes (BenchmarkHeldMemory), so a full table takes 153 MB.
+	defaultMaxSubmissions = 200000
 	// defaultAnswerMemoryBytes is the default of the setting answer_memory.
 	defaultAnswerMemoryBytes = 96 << 20
 )
--- a/entry/homelost/resolver.go
+++ b/entry/homelost/resolver.go
@@ -2,7 +2,9 @@
 package homelost
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -18,9 +20,9 @@
 	// resolveTimeout bounds one resolution: the wait until the ledger reaches the ticket's position, and the closes at all
 	// sidecars, which run in parallel.
 	resolveTimeout = 2 * time.Second
-	// maxResults bounds the results in memory: 8 MB at 500 bytes each. Without a cached result the sidecars are asked
-	// again, which gives the same result unless one of them has ended since.
-	maxResults = 1 << 14
+	// defaultMaxResults bounds the results in memory: 8 MB at 500 bytes each. Without a cached result the sidecars are
+	// asked again, which gives the same result unless one of them has ended since.
+	defaultMaxResults = 1 << 14
 )
 
 // Closer closes submissions at sidecars.
@@ -33,6 +35,8 @@
 	closer  Closer
 	replica *ledger.Replica
 	log     zerolog.Logger
+	// maxResults bounds the results in memory; zero stands for defaultMaxResults.
+	maxResults int
 
 	mu sync.Mutex
 	// resolutions holds running and completed resolutions by submission.
@@ -57,16 +61,11 @@
 	res, ok := r.resolutions[id]
 	r.mu.Unlock()
 
-	if !ok {
+	if !ok || !res.completed() {
 		return nil
 	}
 
-	select {
-	case <-res.done:
-		return res.err
-	default:
-		return nil
-	}
+	return res.err
 }
 
 // Resolve closes the submission at every sidecar that its home could have sent tasks to, and returns home_lost with
@@ -99,32 +98,42 @@
 	return res.err
 }
 
-// evict makes room for one more result: it drops the expired ones, and then completed ones in any order until there is
-// room. r.mu is held.
+// evict makes room for one more result: it drops the expired ones, and then others in any order until there is room. A
+// resolution that is still running stays, so that later calls share it. r.mu is held.
 func (r *Resolver) evict(now time.Time) {
-	if len(r.resolutions) < maxResults {
+	if len(r.resolutions) < r.capacity() {
 		return
 	}
 
-	for id, res := range r.resolutions {
-		if now.After(res.expiry) {
-			delete(r.resolutions, id)
-		}
-	}
+	maps.DeleteFunc(r.resolutions, func(_ string, res *resolution) bool {
+		return res.completed() && now.After(res.expiry)
+	})
 
 	for id, res := range r.resolutions {
-		if len(r.resolutions) < maxResults {
+		if len(r.resolutions) < r.capacity() {
 			return
 		}
 
-		select {
-		case <-res.done:
+		if res.completed() {
 			delete(r.resolutions, id)
-		default:
 		}
 	}
 }
 
+// SetCapacity sets the number of results to keep. It is called before the resolver is used.
+func (r *Resolver) SetCapacity(n int) { r.maxResults = n }
+
+func (r *Resolver) capacity() int { return cmp.Or(r.maxResults, defaultMaxResults) }
+
+func (r *resolution) completed() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *Resolver) closeAtSidecars(ctx context.Context, id string, t ticket.Ticket, cancel bool) (fault.Ran, string) {
 	ctx, stop := context.WithTimeout(ctx, resolveTimeout)
 	defer stop()
--- a/entry/homelost/resolver_test.go
+++ b/entry/homelost/resolver_test.go
@@ -173,3 +173,32 @@
 	is.True(!errors.Is(err, context.DeadlineExceeded))
 	is.Equal(s.calls.Load(), int64(2))
 }
+
+// Guards against a second close of a submission at the same time as the first, whose resolution was dropped for room
+// while it ran because its ticket had expired.
+func TestRunningResolutionIsKept(t *testing.T) {
+	is := is.New(t)
+	s := &fakeSidecars{}
+	r := homelost.NewResolver(s, newReplica(), zerolog.Nop())
+	r.SetCapacity(1)
+
+	expired := ticket.New(netip.MustParseAddrPort("127.0.0.1:8"), 9, 1, "m", 1, time.Now().Add(-time.Minute))
+
+	var group sync.WaitGroup
+
+	resolve := func(id string, t ticket.Ticket) { _ = r.Resolve(context.Background(), id, t, false) }
+	awaitCalls := func(n int64) {
+		for end := time.Now().Add(20 * time.Second); s.calls.Load() < n; time.Sleep(time.Millisecond) {
+			is.True(time.Now().Before(end)) // the sidecar was not asked within 20 s
+		}
+	}
+
+	group.Go(func() { resolve("s", expired) })
+	awaitCalls(1)
+	group.Go(func() { resolve("other", ticketAt(1)) })
+	awaitCalls(2)
+	group.Go(func() { resolve("s", expired) })
+	group.Wait()
+
+	is.Equal(s.calls.Load(), int64(2))
+}
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	maxRedialDelay = 5 * time.Second
 )
 
+// errUnexpectedFrame is returned when a peer answers with a frame of another kind than the request asks for.
+var errUnexpectedFrame = errors.New("the peer answered with a frame of another kind")
+
 // link keeps the connection that this entry opens to another entry. All streams that this entry opens use it.
 type link struct {
 	peers   *Peers
@@ -156,7 +160,11 @@
 		f, err = control.Receive()
 	}
 
-	if err != nil || !f.HasWelcome() {
+	if err == nil && !f.HasWelcome() {
+		err = errUnexpectedFrame
+	}
+
+	if err != nil {
 		c.Close("no welcome")
 
 		return nil, nil, merry.Prepend(err, "no Welcome frame in answer to Hello")
@@ -234,7 +242,7 @@
 	}
 
 	if !f.HasExchange() {
-		return merry.New("the answer to the exchange is not an Exchange frame")
+		return merry.Prepend(errUnexpectedFrame, "no answer to the exchange")
 	}
 
 	unresponsive := map[string]bool{}
@@ -313,7 +321,11 @@
 		frame, err = s.Receive()
 	}
 
-	if err != nil || !frame.HasForwardReply() {
+	if err == nil && !frame.HasForwardReply() {
+		err = errUnexpectedFrame
+	}
+
+	if err != nil {
 		s.Reset()
 
 		return caller.Reply{}, false, merry.Prepend(err, "no reply to the forward")
