--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -135,9 +136,27 @@
 	}
 }
 
+// maxReserveTasks bounds the tasks of one request for reservations. An entry requests up to 2.5 reservations for each of
+// at most 1000 tasks.
+const maxReserveTasks = 10_000
+
+// isValid reports whether the pool can account for the request.
+func isValid(m *wire.Reserve) bool {
+	return m.GetTasks() > 0 && m.GetTasks() <= maxReserveTasks &&
+		m.GetCpu() >= 0 && m.GetCpu() <= math.MaxInt32 && m.GetMemory() >= 0 && m.GetMemory() <= math.MaxInt32
+}
+
 func (s *entrySession) reserve(m *wire.Reserve) {
 	w := s.worker
 
+	if !isValid(m) {
+		w.log.Warn().Str("event", "frame_invalid").Str("entry", s.entry).Uint64("job", m.GetJob()).
+			Uint32("tasks", m.GetTasks()).Int64("cpu", m.GetCpu()).Int64("memory", m.GetMemory()).
+			Msg("ignoring a request for reservations with values out of range")
+
+		return
+	}
+
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -155,7 +174,7 @@
 	w.pool.Add(reservation.NewRequest(
 		reservation.NewKey(s.number, m.GetJob()), int(m.GetTasks()), job.NewSize(m.GetCpu(), m.GetMemory()),
 		int(m.GetPriority()), now-ms(m.GetWaitedMs()), now+ms(m.GetPatienceMs()), ms(m.GetExpectedMs()),
-		float64(m.GetNeededPermille())/1000,
+		min(1, float64(m.GetNeededPermille())/1000),
 	))
 	w.schedule(now)
 }
