Renew leases only where no other call has, and compare session sets in virtual time

Cause: each sidecar called its backend server 4 times a second without tasks and 6.7 times more with tasks, beside the calls that return at each end of a run and renew the lease as well. And it was open whether an entry that has sessions with a part of the sidecars refuses work that others could take.

Change: a renewal of its own is sent only if none was answered that was sent within the last 100 ms; without tasks a call waits 500 ms. The emulator has a load on 240 backend servers and 55 entries, sets of sessions, and the interval of reports as a parameter.

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -21,8 +21,10 @@
 	// maxClockDrift is the fraction by which a backend server's clock may run slow.
 	maxClockDrift = 0.03
 	// watchWait is how long a call to Watch waits for a run to end. It stays below unresponsiveTimeout, so that a
-	// backend server without load does not count as unresponsive.
+	// backend server whose tasks run on does not count as unresponsive.
 	watchWait = 250 * time.Millisecond
+	// idleWatchWait replaces watchWait while no task runs.
+	idleWatchWait = 500 * time.Millisecond
 	// retryDelay is the pause after a call without an answer.
 	retryDelay = 50 * time.Millisecond
 	// initialTokenStepMS is the first increase of a rejected fencing token; tokens are times in Unix milliseconds.
@@ -50,8 +52,12 @@
 	// clockReading is what the backend server's clock showed at clockReadAt, a time on the clock of package uptime.
 	clockReading, clockReadAt time.Duration
 	// lastAnswer is when the backend server last answered a call to Watch; leaseEnd is the end of the last lease that
-	// was sent. Both are times on the clock of package uptime.
+	// was sent. All times here are on the clock of package uptime.
 	lastAnswer, leaseEnd time.Duration
+	// renewedAt is when the newest call to Watch that was answered was sent, and with it a renewal of the lease.
+	renewedAt time.Duration
+	// answerDue is when the call to Watch that waits for the end of a run is overdue.
+	answerDue time.Duration
 }
 
 func newIncarnation(ctx context.Context, w *Worker, a Announcement) *incarnation {
@@ -124,12 +130,38 @@
 	go r.run()
 
 	for {
-		if !i.watch(watchWait) {
+		wait := watchWait
+		if i.worker.Running() == 0 {
+			wait = idleWatchWait
+		}
+
+		i.expectAnswer(wait)
+
+		if !i.watch(wait) {
 			return
 		}
 	}
 }
 
+// expectAnswer records when a call that waits for the end of a run is overdue.
+func (i *incarnation) expectAnswer(wait time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	i.answerDue = uptime.Now() + wait + unresponsiveTimeout - watchWait
+}
+
+// beginWork is called when the first task starts. A backend server without tasks answers seldom, so it is given
+// unresponsiveTimeout from then on, unless an answer is overdue.
+func (i *incarnation) beginWork() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	if now := uptime.Now(); now < i.answerDue {
+		i.lastAnswer = max(i.lastAnswer, now)
+	}
+}
+
 // watch calls Watch once and handles the result. It reports whether the incarnation goes on.
 func (i *incarnation) watch(wait time.Duration) bool {
 	if i.ctx.Err() != nil {
@@ -156,18 +188,27 @@
 		}
 	default:
 		i.recordClock(result.clock)
-		i.recordAnswer()
+		i.recordAnswer(sent)
 		i.worker.handleWatchResult(i, result, sent)
 	}
 
 	return true
 }
 
-func (i *incarnation) recordAnswer() {
+func (i *incarnation) recordAnswer(sent time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 
 	i.lastAnswer = uptime.Now()
+	i.renewedAt = max(i.renewedAt, sent)
+}
+
+// renewalDue reports whether no call that was answered has renewed the lease lately.
+func (i *incarnation) renewalDue() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	return uptime.Now()-i.renewedAt >= renewalInterval*2/3
 }
 
 func (i *incarnation) lastHandledEnd() uint64 {
@@ -177,7 +218,8 @@
 	return i.lastEnd
 }
 
-// leaseRenewer renews the lease while tasks run, independently of the calls that wait for runs to end.
+// leaseRenewer renews the lease while tasks run, independently of the calls that wait for runs to end. Where runs end
+// often, these calls have renewed it already.
 type leaseRenewer struct{ incarnation *incarnation }
 
 func (r *leaseRenewer) run() {
@@ -187,7 +229,7 @@
 	for {
 		select {
 		case <-t.C:
-			if r.incarnation.worker.Running() > 0 {
+			if r.incarnation.worker.Running() > 0 && r.incarnation.renewalDue() {
 				c := &renewalCall{r.incarnation}
 				go c.run()
 			}
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -122,6 +122,10 @@
 		case !w.pool.Begin(t.size):
 			waiting = append(waiting, t)
 		default:
+			if w.running() == 0 {
+				t.incarnation.beginWork()
+			}
+
 			t.startedAt = uptime.Now()
 			w.launchRates.add(t.startedAt, t.priority, t.size.Millicores())
 
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -334,6 +334,19 @@
 	return len(w.tasks)
 }
 
+// running returns the number of tasks that have started.
+func (w *Worker) running() int {
+	n := 0
+
+	for _, t := range w.tasks {
+		if t.startedAt > 0 {
+			n++
+		}
+	}
+
+	return n
+}
+
 // launchMeter measures the rate at which capacity is taken by started tasks, for each priority.
 type launchMeter struct {
 	// windowStart is the start of the current window, launchedCPU the capacity of the tasks that started in it and
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/emulator"
+	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
 )
 
 // onTimeShare returns the share of the jobs of a kind that were on time, as the mean of several seeds.
@@ -118,3 +119,33 @@
 		is.True(urgent.OnTimeShare() >= minKeptShare)
 	}
 }
+
+// Guards against sets of sessions that make a large deployment serve less than its full mesh does, under a flood of long
+// jobs. With the full mesh, all entries choose the same free backend servers.
+func TestBoundedSetsServeAFlood(t *testing.T) {
+	is := is.New(t)
+
+	const (
+		seed     = 1
+		duration = 3 * time.Second
+		fullMesh = 0
+	)
+
+	flood := emulator.HundredsOfServers(1, 2.3, 1).WithDuration(duration)
+	size := sessionset.Size(0, 55, 240)
+	mesh := emulator.Simulate(flood.WithSessions(fullMesh), emulator.Product{}, seed).Kinds()
+	sets := emulator.Simulate(flood.WithSessions(size), emulator.Product{}, seed).Kinds()
+
+	var meshWork, setsWork float64
+
+	for kind := range kinds {
+		t.Logf("seed %d, %s: full mesh %.3f, sets of %d %.3f on time", seed, mesh[kind].Name(),
+			mesh[kind].OnTimeShare(), size, sets[kind].OnTimeShare())
+
+		meshWork += mesh[kind].OnTimeShare()
+		setsWork += sets[kind].OnTimeShare()
+	}
+
+	is.True(sets[quick].OnTimeShare() >= mesh[quick].OnTimeShare())
+	is.True(setsWork >= meshWork)
+}
--- a/standin/emulator/load.go
+++ b/standin/emulator/load.go
@@ -37,8 +37,10 @@
 	jobDeviation = 0.4
 	// estimateDeviation is the deviation of declared run times from the actual ones, in proportion.
 	estimateDeviation = 0.4
-	// meanTaskMillicores is the mean size of a task, taskSizeDeviation its deviation in proportion.
+	// meanTaskMillicores is the default of the mean size of a task, taskSizeDeviation its deviation in proportion.
 	meanTaskMillicores, taskSizeDeviation = 6200, 0.2
+	// defaultReportInterval is the default of the interval at which sidecars report to entries.
+	defaultReportInterval = 50 * time.Millisecond
 	// taskRunTimeDeviation is the deviation of the run times within a job, in proportion.
 	taskRunTimeDeviation = 0.15
 	// jobTimeout is how long callers wait for a job.
@@ -58,13 +60,20 @@
 	target time.Duration
 	// initialJobs is the number of jobs of each kind that arrive together at the start.
 	initialJobs int
+	// taskMillicores is the mean size of a task.
+	taskMillicores float64
+	// entriesPerServer is the number of entries that a backend server has a session with, zero for all.
+	entriesPerServer int
+	// reportInterval is the interval at which sidecars report to entries.
+	reportInterval time.Duration
 }
 
 // NewLoad returns a load. Tasks run slowFactor times as long on every third backend server.
 func NewLoad(kinds []Kind, servers, coresPerServer, entries int, slowFactor float64, duration time.Duration) Load {
 	return Load{
 		kinds: kinds, servers: servers, coresPerServer: coresPerServer, entries: entries, slowFactor: slowFactor,
-		duration: duration, messageDelay: defaultMessageDelay, target: defaultTarget,
+		duration: duration, messageDelay: defaultMessageDelay, target: defaultTarget, taskMillicores: meanTaskMillicores,
+		reportInterval: defaultReportInterval,
 	}
 }
 
@@ -98,6 +107,40 @@
 	}, 77, 55, 14, 1.3, 12*time.Second)
 }
 
+// HundredsOfServers is a load of large tasks, four of which fill a backend server, on a fleet of hundreds. Its other
+// parameters are those of SmallDeployment; the usual traffic uses about 70 % of the fleet.
+func HundredsOfServers(level, scan, quick float64) Load {
+	l := NewLoad([]Kind{
+		NewKind("quick", level*309, 8, 60*time.Millisecond, 0, quick),
+		NewKind("lookup", level*900, 2, 200*time.Millisecond, 1, 1),
+		NewKind("scan", level*56.2, 4, 900*time.Millisecond, 2, scan),
+	}, 240, 64, 55, 1.3, 12*time.Second)
+	l.taskMillicores = 15_000
+
+	return l
+}
+
+// WithSessions returns the load with a session of each backend server with this number of entries, zero for all.
+func (l Load) WithSessions(entriesPerServer int) Load {
+	l.entriesPerServer = entriesPerServer
+
+	return l
+}
+
+// WithDuration returns the load with another duration of the arrivals.
+func (l Load) WithDuration(d time.Duration) Load {
+	l.duration = d
+
+	return l
+}
+
+// WithReportInterval returns the load with another interval at which sidecars report to entries.
+func (l Load) WithReportInterval(d time.Duration) Load {
+	l.reportInterval = d
+
+	return l
+}
+
 // arrival is a job with the run times of its tasks.
 type arrival struct {
 	arrivedAt time.Duration
@@ -142,7 +185,7 @@
 	}
 
 	policy := job.NewPolicy(k.name, "service", k.priority, 1, 1.6, l.target)
-	size := job.NewSize(int64(logNormal(meanTaskMillicores, taskSizeDeviation)), 64)
+	size := job.NewSize(int64(logNormal(l.taskMillicores, taskSizeDeviation)), 64)
 
 	return arrival{at, n, job.New(
 		"", "", tasks, size, time.Duration(logNormal(meanRunTime, estimateDeviation)), jobTimeout, policy, job.Constraints{},
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -3,11 +3,13 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
+	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -33,8 +35,6 @@
 func (Unordered) rule() {}
 
 const (
-	// reportInterval is the interval at which sidecars report to entries.
-	reportInterval = 50 * time.Millisecond
 	// requestInterval is the interval at which a job requests reservations at more backend servers.
 	requestInterval = 25 * time.Millisecond
 	// maxLateObjectives is the response time, in multiples of the objective, after which a job has no value. It is then
@@ -82,6 +82,8 @@
 	reports []report
 	// requestedCPU holds, for each backend server, the millicores requested since its last report and not yet granted.
 	requestedCPU []int64
+	// connected holds, for each backend server, whether it has a session with the entry.
+	connected []bool
 	// releaseRate has no observations if the rule is Windowed.
 	releaseRate admission.ReleaseRateEstimator
 }
@@ -116,9 +118,13 @@
 	}
 
 	for range l.entries {
-		sm.entries = append(sm.entries, &entry{reports: make([]report, l.servers), requestedCPU: make([]int64, l.servers)})
+		sm.entries = append(sm.entries, &entry{
+			reports: make([]report, l.servers), requestedCPU: make([]int64, l.servers), connected: make([]bool, l.servers),
+		})
 	}
 
+	sm.connect()
+
 	for _, a := range l.arrivals(rand.New(rand.NewPCG(seed, 2))) {
 		sm.schedule(a.arrivedAt, func() { sm.arrive(a) })
 	}
@@ -134,6 +140,31 @@
 	return sm.result()
 }
 
+// failureDomains is the number of failure domains over which entries and backend servers are spread.
+const failureDomains = 5
+
+// connect chooses the sessions of all backend servers.
+func (sm *simulation) connect() {
+	domain := func(n int) string { return strconv.Itoa(n % failureDomains) }
+
+	known := make([]sessionset.Entry, 0, len(sm.entries))
+	for n := range sm.entries {
+		known = append(known, sessionset.NewEntry(strconv.Itoa(n), domain(n)))
+	}
+
+	size := sm.load.entriesPerServer
+	if size == 0 {
+		size = len(known)
+	}
+
+	for n := range sm.servers {
+		for _, e := range sessionset.Choose(sessionset.NewSidecar("server-"+strconv.Itoa(n), domain(n)), known, size) {
+			number, _ := strconv.Atoi(e.Address())
+			sm.entries[number].connected[n] = true
+		}
+	}
+}
+
 func (sm *simulation) schedule(t time.Duration, action func()) {
 	sm.lastOrder++
 	heap.Push(&sm.events, event{t, sm.lastOrder, action})
@@ -144,7 +175,7 @@
 // sendReports sends a report from every sidecar to every entry.
 func (sm *simulation) sendReports() {
 	for n, s := range sm.servers {
-		if sm.now%time.Second < reportInterval {
+		if sm.now%time.Second < sm.load.reportInterval {
 			s.launchRate, s.launchedCPU = s.launchedCPU, [reservation.PriorityCount]int64{}
 		}
 
@@ -158,7 +189,7 @@
 	}
 
 	if sm.now < sm.load.duration {
-		sm.scheduleAfter(reportInterval, sm.sendReports)
+		sm.scheduleAfter(sm.load.reportInterval, sm.sendReports)
 	}
 }
 
@@ -233,7 +264,14 @@
 
 	e, priority := sm.entries[j.entry], sm.priority(j)
 
+	servers := 0
+
 	for n, r := range e.reports {
+		if !e.connected[n] {
+			continue
+		}
+
+		servers++
 		cpu := sm.servers[n].capacity.Millicores()
 		free += max(0, r.freeCPU-e.requestedCPU[n])
 		queued += r.queuedAhead(priority) + max(0, e.requestedCPU[n]-r.freeCPU)
@@ -245,7 +283,7 @@
 
 	rate := e.releaseRate.Rate(priority, capacity, running, launched)
 
-	return admission.NewLoad(free, queued, capacity, running, priority, rate, sm.servers[0].capacity, len(sm.servers))
+	return admission.NewLoad(free, queued, capacity, running, priority, rate, sm.servers[0].capacity, servers)
 }
 
 func (r report) queuedAhead(priority int) int64 {
@@ -267,7 +305,7 @@
 	var servers []jobplacement.Server
 
 	for n, r := range e.reports {
-		if !j.requestedFrom[n] {
+		if e.connected[n] && !j.requestedFrom[n] {
 			s := sm.servers[n]
 			servers = append(servers, jobplacement.NewServer(
 				uint64(n), job.NewSize(max(0, r.freeCPU-e.requestedCPU[n]), 1<<20),
