Size session sets for 32 sidecars an entry and report less often

Cause: where more entries share a backend server, more of them choose the same free capacity at once, and its reports to all of them cost each process more than the jobs.

Change: 32 sidecars for each entry in place of 48, at least 5 entries in place of 8; 12 ms between two reports for each other entry in place of 6 ms for each.

--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// reportIntervalPerEntry, times the number of connected entries, is the minimum time between two reports of changed
-	// capacity to one entry: with many entries the reports of all sidecars would cost each entry more than the jobs.
-	reportIntervalPerEntry = 6 * time.Millisecond
+	// reportIntervalPerEntry, times the number of other connected entries, is the minimum time between two reports of
+	// changed capacity to one entry: with many entries the reports would cost each process more than the jobs.
+	reportIntervalPerEntry = 12 * time.Millisecond
 	// minReportInterval is the lower bound of this time, which applies with few entries.
 	minReportInterval = 20 * time.Millisecond
 	// minReportChange is the change of the free capacity that causes a report, as a fraction of the whole capacity.
@@ -92,7 +92,7 @@
 // another one.
 func (s *entrySession) needsReport(now time.Duration, free int64) bool {
 	change := max(free-s.reportedFreeCPU, s.reportedFreeCPU-free)
-	interval := max(minReportInterval, reportIntervalPerEntry*time.Duration(len(s.worker.sessions)))
+	interval := max(minReportInterval, reportIntervalPerEntry*time.Duration(len(s.worker.sessions)-1))
 
 	return now-s.reportedAt >= interval &&
 		float64(change) >= minReportChange*float64(s.worker.pool.Capacity().Millicores()+1)
--- a/weir/process/sessionset/size.go
+++ b/weir/process/sessionset/size.go
@@ -3,12 +3,12 @@
 import "math"
 
 const (
-	// SidecarsPerEntry is the mean number of sidecars that an entry shall have. It holds the tasks of a wide job of
-	// large tasks on backend servers that are in part occupied.
-	SidecarsPerEntry = 48
+	// SidecarsPerEntry is the mean number of sidecars that an entry shall have. They hold the tasks of a wide job of
+	// large tasks beside others; with more, entries choose the same free backend servers.
+	SidecarsPerEntry = 32
 	// MinEntries is the least number of entries in a set, if there are as many. A sidecar whose set loses half of its
 	// entries at once still has several callers' worth of work.
-	MinEntries = 8
+	MinEntries = 5
 	// growShare and shrinkShare are the ratios of the wanted size to the current one from which the size changes, so
 	// that the error of the estimate of the fleet does not make sets change.
 	growShare   = 1.15
