--- a/entry/home/decision.go
+++ b/entry/home/decision.go
@@ -80,7 +80,7 @@
 // decide logs a decision on a task and stores it.
 func (h *Handle) decide(l *zerolog.Event, event string, k *task, attempt int, choice, reason string) {
 	l.Str("event", event).Str("submission", h.id).Str("member", h.member).Str("kind", k.execution.submission.Kind()).
-		Int("task", k.index).Int("attempt", attempt).Str("choice", choice).Str("reason", reason).Msg("")
+		Int("task", k.index).Int("attempt", attempt).Str("choice", choice).Str("reason", reason).Msg("decision on a task")
 
 	h.mu.Lock()
 	h.decisions.add(Decision{time.Now(), event, int32(k.index), choice, reason})
--- a/entry/home/end_event.go
+++ b/entry/home/end_event.go
@@ -20,7 +20,7 @@
 		Str("kind", e.execution.submission.Kind()).Int("tasks", h.totalTasks).Dur("took_ms", elapsed)
 
 	if e.cause == nil {
-		l.Str("reason", "complete").Msg("")
+		l.Str("reason", "complete").Msg("submission complete")
 	} else {
 		l.Str("reason", fault.KindOf(e.cause).Code()).Str("ran", string(fault.RanOf(e.cause))).Msg(e.cause.Error())
 	}
--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -250,7 +250,7 @@
 	switch v := admission.ExtendWait(a.job, a.expectedRun, waited, load, d.random).(type) {
 	case admission.Admit:
 		d.log.Info().Str("event", "job_waits_on").Str("job", a.job.ID()).Str("kind", a.job.Policy().Kind()).
-			Int("tasks", a.job.Tasks()).Dur("waited", waited).Stringer("load", load).Dur("patience", v.MaxWait()).
+			Int("tasks", a.job.Tasks()).Dur("waited", waited).Stringer("load", load).Dur("max_wait", v.MaxWait()).
 			Msg("no capacity within the maximum wait of a job; extending it, as the job can still meet its objective")
 		a.maxWaitTimer.Reset(v.MaxWait())
 	case admission.Refuse:
@@ -258,7 +258,7 @@
 			Str("reason", v.Reason()).Int("tasks", a.job.Tasks()).Dur("expected_run", a.expectedRun).Dur("waited", waited).
 			Stringer("load", load).Dur("retry_after", v.RetryAfter()).Uint64("routes", d.routes.Version()).
 			Msg("job refused: no capacity within its maximum wait")
-		a.end(job.NewRefused(v.Reason(), v.RetryAfter()), "no room")
+		a.end(job.NewRefused(v.Reason(), v.RetryAfter()), "no capacity")
 	}
 }
 
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -377,6 +377,6 @@
 		Msg("process was paused; ending all of its jobs, which callers may have resubmitted to another entry")
 
 	for _, a := range d.activeJobs {
-		a.end(a.incompleteOutcome("the entry was paused", time.Second), "pause")
+		a.end(a.incompleteOutcome("the entry was paused", time.Second), "process paused")
 	}
 }
--- a/entry/sidecar/hub.go
+++ b/entry/sidecar/hub.go
@@ -70,7 +70,7 @@
 
 	h.attach(l, hello.GetWorker())
 	h.log.Info().Str("event", "sidecar_connected").Str("worker", l.worker.Name()).
-		Uint64("incarnation", l.worker.Incarnation()).Str("remote", c.Remote().String()).Msg("")
+		Uint64("incarnation", l.worker.Incarnation()).Str("remote", c.Remote().String()).Msg("sidecar connected")
 
 	go (&acceptor{l}).run(ctx)
 
@@ -79,7 +79,7 @@
 	c.Close("connection ended")
 	h.detach(l)
 	h.log.Warn().Str("event", "sidecar_disconnected").Str("worker", l.worker.Name()).
-		Uint64("incarnation", l.worker.Incarnation()).Err(err).Msg("")
+		Uint64("incarnation", l.worker.Incarnation()).Err(err).Msg("connection to a sidecar ended")
 }
 
 // Start sends a start to the worker and waits for its reply. If sent is false, the worker has not received the start. If
--- a/sidecar/entry/link.go
+++ b/sidecar/entry/link.go
@@ -58,7 +58,7 @@
 		backOff = min(2*backOff, maxBackOff)
 
 		k.links.log.Warn().Err(err).Str("event", "entry_disconnected").Str("address", k.address).
-			Dur("retry_ms", pause).Msg("")
+			Dur("retry_ms", pause).Msg("not connected to an entry, dialling it again after a pause")
 		wait(ctx, nil, pause)
 	}
 }
@@ -84,7 +84,7 @@
 	}
 
 	k.links.connected.Update(int64(len(k.links.Sessions())))
-	k.links.log.Info().Str("event", "entry_connected").Str("address", k.address).Str("entry", s.entry.GetName()).Msg("")
+	k.links.log.Info().Str("event", "entry_connected").Str("address", k.address).Str("entry", s.entry.GetName()).Msg("connected to an entry")
 
 	defer func() {
 		k.session.Store(nil)
--- a/sidecar/entry/registrar.go
+++ b/sidecar/entry/registrar.go
@@ -61,7 +61,7 @@
 		case registered && !r.registered:
 			r.registered, r.registeredAt = true, time.Now()
 			r.log.Info().Str("event", "registered").Uint64("incarnation", r.identity.Incarnation()).
-				Int64("offset", offset).Msg("")
+				Int64("offset", offset).Msg("this incarnation is registered in the log")
 		case registered:
 			wait(ctx, changed, time.Hour)
 		case r.registered || state.Departed(r.identity.Name(), r.identity.Incarnation()):
@@ -79,7 +79,8 @@
 		r.backOff = minRegistrationBackOff
 	}
 
-	r.log.Warn().Str("event", "incarnation_lost").Uint64("incarnation", r.identity.Incarnation()).Msg("")
+	r.log.Warn().Str("event", "incarnation_lost").Uint64("incarnation", r.identity.Incarnation()).
+		Msg("this incarnation was declared lost, registering a new one")
 	r.registered = false
 	r.identity.Renew()
 	r.links.Reconnect("new incarnation")
@@ -94,7 +95,8 @@
 	}
 
 	if err := r.sendRegister(ctx, s); err != nil {
-		r.log.Warn().Err(err).Str("event", "register_failed").Str("entry", s.entry.GetName()).Msg("")
+		r.log.Warn().Err(err).Str("event", "register_failed").Str("entry", s.entry.GetName()).
+			Msg("registration through an entry failed, retrying")
 		r.waitBackOff(ctx)
 
 		return
--- a/sidecar/entry/session.go
+++ b/sidecar/entry/session.go
@@ -270,7 +270,8 @@
 			s.recordAcknowledgement(a.GetSequence(), a.GetLeaseEpoch(), a.GetPosition())
 		case wire.Frame_Records_case:
 			if err := s.links.replica.ApplyPeerRecords(f.GetRecords()); err != nil {
-				s.links.log.Warn().Err(err).Str("event", "records_refused").Str("entry", s.entry.GetName()).Msg("")
+				s.links.log.Warn().Err(err).Str("event", "records_refused").Str("entry", s.entry.GetName()).
+					Msg("records of an entry cannot be applied and are skipped")
 			}
 		default:
 			return merry.New("entry sent a frame other than HeartbeatAck and Records on the control stream")
--- a/sidecar/process/process.go
+++ b/sidecar/process/process.go
@@ -133,21 +133,21 @@
 	p.group.Go(p.serve)
 
 	p.params.Log.Info().Str("event", "listening").Str("quic", p.params.Node.Address().String()).
-		Str("admin", p.AdminAddress()).Msg("")
+		Str("admin", p.AdminAddress()).Msg("the sidecar is listening")
 
 	return nil
 }
 
 func (p *Process) serve() {
 	if err := p.params.AdminServer.Serve(); err != nil {
-		p.params.Log.Error().Err(err).Str("event", "admin_failed").Msg("")
+		p.params.Log.Error().Err(err).Str("event", "admin_failed").Msg("the admin server ended; shutting down the sidecar")
 		_ = p.params.Shutdowner.Shutdown(fx.ExitCode(daemon.ExitFailure))
 	}
 }
 
 // stop shuts down gracefully: it refuses new tasks, waits for the running ones, and closes the connections.
 func (p *Process) stop(ctx context.Context) error {
-	p.params.Log.Info().Str("event", "leaving").Msg("")
+	p.params.Log.Info().Str("event", "leaving").Msg("shutting down: no new tasks, waiting for the running ones")
 	p.params.Registrar.Stop()
 	p.params.Table.Leave()
 	p.params.Links.AnnounceDeparture()
@@ -167,7 +167,7 @@
 		err = closeErr
 	}
 
-	p.params.Log.Info().Err(err).Str("event", "stopped").Msg("")
+	p.params.Log.Info().Err(err).Str("event", "stopped").Msg("the sidecar has stopped")
 
 	return err
 }
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -275,7 +275,7 @@
 
 	err := o.incarnation.worker.backend.Stop(ctx, o.target, o.incarnation.newPermit())
 
-	o.incarnation.worker.log.Info().AnErr("error", err).Str("event", "stranger_stopped").Str("job", o.target.task.job).
+	o.incarnation.worker.log.Info().AnErr("error", err).Str("event", "orphaned_run_stopped").Str("job", o.target.task.job).
 		Uint32("task", o.target.task.index).Int64("run", o.target.number).
 		Msg("sent a stop for an orphaned run, which no entry asked for")
 }
--- a/sidecar/tasks/close.go
+++ b/sidecar/tasks/close.go
@@ -76,7 +76,7 @@
 	closed.SetStarted(started)
 	t.metrics.closed.Inc(1)
 	t.log.Info().Str("event", "submission_closed").Str("submission", s.id).Int("started", len(started)).
-		Bool("cancel", cancel).Msg("")
+		Bool("cancel", cancel).Msg("submission closed: its tasks can no longer start here")
 
 	return closed
 }
--- a/sidecar/tasks/execution.go
+++ b/sidecar/tasks/execution.go
@@ -67,7 +67,8 @@
 
 	t.metrics.started.Inc(1)
 	t.metrics.queueTime.Update(now.Sub(run.offeredAt).Microseconds())
-	addTaskFields(t.startLog.Info().Str("event", "task_started"), run).Dur("queued_ms", now.Sub(run.offeredAt)).Msg("")
+	addTaskFields(t.startLog.Info().Str("event", "task_started"), run).Dur("queued_ms", now.Sub(run.offeredAt)).
+		Msg("task sent to the backend server")
 
 	go t.execute(run)
 }
@@ -170,7 +171,8 @@
 		}
 
 		t.log.WithLevel(level).Str("event", "backend_suspect").Bool("suspect", after).
-			Int("failure_permille", t.statistics.FailurePermille()).Msg("")
+			Int("failure_permille", t.statistics.FailurePermille()).
+			Msg("backend server changed between suspect and trusted")
 		t.rejectStale(now)
 	}
 }
@@ -184,12 +186,14 @@
 	t.metrics.countOutcome(o)
 	t.metrics.runTime.Update(time.Since(run.startedAt).Microseconds())
 
+	message := "task ended"
+
 	e := addTaskFields(t.log.Info().Str("event", "task_ended"), run).Dur("run_ms", time.Since(run.startedAt))
 	if f, failed := o.(Failed); failed {
-		e = e.Str("reason", f.kind.Code()).Str("message", f.message)
+		e, message = e.Str("reason", f.kind.Code()), f.message
 	}
 
-	e.Msg("")
+	e.Msg(message)
 	run.finish(o)
 }
 
--- a/sidecar/tasks/rejection.go
+++ b/sidecar/tasks/rejection.go
@@ -88,7 +88,6 @@
 
 func (t *Table) endRejected(run *Run, r Rejected) {
 	t.metrics.countRejection(r.reason)
-	addTaskFields(t.log.Info().Str("event", "task_rejected"), run).Str("reason", reasonName(r.reason)).
-		Str("message", r.message).Msg("")
+	addTaskFields(t.log.Info().Str("event", "task_rejected"), run).Str("reason", reasonName(r.reason)).Msg(r.message)
 	run.finish(r)
 }
--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -116,7 +116,7 @@
 
 	if _, queued := t.queued[run]; queued {
 		t.metrics.queued.Inc(1)
-		addTaskFields(t.log.Info().Str("event", "task_queued"), run).Msg("")
+		addTaskFields(t.log.Info().Str("event", "task_queued"), run).Msg("task waits for free slots")
 	}
 
 	return run
@@ -154,5 +154,5 @@
 	t.heldBytes += run.heldBytes
 	t.queued[run] = struct{}{}
 	t.metrics.accepted.Inc(1)
-	addTaskFields(t.log.Info().Str("event", "task_accepted"), run).Msg("")
+	addTaskFields(t.log.Info().Str("event", "task_accepted"), run).Msg("task accepted")
 }
--- a/weir/connection/session/session.go
+++ b/weir/connection/session/session.go
@@ -61,7 +61,7 @@
 // EndIfUnresponsive ends the session if the peer is unresponsive at the time now.
 func (s *Session) EndIfUnresponsive(now time.Duration) {
 	if !s.ended.Load() && s.Expired(now) {
-		s.End("silence")
+		s.End("peer unresponsive")
 	}
 }
 
@@ -102,7 +102,7 @@
 
 		// A frame that waited in the socket while this process was paused does not show that the peer is alive now.
 		if s.Expired(now) {
-			s.End("silence")
+			s.End("peer unresponsive")
 
 			return
 		}
--- a/weirctl/command/status.go
+++ b/weirctl/command/status.go
@@ -174,7 +174,7 @@
 	}
 
 	printTable(w, []string{
-		"worker", "failure domain", "rack", "slots", "load", "started by entries", "state", "entries", "heard",
+		"worker", "failure domain", "rack", "slots", "load", "started by entries", "state", "entries", "last contact",
 	}, rows)
 	fmt.Fprintln(w)
 
