Report changed capacity only to entries that ask for reservations

Change: an entry that has requested nothing for 2 s gets the reports that keep its session alive, and those that open or close a backend server; the others at most each 18 ms times the other entries of the set.

--- a/entry/repeatable/fixture_test.go
+++ b/entry/repeatable/fixture_test.go
@@ -42,6 +42,8 @@
 	routes *routes.Current
 	node   *quic.Node
 	cancel context.CancelFunc
+	// path is where sidecars dial the entry.
+	path string
 }
 
 // sidecarNode is a backend server and the sidecar beside it.
@@ -98,6 +100,8 @@
 	is.New(f.t).NoErr(e.node.Listen("127.0.0.1:0", f.keys))
 	f.t.Cleanup(func() { cancel(); _ = e.node.Close() })
 
+	e.path = e.node.Address().String()
+
 	go e.accept(ctx)
 	go e.Run(ctx)
 
@@ -138,7 +142,7 @@
 
 	links := sidecar.NewLinks(s.node, s.worker, sessionset.NewSidecar(name, "domain"), rand.Uint64(), zerolog.Nop())
 	for _, e := range f.entries {
-		links.Add(sessionset.NewEntry(e.node.Address().String(), "domain"))
+		links.Add(sessionset.NewEntry(e.path, "domain"))
 	}
 
 	go s.worker.Run(ctx)
@@ -198,6 +202,16 @@
 	return n
 }
 
+// startCount returns how often a task was started at any backend server.
+func (f *fixture) startCount(id string, index uint32) int {
+	n := 0
+	for _, s := range f.sidecars {
+		n += s.backend.StartCount(sidecar.NewTask(id, index))
+	}
+
+	return n
+}
+
 func newJob(id, input string, tasks int) job.Job {
 	return newJobWithPriority(id, input, tasks, 1, 3)
 }
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -16,9 +16,12 @@
 const (
 	// reportIntervalPerEntry, times the number of other connected entries, is the minimum time between two reports of
 	// changed capacity to one entry: with many entries the reports would cost each process more than the jobs.
-	reportIntervalPerEntry = 12 * time.Millisecond
+	reportIntervalPerEntry = 18 * time.Millisecond
 	// minReportInterval is the lower bound of this time, which applies with few entries.
 	minReportInterval = 20 * time.Millisecond
+	// reportAudience is how long after its last request an entry gets reports of changed capacity. Without requests, the
+	// reports that keep the session alive are enough.
+	reportAudience = 2 * time.Second
 	// minReportChange is the change of the free capacity that causes a report, as a fraction of the whole capacity.
 	minReportChange = 0.08
 )
@@ -36,6 +39,8 @@
 	// tasks were accepted.
 	reportedAt      time.Duration
 	reportedFreeCPU int64
+	// requestedAt is the time of the last request for reservations, zero before the first.
+	requestedAt time.Duration
 	// routesVersion is the newest version of the routes that the entry has.
 	routesVersion uint64
 	// sidecars is the entry's estimate of the number of sidecars in the deployment, zero if it has none.
@@ -88,9 +93,18 @@
 
 func (s *entrySession) send(f *wire.Frame) { s.Send(f) }
 
-// needsReport reports whether the free capacity has changed by minReportChange and the last report is old enough for
-// another one.
+// needsReport reports whether the entry has requested reservations lately, the free capacity has changed by
+// minReportChange and the last report is old enough for another one. A change between open and closed, which a free
+// capacity of -1 stands for, concerns every entry.
 func (s *entrySession) needsReport(now time.Duration, free int64) bool {
+	if (free < 0) != (s.reportedFreeCPU < 0) {
+		return now-s.reportedAt >= minReportInterval
+	}
+
+	if s.requestedAt == 0 || now-s.requestedAt >= reportAudience {
+		return false
+	}
+
 	change := max(free-s.reportedFreeCPU, s.reportedFreeCPU-free)
 	interval := max(minReportInterval, reportIntervalPerEntry*time.Duration(len(s.worker.sessions)-1))
 
@@ -168,6 +182,7 @@
 
 	now := uptime.Now()
 	s.SetActive(true, now)
+	s.requestedAt = now
 
 	ms := func(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
