--- a/sidecar/repeatable/links_test.go
+++ b/sidecar/repeatable/links_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
+	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
 // entryNode is an entry that accepts sessions and keeps them alive.
@@ -24,6 +26,9 @@
 	node *quic.Node
 	ctx  context.Context
 
+	// reports counts the capacity reports that arrived.
+	reports atomic.Int64
+
 	mu       sync.Mutex
 	sessions map[*session.Session]bool
 }
@@ -69,7 +74,8 @@
 	}
 
 	t := session.New(a.conn, s)
-	t.Send(wire.Frame_builder{Attached: wire.Attached_builder{Entry: "entry"}.Build()}.Build())
+	t.AllowIdleKeepAlives()
+	t.Send(wire.Frame_builder{Attached: wire.Attached_builder{Entry: "entry", IdleKeepAlives: true}.Build()}.Build())
 
 	a.entry.mu.Lock()
 	a.entry.sessions[t] = true
@@ -78,7 +84,11 @@
 	k := &keepAliveSender{t, make(chan struct{})}
 	go k.run()
 
-	t.Run(a.entry.ctx, func(*wire.Frame) {})
+	t.Run(a.entry.ctx, func(f *wire.Frame) {
+		if f.HasRoom() {
+			a.entry.reports.Add(1)
+		}
+	})
 
 	a.entry.mu.Lock()
 	defer a.entry.mu.Unlock()
@@ -93,6 +103,16 @@
 	return len(e.sessions)
 }
 
+// send sends a frame on all sessions.
+func (e *entryNode) send(f *wire.Frame) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	for s := range e.sessions {
+		s.Send(f)
+	}
+}
+
 func (e *entryNode) entry() sessionset.Entry {
 	return sessionset.NewEntry(e.node.Address().String(), "")
 }
@@ -221,6 +241,43 @@
 	fx.await("the removed entry has no session", func() bool { return fx.entries[0].count() == 0 })
 }
 
+// Guards against reports of each change of the capacity to entries that have no jobs, and against an entry with jobs that
+// gets too few.
+func TestReportsGoToEntriesWithJobs(t *testing.T) {
+	is := is.New(t)
+	fx := newLinksFixture(t, 2)
+	busy, idle := fx.entries[0], fx.entries[1]
+
+	for _, e := range fx.entries {
+		fx.links.Add(e.entry())
+	}
+
+	b := leasedbackend.New("i-1")
+	fx.worker.Announce(t.Context(), repeatable.NewAnnouncement(
+		b.Instance(), "service", "domain", 1, 1, job.NewSize(4*core, 1024), nil, false))
+	fx.await("both are connected", func() bool { return len(fx.connected()) == 2 })
+
+	const requests = 60
+
+	busyBefore, idleBefore := busy.reports.Load(), idle.reports.Load()
+	tick := time.NewTicker(25 * time.Millisecond)
+
+	defer tick.Stop()
+
+	for n := range uint64(requests) {
+		busy.send(wire.Frame_builder{Reserve: wire.Reserve_builder{
+			Job: n, Tasks: 2, Cpu: core, PatienceMs: 1000, NeededPermille: 1000,
+		}.Build()}.Build())
+
+		<-tick.C
+		busy.send(wire.Frame_builder{Release: wire.Release_builder{Job: n}.Build()}.Build())
+	}
+
+	busyReports, idleReports := busy.reports.Load()-busyBefore, idle.reports.Load()-idleBefore
+	t.Logf("%d requests: %d reports to the entry with jobs, %d to the other", requests, busyReports, idleReports)
+	is.True(busyReports > 3*idleReports)
+}
+
 // Guards against a sidecar that keeps the session with an entry that was restarted until its long timeout: the new process
 // has to tell it that the connection is unknown.
 func TestRestartedEntryIsRedialledAtOnce(t *testing.T) {
