Make two checks independent of the load of the machine

Cause: TestRatioToIdeal bounded the median response by twice the ideal, and TestOutage an append by 1 s; both failed once beside a load of 24 on six processors, and a verdict must not depend on that.

Change: TestRatioToIdeal compares the report with the records of the same run, exactly: ideal times with those that the entry saw, no ratio below one, the median within the precision of the histogram. This is stricter; an idle run no longer passes with a wrong relation. TestOutage counts the 500 ms beyond the deadline from the moment at which this process notices the deadline at all.

--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,8 +30,10 @@
 	issuedTickets atomic.Int64
 	mutex         sync.Mutex
 	inputs        map[string]string
-	beforeAnswer  func(w http.ResponseWriter) bool
-	falsify       func(answer map[string]any)
+	// longest holds the run time of the longest task of each submission.
+	longest      []time.Duration
+	beforeAnswer func(w http.ResponseWriter) bool
+	falsify      func(answer map[string]any)
 }
 
 func newFakeEntry(t *testing.T) *fakeEntry {
@@ -86,6 +89,7 @@
 	key := r.Header.Get("Idempotency-Key")
 	f.mutex.Lock()
 	f.inputs[string(q.Tasks[0].Input)] = key
+	f.longest = append(f.longest, longest.Round(time.Microsecond))
 	f.mutex.Unlock()
 	time.Sleep(longest)
 
@@ -145,20 +149,62 @@
 	is.True(report.All().ResponseTime(50) > 50*time.Millisecond)
 }
 
-// Guards against response ratios that do not relate the response time to the run time of the longest task.
+// recordedRatios collects the run time of the longest task and the response ratio of each submission.
+type recordedRatios struct {
+	t      *testing.T
+	mutex  sync.Mutex
+	ideals []time.Duration
+	ratios []float64
+}
+
+func (r *recordedRatios) add(record *caller.Record) {
+	var b struct {
+		Ideal float64 `json:"ideal_ms"`
+	}
+
+	text, err := json.Marshal(record)
+	if err != nil || json.Unmarshal(text, &b) != nil || b.Ideal <= 0 {
+		r.t.Errorf("record without an ideal time: %s", text)
+
+		return
+	}
+
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	r.ideals = append(r.ideals, time.Duration(b.Ideal*float64(time.Millisecond)).Round(time.Microsecond))
+	r.ratios = append(r.ratios, record.ResponseTime().Seconds()*1000/b.Ideal)
+}
+
+// Guards against response ratios that do not relate the response time to the run time of the longest task. The verdict
+// does not depend on how long the answers took.
 func TestRatioToIdeal(t *testing.T) {
 	is := is.New(t)
 	f := newFakeEntry(t)
 	l := newLoad(t, 50, `[{"kind": "j", "form": "job", "tasks_least": 2, "tasks_most": 5, "run": "uniform 30ms 60ms"},
 		{"kind": "r", "run": "fixed 40ms"}]`, f)
-	report := caller.NewGenerator(l, nil).Run(context.Background())
+	recorded := &recordedRatios{t: t}
+	report := caller.NewGenerator(l, recorded.add).Run(context.Background())
 	report.Print(testWriter{t})
 
 	is.Equal(report.All().Wrong(), 0)
 	is.Equal(report.All().Complete(), report.Kind("j").Complete()+report.Kind("r").Complete())
 	is.True(report.Kind("j").Complete() > 0)
-	is.True(report.All().ResponseRatio(50) >= 1)
-	is.True(report.All().ResponseRatio(50) < 2)
+	is.Equal(len(recorded.ratios), report.All().Complete())
+
+	// The entry answers after the longest task, so no ratio is below one, and it has seen the same longest tasks.
+	slices.Sort(recorded.ratios)
+	slices.Sort(recorded.ideals)
+	slices.Sort(f.longest)
+	is.True(recorded.ratios[0] >= 1)
+	is.Equal(recorded.ideals, f.longest)
+
+	// The report's median is that of the records, but for the precision of its histogram.
+	const precision = 0.02
+
+	low, high := recorded.ratios[(len(recorded.ratios)-1)/2], recorded.ratios[len(recorded.ratios)/2]
+	is.True(report.All().ResponseRatio(50) >= low*(1-precision))
+	is.True(report.All().ResponseRatio(50) <= high*(1+precision))
 
 	text, err := json.Marshal(report)
 	is.NoErr(err)
--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -288,11 +288,15 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 			defer cancel()
 
-			began := time.Now()
+			// On a busy machine the deadline itself is noticed late.
+			noticed := make(chan time.Time, 1)
+			context.AfterFunc(ctx, func() { noticed <- time.Now() })
+
 			err := p.appender.Append(ctx, workerJoinedRecord(1))
+			returned := time.Now()
 			is.Equal(fault.KindOf(err), fault.LogUnavailable)
 			is.True(!logservice.IsRefused(err))
-			is.True(time.Since(began) < time.Second)
+			is.True(returned.Sub(<-noticed) < 500*time.Millisecond)
 
 			for deadline := time.Now().Add(5 * time.Second); p.follower.Healthy(); {
 				is.True(time.Now().Before(deadline)) // the follower notices within 4 s
