Wait with readiness until the placement knows the workers

Cause: the red TestRollingRestartCutsNothing, one submission refused with no_workers at a restarted entry. The first requests wait until the entry is ready; readiness counted connected workers that the replica of the log has as registered. The placement derives its rules from the replica at most each 50 ms, and tickets carry its position. In that window a ticket's position is below the registration of every worker, so none may run it.

Change: readiness counts only workers whose registration the placement has reached.

Measured: TestReadinessWaitsForPlacement fails with the comparison taken out ('0 of 1 registered workers are connected' wanted, ready got) and passes with it; go test of entry/operator and entry/process passed.

--- a/entry/operator/readiness.go
+++ b/entry/operator/readiness.go
@@ -19,10 +19,17 @@
 	warmUpPollInterval = 10 * time.Millisecond
 )
 
+// Placement is where tasks are placed.
+type Placement interface {
+	// Position returns the log position up to which the placement knows the workers.
+	Position() int64
+}
+
 // Readiness reports whether the load balancer should send callers to this entry.
 type Readiness struct {
-	replica *ledger.Replica
-	workers *fleet.Fleet
+	replica   *ledger.Replica
+	workers   *fleet.Fleet
+	placement Placement
 	// maxConnections is the largest number of sidecars that this entry connects to.
 	maxConnections int
 	start          time.Time
@@ -33,9 +40,9 @@
 }
 
 // NewReadiness returns a Readiness that is not ready until an agreement was read and sidecars are connected.
-func NewReadiness(replica *ledger.Replica, workers *fleet.Fleet, maxConnections int) *Readiness {
+func NewReadiness(replica *ledger.Replica, workers *fleet.Fleet, placement Placement, maxConnections int) *Readiness {
 	return &Readiness{
-		replica: replica, workers: workers, maxConnections: maxConnections, start: time.Now(),
+		replica: replica, workers: workers, placement: placement, maxConnections: maxConnections, start: time.Now(),
 		firstReady: make(chan struct{}),
 	}
 }
@@ -77,9 +84,11 @@
 	}
 
 	registered, connected := len(state.Workers()), 0
+	position := r.placement.Position()
 
+	// The placement follows the log with a delay. It uses no worker that was registered after its position.
 	for _, w := range r.workers.View().Workers() {
-		if _, in := w.RegistrationOffset(); in {
+		if offset, in := w.RegistrationOffset(); in && offset < position {
 			connected++
 		}
 	}
--- a/entry/operator/readiness_test.go
+++ b/entry/operator/readiness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,12 +15,46 @@
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
+// placement is a placement at a log position.
+type placement struct{ position atomic.Int64 }
+
+func (p *placement) Position() int64 { return p.position.Load() }
+
+// Guards against a load balancer that sends callers to an entry whose placement does not know the workers yet, although
+// they are connected and registered: it refuses their submissions since there are no workers.
+func TestReadinessWaitsForPlacement(t *testing.T) {
+	is := is.New(t)
+	replica, workers, p := &ledger.Replica{}, &fleet.Fleet{}, &placement{}
+	r := operator.NewReadiness(replica, workers, p, 64)
+
+	a, err := agreement.Parse([]byte(`{"agreement":"test","members":[],"kinds":[]}`))
+	is.NoErr(err)
+
+	w := &wire.Worker{}
+	w.SetName("w")
+	w.SetIncarnation(1)
+	replica.ApplyLog([]ledger.Record{
+		ledger.NewRecord(0, time.Now(), ledger.PublicationRecord(0, []byte("n"), "op", a)),
+		ledger.NewRecord(1, time.Now(), ledger.WorkerJoinedRecord(w)),
+	}, 2)
+	workers.Connect(w, time.Now())
+	workers.UpdateRegistrations(replica.State().Registered)
+
+	is.Equal(r.Reason(), "0 of 1 registered workers are connected")
+
+	p.position.Store(2)
+	is.Equal(r.Reason(), "")
+}
+
 // Guards against a load balancer that sends callers to an entry that must refuse them: an entry without an agreement,
 // with too few sidecars connected after its start, disconnected from all sidecars, or leaving.
 func TestReadiness(t *testing.T) {
 	is := is.New(t)
 	replica, workers := &ledger.Replica{}, &fleet.Fleet{}
-	r := operator.NewReadiness(replica, workers, 64)
+	p := &placement{}
+	p.position.Store(4)
+
+	r := operator.NewReadiness(replica, workers, p, 64)
 
 	is.Equal(r.Reason(), "no agreement has been read yet")
 
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -58,8 +58,8 @@
 			newCallerServer,
 			newOperatorServer,
 			newProcess,
-			func(replica *ledger.Replica, workers *fleet.Fleet) *operator.Readiness {
-				return operator.NewReadiness(replica, workers, f.Connections)
+			func(replica *ledger.Replica, workers *fleet.Fleet, t *home.Table) *operator.Readiness {
+				return operator.NewReadiness(replica, workers, t, f.Connections)
 			},
 			func() *ledger.Replica { return &ledger.Replica{} },
 			func() *repeatable.Dispatcher { return repeatable.NewDispatcher(&routes.Current{}, nil, log) },
