Report changed capacity less often the larger the set is

Change: 6 ms times n(n-1) between two reports to one of n entries, in place of 18 ms times n-1: 36 ms at 3 entries as before, 336 ms at 8 in place of 126.

--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// reportIntervalPerEntry, times the number of other connected entries, is the minimum time between two reports of
-	// changed capacity to one entry: with many entries the reports would cost each process more than the jobs.
-	reportIntervalPerEntry = 18 * time.Millisecond
+	// reportIntervalPerPair, times the number of pairs of connected entries, counted both ways, is the minimum time between
+	// two reports of changed capacity to one entry. So a sidecar sends fewer reports the more entries it has: they would
+	// cost each process more than the jobs, and entries learn of most changes from the answers to their own requests.
+	reportIntervalPerPair = 6 * time.Millisecond
 	// minReportInterval is the lower bound of this time, which applies with few entries.
 	minReportInterval = 20 * time.Millisecond
 	// reportAudience is how long after its last request an entry gets reports of changed capacity. Without requests, the
@@ -106,7 +107,8 @@
 	}
 
 	change := max(free-s.reportedFreeCPU, s.reportedFreeCPU-free)
-	interval := max(minReportInterval, reportIntervalPerEntry*time.Duration(len(s.worker.sessions)-1))
+	n := time.Duration(len(s.worker.sessions))
+	interval := max(minReportInterval, reportIntervalPerPair*n*(n-1))
 
 	return now-s.reportedAt >= interval &&
 		float64(change) >= minReportChange*float64(s.worker.pool.Capacity().Millicores()+1)
