Measure an idle entry with the sessions that a fleet chooses

Cause: the idle cost of an entry should not follow the size of the fleet, and no measure showed it.

Change: standin capacity session-entry starts a real entry and those sidecars of a fleet of N that choose it.

--- a/standin/capacity/benchmark.go
+++ b/standin/capacity/benchmark.go
@@ -47,6 +47,7 @@
 		"entry-peers":     (*Benchmark).EntryPeers,
 		"entry-change":    (*Benchmark).EntryChange,
 		"entry-loss":      (*Benchmark).EntryLoss,
+		"session-entry":   (*Benchmark).SessionEntry,
 		"sidecar-entries": (*Benchmark).SidecarEntries,
 		"sidecar-starts":  (*Benchmark).SidecarStarts,
 		"sidecar-members": (*Benchmark).SidecarMembers,
