--- a/entry/repeatable/rawsidecar_test.go
+++ b/entry/repeatable/rawsidecar_test.go
@@ -23,7 +23,7 @@
 	frames chan *wire.Frame
 }
 
-func (f *fixture) attachRaw(e *entry, name string, incarnation uint64) *rawSidecar {
+func (f *fixture) attachRaw(e *entry, incarnation uint64) *rawSidecar {
 	f.t.Helper()
 
 	is := is.New(f.t)
@@ -39,7 +39,7 @@
 
 	r.stream, err = c.Open(ctx)
 	is.NoErr(err)
-	r.send(wire.Frame_builder{Attach: wire.Attach_builder{Sidecar: name, Incarnation: incarnation}.Build()}.Build())
+	r.send(wire.Frame_builder{Attach: wire.Attach_builder{Sidecar: "raw", Incarnation: incarnation}.Build()}.Build())
 
 	go r.run()
 
@@ -94,7 +94,7 @@
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	e := f.entries[0]
-	r := f.attachRaw(e, "raw", 1)
+	r := f.attachRaw(e, 1)
 	r.report(8)
 	f.await("the backend server is known", func() bool { return e.OpenServers(service) == 1 })
 
@@ -118,8 +118,8 @@
 func TestNextIncarnationEndsTheSessionBefore(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
-	first := f.attachRaw(f.entries[0], "raw", 1)
-	f.attachRaw(f.entries[0], "raw", 2)
+	first := f.attachRaw(f.entries[0], 1)
+	f.attachRaw(f.entries[0], 2)
 	is.True(first.next() == nil)
 }
 
@@ -137,7 +137,7 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	f := newFixture(t, 1, 1, 8)
 	e := f.entries[0]
-	r := f.attachRaw(e, "raw", 1)
+	r := f.attachRaw(e, 1)
 
 	var jobs []*pendingJob
 
@@ -151,7 +151,7 @@
 		select {
 		case _, ok := <-r.frames:
 			if !ok {
-				r = f.attachRaw(e, "raw", uint64(n))
+				r = f.attachRaw(e, uint64(n))
 			}
 		default:
 		}
