--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -30,6 +30,8 @@
 	pauseThreshold = 400 * time.Millisecond
 	// tickInterval is the time between clock checks, and between checks of the sessions.
 	tickInterval = 100 * time.Millisecond
+	// shutdownRetryAfter is when a caller that was refused by an entry that is shutting down may retry, at another entry.
+	shutdownRetryAfter = 100 * time.Millisecond
 	// drainPollInterval is how often Drain checks whether all jobs have ended.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -111,20 +113,12 @@
 	load := d.load(j, now)
 
 	if d.shuttingDown {
-		r := job.NewRefused("the entry is shutting down", 100*time.Millisecond)
-
-		return nil, &r
+		return nil, d.refuse(j, run, load, "the entry is shutting down", shutdownRetryAfter)
 	}
 
 	switch v := admission.Decide(j, run, load, d.random).(type) {
 	case admission.Refuse:
-		d.log.Info().Str("event", "job_refused").Str("job", j.ID()).Str("kind", j.Policy().Kind()).Str("reason", v.Reason()).
-			Int("tasks", j.Tasks()).Int64("cpu", j.Size().Millicores()).Dur("expected_run", run).Stringer("load", load).
-			Dur("retry_after", v.RetryAfter()).Uint64("routes", d.routes.Version()).Msg("job refused on arrival")
-
-		r := job.NewRefused(v.Reason(), v.RetryAfter())
-
-		return nil, &r
+		return nil, d.refuse(j, run, load, v.Reason(), v.RetryAfter())
 	case admission.Admit:
 		a := d.addJob(j, run, now)
 		a.retryTimer = time.AfterFunc(firstRetryDelay, a.retryReservations)
@@ -137,6 +131,19 @@
 	return nil, nil
 }
 
+// refuse logs that a job is refused on arrival and returns the refusal.
+func (d *Dispatcher) refuse(
+	j job.Job, run time.Duration, load admission.Load, reason string, retryAfter time.Duration,
+) *job.Refused {
+	d.log.Info().Str("event", "job_refused").Str("job", j.ID()).Str("kind", j.Policy().Kind()).Str("reason", reason).
+		Int("tasks", j.Tasks()).Int64("cpu", j.Size().Millicores()).Dur("expected_run", run).Stringer("load", load).
+		Dur("retry_after", retryAfter).Uint64("routes", d.routes.Version()).Msg("job refused on arrival")
+
+	r := job.NewRefused(reason, retryAfter)
+
+	return &r
+}
+
 func (d *Dispatcher) addJob(j job.Job, run, now time.Duration) *activeJob {
 	d.lastJobNumber++
 	a := newActiveJob(d, d.lastJobNumber, j, run, now)
