--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -58,6 +58,8 @@
 	// sidecarEstimate is the estimated number of sidecars in the deployment, as of the last tick.
 	sidecarEstimate int
 	shuttingDown    bool
+	// finishBy is when all jobs shall have ended once shuttingDown is true.
+	finishBy time.Duration
 }
 
 // NewDispatcher returns a dispatcher to which no sidecar is connected.
@@ -112,7 +114,7 @@
 	run := d.runTimes.estimate(j)
 	load := d.load(j, now)
 
-	if d.shuttingDown {
+	if d.shuttingDown && now+j.Policy().Objective(run) > d.finishBy {
 		return nil, d.refuse(j, run, load, "the entry is shutting down", shutdownRetryAfter)
 	}
 
@@ -319,11 +321,15 @@
 }
 
 // RefuseNewJobs makes Submit refuse every further job, for the shutdown of the entry.
-func (d *Dispatcher) RefuseNewJobs() {
+func (d *Dispatcher) RefuseNewJobs() { d.FinishBy(0) }
+
+// FinishBy makes Submit refuse the jobs that may not meet their objective by the deadline, a time on the clock of package
+// uptime. Until the shutdown of the entry is complete, callers still send jobs on connections that were idle.
+func (d *Dispatcher) FinishBy(deadline time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.shuttingDown = true
+	d.shuttingDown, d.finishBy = true, deadline
 }
 
 // ActiveJobs returns the number of jobs that have not ended.
--- a/entry/repeatable/shutdown_test.go
+++ b/entry/repeatable/shutdown_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/entry/repeatable"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
 )
@@ -27,3 +29,26 @@
 	is.True(strings.Contains(out.String(), `"event":"job_refused","job":"job-7"`))
 	is.True(strings.Contains(out.String(), `"reason":"the entry is shutting down"`))
 }
+
+// Guards against the refusal of short jobs that an entry which is shutting down could still serve, and against jobs that
+// it would have to interrupt.
+func TestShortJobsAreServedDuringShutdown(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 1, 8)
+	e := f.entries[0]
+
+	short := newJobWithTarget("short", "5ms", 1, 1, 3, strictTarget)
+	long := newJobWithTarget("long", "9s", 1, 1, 3, strictTarget)
+
+	e.FinishBy(uptime.Now() + 5*time.Second)
+
+	_, refused := f.submit(t.Context(), e, long).wait(t).(job.Refused)
+	is.True(refused)
+	is.Equal(f.submit(t.Context(), e, short).wait(t), job.Outcome(job.Completed{}))
+	is.NoErr(e.Drain(t.Context()))
+
+	e.FinishBy(uptime.Now())
+
+	_, refused = f.submit(t.Context(), e, newJobWithTarget("late", "5ms", 1, 1, 3, strictTarget)).wait(t).(job.Refused)
+	is.True(refused)
+}
