Accept tasks as soon as the backend server answers

Cause: a new incarnation accepts tasks once an answer of the backend server lists no run of an earlier sidecar, and the call for it waited for a run to end: 250 ms, and 500 ms since the longer wait of idle backend servers.

Change: the first call does not wait, and the next ones 50 ms until the runs of the earlier sidecar have ended.

Measured: TestFirstWatchDoesNotWait fails against the call before, and passes; go test of sidecar/repeatable, entry/repeatable and platform/soak passed.

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// unreadyWatchWait is how long a call waits for the end of the runs that an earlier sidecar has left.
+	unreadyWatchWait = 50 * time.Millisecond
 	// retryDelay is the pause after a call without an answer.
 	retryDelay = 50 * time.Millisecond
 	// initialTokenStepMS is the first increase of a rejected fencing token; tokens are times in Unix milliseconds.
@@ -77,11 +79,9 @@
 	r := &leaseRenewer{i}
 	go r.run()
 
-	for {
-		wait := lease.WatchWait
-		if i.worker.Running() == 0 {
-			wait = lease.IdleWatchWait
-		}
+	for first := true; ; {
+		wait := i.watchWait(first)
+		first = false
 
 		i.lease.ExpectAnswer(wait, uptime.Now())
 
@@ -91,6 +91,24 @@
 	}
 }
 
+// watchWait returns how long the next call waits for a run to end. The backend server accepts tasks only after an answer
+// that lists no run of an earlier sidecar, so the first call does not wait.
+func (i *incarnation) watchWait(first bool) time.Duration {
+	i.worker.mu.Lock()
+	defer i.worker.mu.Unlock()
+
+	switch {
+	case first:
+		return 0
+	case !i.ready:
+		return unreadyWatchWait
+	case len(i.worker.tasks) == 0:
+		return lease.IdleWatchWait
+	default:
+		return lease.WatchWait
+	}
+}
+
 // watch calls Watch once and handles the result. It reports whether the incarnation goes on.
 func (i *incarnation) watch(wait time.Duration) bool {
 	if i.ctx.Err() != nil {
