--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -27,6 +27,8 @@
 	sidecar  uint64
 	done     bool
 	failures int
+	// crashes counts the backend servers whose process ended while they ran the task.
+	crashes int
 	// sidecarLost is true while the task may still run at a sidecar that was lost.
 	sidecarLost bool
 }
@@ -163,6 +165,7 @@
 			s.send(wire.Frame_builder{Launch: wire.Launch_builder{
 				Job: a.number, Name: a.job.ID(), Indices: indices, Input: a.job.Input(),
 				ExpectedMs: uint32(a.expectedRun.Milliseconds()), Priority: uint32(a.job.Policy().Priority()),
+				Kind: a.job.Policy().Kind(),
 			}.Build()}.Build())
 		}
 
@@ -310,7 +313,9 @@
 
 // handleTaskEnded handles the end of a task. A task that did not complete is placed again unless it has
 // failed as often as the job allows attempts.
-func (a *activeJob) handleTaskEnded(s *sidecar, index uint32, r wire.Result, run time.Duration) {
+func (a *activeJob) handleTaskEnded(s *sidecar, m *wire.Ended) {
+	index, r, run := m.GetIndex(), m.GetResult(), time.Duration(m.GetRunMs())*time.Millisecond
+
 	if a.phase == phaseEnded || int(index) >= len(a.placements) || a.placements[index].sidecar != s.number {
 		return
 	}
@@ -335,13 +340,17 @@
 	default:
 	}
 
+	if m.GetCrashed() {
+		p.crashes++
+	}
+
 	if r != wire.Result_RESULT_DONE {
 		// A task that was stopped because it ran too long may need that time, so the next backend server allows it more.
 		a.expectedRun = max(a.expectedRun, run)
 
 		a.dispatcher.log.Info().Str("event", "task_not_done").Str("job", a.job.ID()).Uint32("task", index).
 			Str("sidecar", s.name).Stringer("result", r).Dur("run", run).Int("failures", p.failures).
-			Msg("task ended without completing")
+			Bool("crashed", m.GetCrashed()).Int("crashes", p.crashes).Msg("task ended without completing")
 	}
 
 	switch {
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -234,7 +234,7 @@
 		s.report.SetFreeCpu(m.GetFreeCpu())
 
 		if a := d.activeJobs[m.GetJob()]; a != nil {
-			a.handleTaskEnded(s, m.GetIndex(), m.GetResult(), time.Duration(m.GetRunMs())*time.Millisecond)
+			a.handleTaskEnded(s, m)
 		}
 	default:
 		d.log.Warn().Str("event", "frame_unknown").Str("sidecar", s.name).Msg("ignoring a frame of unknown type")
--- a/sidecar/leasedbackend/client.go
+++ b/sidecar/leasedbackend/client.go
@@ -115,7 +115,7 @@
 
 	response, err := c.http.Do(r)
 	if err != nil {
-		return merry.Prepend(err, path)
+		return merry.Prepend(repeatable.CallError(err), path)
 	}
 	defer response.Body.Close()
 
--- a/sidecar/repeatable/backend.go
+++ b/sidecar/repeatable/backend.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -14,6 +16,20 @@
 // ErrOtherInstance is returned by a Backend when another incarnation of the backend server answered.
 var ErrOtherInstance = errors.New("another instance of the backend server answered")
 
+// ErrNotReached is returned by a Backend when nothing listens at the address of the backend server. The call was not
+// delivered and will not be carried out.
+var ErrNotReached = errors.New("nothing listens at the address of the backend server")
+
+// CallError returns the error of an HTTP call to a backend server, marked with ErrNotReached if the connection was
+// refused.
+func CallError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", ErrNotReached, err)
+	}
+
+	return err
+}
+
 // Task identifies one task of a job.
 type Task struct {
 	job   string
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -30,6 +30,12 @@
 	ready bool
 	// lastEnd is the highest number of an ended run that the worker has handled.
 	lastEnd uint64
+	// failingSince is when the first call failed after the last answer, zero while calls are answered. notReached is true
+	// if nothing listened for one of the calls since then.
+	failingSince time.Duration
+	notReached   bool
+	// crashed is true once the process of the backend server is known to have ended and no task of it can run.
+	crashed bool
 	// ctx ends with the incarnation.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -181,6 +187,7 @@
 	defer w.mu.Unlock()
 
 	if w.incarnation == i {
+		i.crashed = true
 		w.endIncarnation("another instance answered")
 	}
 }
@@ -190,7 +197,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.incarnation != i || !i.lease.Expired(uptime.Now()) {
+	if w.incarnation != i {
+		return
+	}
+
+	w.recordCallError(i, err)
+
+	if !i.lease.Expired(uptime.Now()) {
 		return
 	}
 
@@ -201,6 +214,7 @@
 	}
 
 	i.ready = false
+	i.crashed = i.notReached
 
 	for _, t := range w.tasks {
 		w.finish(t, Lost)
@@ -218,6 +232,8 @@
 		return
 	}
 
+	i.failingSince, i.notReached, i.crashed = 0, false, false
+
 	if result.fenced {
 		i.raiseToken()
 
@@ -225,6 +241,7 @@
 	}
 
 	if result.startedAtMS != 0 && i.announcement.startedAtMS != 0 && result.startedAtMS != i.announcement.startedAtMS {
+		i.crashed = true
 		w.endIncarnation("the backend server was restarted with the same instance id")
 
 		return
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -123,10 +123,11 @@
 	s.send(r.frame(s.Active()))
 }
 
-func (s *entrySession) sendEnded(jobNumber uint64, index uint32, r wire.Result, run time.Duration) {
+// sendEnded reports the end of a task. crashed is true if the process of the backend server has ended with it.
+func (s *entrySession) sendEnded(jobNumber uint64, index uint32, r wire.Result, run time.Duration, crashed bool) {
 	s.send(wire.Frame_builder{Ended: wire.Ended_builder{
 		Job: jobNumber, Index: index, Result: r, RunMs: uint32(run.Milliseconds()),
-		FreeCpu: s.worker.pool.Free().Millicores(),
+		FreeCpu: s.worker.pool.Free().Millicores(), Crashed: crashed && r == wire.Result_RESULT_LOST,
 	}.Build()}.Build())
 }
 
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -45,6 +45,8 @@
 	// expected is the expected run time, zero if it is not known.
 	expected time.Duration
 	priority int
+	// kind is the kind of the job, empty if the entry does not name it.
+	kind string
 	// launchedAt is when the launch was received.
 	launchedAt time.Duration
 	// startAnsweredAt is when the answer to the start was received, zero before.
@@ -83,7 +85,7 @@
 			w.log.Info().Str("event", "launch_rejected").Str("job", m.GetName()).Uint32("task", index).
 				Msg("rejecting a launch: it has no reservation any more or the backend server is not ready")
 			w.pool.Cancel(size)
-			s.sendEnded(m.GetJob(), index, wire.Result_RESULT_REJECTED, 0)
+			s.sendEnded(m.GetJob(), index, wire.Result_RESULT_REJECTED, 0, false)
 
 			continue
 		}
@@ -91,7 +93,7 @@
 		t := &task{
 			worker: w, incarnation: w.incarnation, key: key, input: m.GetInput(), size: size, stopOutcome: Stopped,
 			expected: time.Duration(m.GetExpectedMs()) * time.Millisecond,
-			priority: int(m.GetPriority()), launchedAt: uptime.Now(),
+			priority: int(m.GetPriority()), kind: m.GetKind(), launchedAt: uptime.Now(),
 			run: NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
 		}
 
@@ -156,7 +158,7 @@
 		Msg("stopping a run of an earlier submission of the same task")
 	w.pool.Cancel(t.size)
 
-	old.onEnd = append(old.onEnd, func() { s.sendEnded(jobNumber, t.run.task.index, wire.Result_RESULT_REJECTED, 0) })
+	old.onEnd = append(old.onEnd, func() { s.sendEnded(jobNumber, t.run.task.index, wire.Result_RESULT_REJECTED, 0, false) })
 	w.stop(old)
 }
 
@@ -193,6 +195,7 @@
 	}
 
 	if err != nil {
+		w.recordCallError(t.incarnation, err)
 		w.log.Warn().Err(err).Str("event", "start_unanswered").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
 			Int64("run", t.run.number).Int("try", attempt).
 			Msg("backend server did not answer a start; the start is repeated, and after the last attempt the task is stopped")
@@ -356,7 +359,7 @@
 	w.metrics.recordTask(r, run)
 
 	if s := w.sessions[t.key.Session()]; s != nil {
-		s.sendEnded(t.key.Job(), t.run.task.index, r, run)
+		s.sendEnded(t.key.Job(), t.run.task.index, r, run, t.incarnation.crashed)
 	}
 
 	for _, f := range t.onEnd {
