Add failing tests of tasks that crash their backend server

The stand-in of a backend server can crash, restart, and refuse connections; the emulator knows jobs whose first task crashes the servers that start it.

--- /dev/null
+++ b/entry/repeatable/crash_test.go
@@ -0,0 +1,110 @@
+package repeatable_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/weir/request/job"
+)
+
+// restartDelay is how long a crashed backend server is away.
+const restartDelay = time.Second
+
+// crashLimit is the number of crashes under a task after which its job is given up. It is a target.
+const crashLimit = 2
+
+// restarter restarts crashed backend servers.
+type restarter struct {
+	fixture *fixture
+	ctx     context.Context
+}
+
+func (f *fixture) restartCrashed() {
+	r := &restarter{f, f.t.Context()}
+	go r.run()
+}
+
+func (r *restarter) run() {
+	crashedAt := map[*sidecarNode]time.Time{}
+	t := time.NewTicker(5 * time.Millisecond)
+
+	defer t.Stop()
+
+	for r.ctx.Err() == nil {
+		<-t.C
+
+		for _, s := range r.fixture.sidecars {
+			switch at, known := crashedAt[s]; {
+			case !s.backend.Crashed():
+			case !known:
+				crashedAt[s] = time.Now()
+			case time.Since(at) >= restartDelay:
+				delete(crashedAt, s)
+				s.backend.Restart(fmt.Sprintf("%s-life-%d", s.name, s.backend.Crashes()))
+				s.announce(false)
+			}
+		}
+	}
+}
+
+func (f *fixture) crashes() int {
+	n := 0
+	for _, s := range f.sidecars {
+		n += s.backend.Crashes()
+	}
+
+	return n
+}
+
+// Guards against a task that is started again without a limit although each backend server that starts it crashes.
+func TestTaskThatCrashesServersIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 6, 8)
+	f.restartCrashed()
+
+	is.Equal(f.submit(t.Context(), f.entries[0], newJob("deadly", leasedbackend.Crash, 1)).wait(t), job.Failed{})
+	is.Equal(f.crashes(), crashLimit)
+}
+
+// Guards against an entry that begins to count anew when the caller sends a job again after the entry that had it died.
+func TestCrashesAreKnownToOtherEntries(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 2, 6, 8)
+	f.restartCrashed()
+
+	f.submit(t.Context(), f.entries[0], newJob("deadly", leasedbackend.Crash, 1))
+	f.await("a backend server has crashed", func() bool { return f.crashes() > 0 })
+	f.await("another one has crashed", func() bool { return f.crashes() > 1 })
+	f.entries[0].kill()
+
+	is.Equal(f.submit(t.Context(), f.entries[1], newJob("deadly", leasedbackend.Crash, 1)).wait(t), job.Failed{})
+	is.True(f.crashes() <= crashLimit+1) // one more if the news came too late
+}
+
+// Guards against a job that is shown as failed because its backend server crashed twice, each time after a newer task of
+// another job had started, which is the likelier cause.
+func TestJobBesideADeadlyTaskIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 1, 8)
+	f.restartCrashed()
+
+	innocent := f.submit(t.Context(), f.entries[0], newJob("innocent", "1s", 1))
+
+	for n := range crashLimit {
+		id := fmt.Sprintf("newer-%d", n)
+		ctx, leave := context.WithCancel(t.Context())
+
+		f.await("the innocent task runs", func() bool { return f.running("innocent") == 1 })
+		f.submit(ctx, f.entries[0], newJob(id, leasedbackend.Hang, 1))
+		f.await("the newer task runs", func() bool { return f.running(id) == 1 })
+		f.sidecars[0].backend.Crash()
+		leave()
+	}
+
+	is.Equal(innocent.wait(t), job.Completed{})
+}
--- /dev/null
+++ b/sidecar/repeatable/crash_test.go
@@ -0,0 +1,79 @@
+package repeatable_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+)
+
+// Guards against a backend server that is offered to entries until the lease of its tasks ends although nothing listens
+// there, and against giving up its tasks before that.
+func TestUnreachableBackendIsClosedAtOnce(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 2)
+	fx.await("the tasks run", fx.hasRunning(2))
+
+	fx.backend.SetFault(leasedbackend.FaultNotListening)
+	fx.awaitOpen(false)
+	is.Equal(len(fx.frames), 0) // no task is given up yet
+
+	for range 2 {
+		is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+		is.Equal(len(fx.backend.Running()), 0)
+	}
+
+	fx.backend.SetFault(leasedbackend.FaultNone)
+	fx.awaitOpen(true)
+}
+
+// Guards against a task that waits for the end of a lease although its start was not delivered.
+func TestUndeliveredStartIsRejected(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+
+	fx.backend.SetFault(leasedbackend.FaultNotListening)
+	fx.entry.Send(wire.Frame_builder{Reserve: wire.Reserve_builder{
+		Job: 1, Tasks: 1, Cpu: core, Memory: 1, PatienceMs: 60_000, ExpectedMs: 50, NeededPermille: 1000,
+	}.Build()}.Build())
+
+	if f := fx.nextFrameOrClosed(); f != nil {
+		is.True(f.HasReserved())
+		fx.entry.Send(wire.Frame_builder{Launch: wire.Launch_builder{
+			Job: 1, Name: "job", Indices: []uint32{0}, Input: leasedbackend.Hang, ExpectedMs: 50,
+		}.Build()}.Build())
+		is.Equal(fx.nextResult(), wire.Result_RESULT_REJECTED)
+	}
+}
+
+// Guards against a result that does not tell a crash of the backend server from other losses.
+func TestLossByCrashIsReported(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Crash, 1)
+
+	f := fx.nextFrame()
+	is.True(f.HasEnded())
+	is.Equal(f.GetEnded().GetResult(), wire.Result_RESULT_LOST)
+	is.True(f.GetEnded().GetCrashed())
+
+	fx.backend.Restart("i-2")
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(2, "next", leasedbackend.Hang, 1)
+	fx.await("the task runs", fx.hasRunning(1))
+	fx.backend.SetFault(leasedbackend.FaultUnresponsive)
+
+	f = fx.nextFrame()
+	is.True(f.HasEnded())
+	is.True(!f.GetEnded().GetCrashed())
+}
--- a/sidecar/repeatable/worker_test.go
+++ b/sidecar/repeatable/worker_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// nextFrameOrClosed returns the next frame that is not a capacity report, or nil once the sidecar accepts no tasks.
+func (fx *fixture) nextFrameOrClosed() *wire.Frame {
+	fx.t.Helper()
+
+	timeout := time.After(waitTimeout)
+
+	for {
+		select {
+		case f := <-fx.frames:
+			return f
+		case m := <-fx.reports:
+			if !m.GetOpen() {
+				return nil
+			}
+		case <-timeout:
+			fx.t.Fatalf("no frame within %s", waitTimeout)
+		}
+	}
+}
+
 // startJob reserves capacity for a job and launches all its tasks.
 func (fx *fixture) startJob(number uint64, name, input string, tasks int) {
 	fx.t.Helper()
--- a/standin/emulator/load.go
+++ b/standin/emulator/load.go
@@ -66,6 +66,15 @@
 	entriesPerServer int
 	// reportInterval is the interval at which sidecars report to entries.
 	reportInterval time.Duration
+	crashes        crashLoad
+}
+
+// crashLoad is a share of the jobs of a kind that crash the backend servers that run them, during a part of the
+// simulation. The zero value has none.
+type crashLoad struct {
+	kind        int
+	share       float64
+	from, until time.Duration
 }
 
 // NewLoad returns a load. Tasks run slowFactor times as long on every third backend server.
@@ -141,18 +150,30 @@
 	return l
 }
 
+// WithCrashes returns the load with a share of the jobs of a kind, counted from zero, that arrive between two times. The
+// first task of such a job crashes each backend server that starts it.
+func (l Load) WithCrashes(kind int, share float64, from, until time.Duration) Load {
+	l.crashes = crashLoad{kind, share, from, until}
+
+	return l
+}
+
 // arrival is a job with the run times of its tasks.
 type arrival struct {
 	arrivedAt time.Duration
 	kind      int
 	job       job.Job
 	runTimes  []time.Duration
+	// deadly is true if the first task crashes the backend servers that start it.
+	deadly bool
 }
 
 // arrivals draws the jobs of a simulation.
 func (l Load) arrivals(random *rand.Rand) []arrival {
 	var all []arrival
 
+	crashes := l.crashes
+
 	for n, k := range l.kinds {
 		for range l.initialJobs {
 			all = append(all, l.drawJob(n, 0, random))
@@ -165,7 +186,13 @@
 			}
 
 			at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
-			all = append(all, l.drawJob(n, at, random))
+			a := l.drawJob(n, at, random)
+
+			if n == crashes.kind && at >= crashes.from && at < crashes.until {
+				a.deadly = random.Float64() < crashes.share
+			}
+
+			all = append(all, a)
 		}
 	}
 
@@ -187,9 +214,9 @@
 	policy := job.NewPolicy(k.name, "service", k.priority, 1, 1.6, l.target)
 	size := job.NewSize(int64(logNormal(l.taskMillicores, taskSizeDeviation)), 64)
 
-	return arrival{at, n, job.New(
+	return arrival{arrivedAt: at, kind: n, job: job.New(
 		"", "", tasks, size, time.Duration(logNormal(meanRunTime, estimateDeviation)), jobTimeout, policy, job.Constraints{},
-	), runTimes}
+	), runTimes: runTimes}
 }
 
 // objective is the response time within which the job counts as on time.
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -59,8 +59,14 @@
 	pool     reservation.Pool
 	slowness float64
 	capacity job.Size
-	// launchedTasks holds launched tasks that wait for free capacity; runningCPU is in millicores by priority.
-	launchedTasks []task
+	// accepting is false from the time at which the sidecar notices a crash until the backend server is back. life counts
+	// the crashes.
+	accepting bool
+	life      int
+	// launchedTasks holds launched tasks that wait for free capacity; running holds the started ones; runningCPU is in
+	// millicores by priority.
+	launchedTasks []*task
+	running       map[*task]bool
 	runningCPU    [reservation.PriorityCount]int64
 	// launchedCPU is counted in the current window of 1 s, launchRate is the count of the last one.
 	launchedCPU, launchRate [reservation.PriorityCount]int64
@@ -69,10 +75,15 @@
 type task struct {
 	activeJob *activeJob
 	runTime   time.Duration
+	startedAt time.Duration
+	// deadly is true if the task crashes the backend servers that start it; crashes counts those that crashed under it.
+	deadly  bool
+	crashes int
 }
 
 // report is the state of a backend server as an entry has recorded it. CPU figures are in millicores.
 type report struct {
+	closed                 bool
 	freeCPU                int64
 	queuedCPU              []int64
 	runningCPU, launchRate [reservation.PriorityCount]int64
@@ -96,11 +107,18 @@
 	requestedFrom map[int]bool
 	// outstanding is the number of reservations that are requested and not granted.
 	outstanding int
-	pending     []time.Duration
+	pending     []*task
 	remaining   int
 	started     bool
 	refused     bool
-	endedAt     time.Duration
+	// failed is true once the job was given up because of a task that crashes backend servers.
+	failed  bool
+	endedAt time.Duration
+}
+
+// isOver reports whether no more tasks of the job are placed.
+func (j *activeJob) isOver(now time.Duration) bool {
+	return j.refused || j.failed || now >= j.arrivedAt+jobTimeout
 }
 
 // Simulate runs a load under a rule in virtual time. The same seed draws the same jobs.
@@ -108,7 +126,7 @@
 	sm := &simulation{load: l, rule: r, random: rand.New(rand.NewPCG(seed, 1))}
 
 	for n := range l.servers {
-		s := &server{slowness: 1, capacity: job.NewSize(int64(l.coresPerServer)*1000, 1<<20)}
+		s := &server{slowness: 1, accepting: true, running: map[*task]bool{}, capacity: job.NewSize(int64(l.coresPerServer)*1000, 1<<20)}
 		if n%3 == 2 {
 			s.slowness = l.slowFactor
 		}
@@ -179,13 +197,7 @@
 			s.launchRate, s.launchedCPU = s.launchedCPU, [reservation.PriorityCount]int64{}
 		}
 
-		r := report{s.pool.Free().Millicores(), s.pool.QueuedCPU(), s.runningCPU, s.launchRate}
-
-		sm.scheduleAfter(sm.load.messageDelay, func() {
-			for _, e := range sm.entries {
-				e.reports[n], e.requestedCPU[n] = r, 0
-			}
-		})
+		sm.sendReport(n)
 	}
 
 	if sm.now < sm.load.duration {
@@ -193,13 +205,29 @@
 	}
 }
 
+// sendReport sends a report from a sidecar to every entry.
+func (sm *simulation) sendReport(n int) {
+	s := sm.servers[n]
+	r := report{!s.accepting, s.pool.Free().Millicores(), s.pool.QueuedCPU(), s.runningCPU, s.launchRate}
+
+	sm.scheduleAfter(sm.load.messageDelay, func() {
+		for _, e := range sm.entries {
+			e.reports[n], e.requestedCPU[n] = r, 0
+		}
+	})
+}
+
 func (sm *simulation) arrive(a arrival) {
 	j := &activeJob{
 		arrival: a, number: uint64(len(sm.jobs)), entry: sm.random.IntN(len(sm.entries)), requestedFrom: map[int]bool{},
-		pending: a.runTimes, remaining: len(a.runTimes),
+		remaining: len(a.runTimes),
 	}
 	sm.jobs = append(sm.jobs, j)
 
+	for i, runTime := range a.runTimes {
+		j.pending = append(j.pending, &task{activeJob: j, runTime: runTime, deadly: a.deadly && i == 0})
+	}
+
 	maxWait := jobTimeout
 
 	switch decision := admission.Decide(a.job, a.job.Estimate(), sm.knownLoad(j), sm.random).(type) {
@@ -267,7 +295,7 @@
 	servers := 0
 
 	for n, r := range e.reports {
-		if !e.connected[n] {
+		if !e.connected[n] || r.closed {
 			continue
 		}
 
@@ -305,7 +333,7 @@
 	var servers []jobplacement.Server
 
 	for n, r := range e.reports {
-		if e.connected[n] && !j.requestedFrom[n] {
+		if e.connected[n] && !r.closed && !j.requestedFrom[n] {
 			s := sm.servers[n]
 			servers = append(servers, jobplacement.NewServer(
 				uint64(n), job.NewSize(max(0, r.freeCPU-e.requestedCPU[n]), 1<<20),
@@ -334,7 +362,7 @@
 	}
 
 	sm.scheduleAfter(requestInterval, func() {
-		if len(j.pending) > 0 && !j.refused && sm.now < j.arrivedAt+jobTimeout {
+		if len(j.pending) > 0 && !j.isOver(sm.now) {
 			sm.requestReservations(j)
 		}
 	})
@@ -365,7 +393,7 @@
 func (sm *simulation) launchGranted(j *activeJob, n, reservations int) {
 	j.outstanding = max(0, j.outstanding-reservations)
 
-	if j.refused || len(j.pending) == 0 {
+	if j.isOver(sm.now) || len(j.pending) == 0 {
 		sm.releaseReservations(j)
 
 		return
@@ -373,19 +401,16 @@
 
 	j.started = true
 	reservations = min(reservations, len(j.pending))
-	runTimes := j.pending[:reservations]
+	tasks := j.pending[:reservations]
 	j.pending = j.pending[reservations:]
 
 	sm.scheduleAfter(sm.load.messageDelay, func() {
 		s := sm.servers[n]
 		_, launched := s.pool.Launch(reservation.NewKey(1, j.number), reservations)
+		s.launchedTasks = append(s.launchedTasks, tasks[:launched]...)
 
-		for _, runTime := range runTimes[:launched] {
-			s.launchedTasks = append(s.launchedTasks, task{j, runTime})
-		}
-
-		if launched < len(runTimes) { // the reservation has expired
-			j.pending = append(j.pending, runTimes[launched:]...)
+		if launched < len(tasks) { // the reservation has expired
+			j.pending = append(j.pending, tasks[launched:]...)
 		}
 
 		sm.processQueue(n)
@@ -410,8 +435,16 @@
 	}
 }
 
-func (sm *simulation) startTask(n int, t task) {
+func (sm *simulation) startTask(n int, t *task) {
 	s, j := sm.servers[n], t.activeJob
+	life := s.life
+	t.startedAt = sm.now
+	s.running[t] = true
+
+	if t.deadly {
+		sm.scheduleAfter(crashDelay, func() { sm.crash(n, life) })
+	}
+
 	priority, cpu := reservation.ClampPriority(sm.priority(j)), j.job.Size().Millicores()
 	s.runningCPU[priority] += cpu
 	s.launchedCPU[priority] += cpu
@@ -419,6 +452,11 @@
 	runTime := time.Duration(float64(t.runTime) * s.slowness)
 
 	sm.scheduleAfter(runTime, func() {
+		if s.life != life {
+			return
+		}
+
+		delete(s.running, t)
 		s.runningCPU[priority] -= cpu
 		s.pool.End(j.job.Size())
 		sm.processQueue(n)
--- a/standin/leasedbackend/handler.go
+++ b/standin/leasedbackend/handler.go
@@ -87,7 +87,8 @@
 	switch {
 	case errors.Is(err, repeatable.ErrOtherInstance):
 		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.Is(err, errAnswerDropped), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, errAnswerDropped), errors.Is(err, errConnectionReset), errors.Is(err, repeatable.ErrNotReached),
+		errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		panic(http.ErrAbortHandler)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/standin/leasedbackend/server.go
+++ b/standin/leasedbackend/server.go
@@ -12,18 +12,26 @@
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 )
 
-// Inputs of tasks that do not succeed: Fail fails after 1 ms, Hang runs until it is stopped or the lease ends.
+// Inputs of tasks that do not succeed: Fail fails after 1 ms, Hang runs until it is stopped or the lease ends, and Crash
+// ends the process of the server after crashDelay.
 const (
-	Fail = "fail"
-	Hang = "hang"
+	Fail  = "fail"
+	Hang  = "hang"
+	Crash = "crash"
 )
 
+// crashDelay is the time from the start of a task with the input Crash to the end of the server's process.
+const crashDelay = 10 * time.Millisecond
+
 // maxLease is the longest lease that is granted.
 const maxLease = time.Second
 
 // errAnswerDropped is returned by a start that was carried out and whose answer is dropped.
 var errAnswerDropped = errors.New("answer dropped by an injected fault")
 
+// errConnectionReset is returned by calls that wait while the process ends.
+var errConnectionReset = errors.New("connection reset by the end of the process")
+
 // Fault determines how calls are answered.
 type Fault uint8
 
@@ -37,14 +45,19 @@
 	FaultUnresponsive
 	// FaultUnhealthy rejects starts with the result that the server is unhealthy.
 	FaultUnhealthy
+	// FaultNotListening refuses connections and breaks the calls that wait. Tasks run on.
+	FaultNotListening
 )
 
-// Server is one incarnation of a backend server. New makes it.
+// Server is a backend server. New makes it with its first incarnation.
 type Server struct {
 	mu        sync.Mutex
 	instance  string
 	startedAt time.Time
 	fault     Fault
+	// crashed is true from the end of the process until Restart; crashes counts these ends.
+	crashed bool
+	crashes int
 	// answersToDrop is the number of starts whose answer is still to be dropped.
 	answersToDrop int
 	// startsToHang is the number of starts that are still to hang, whatever their input.
@@ -77,11 +90,75 @@
 	}
 }
 
-// Instance returns the ID of this incarnation.
-func (s *Server) Instance() string { return s.instance }
+// Instance returns the ID of the incarnation.
+func (s *Server) Instance() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.instance
+}
 
-// StartedAtMS returns the start of this incarnation in Unix milliseconds.
-func (s *Server) StartedAtMS() int64 { return s.startedAt.UnixMilli() }
+// StartedAtMS returns the start of the incarnation in Unix milliseconds.
+func (s *Server) StartedAtMS() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.startedAt.UnixMilli()
+}
+
+// Crash ends the process of the server with all that it runs. Calls are not delivered until Restart.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.crashed {
+		return
+	}
+
+	s.crashed = true
+	s.crashes++
+
+	for _, r := range s.running {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+	}
+
+	clear(s.running)
+	s.interruptCalls()
+}
+
+// Restart begins a new incarnation after a crash, which knows nothing of the one before. Counts of starts go on.
+func (s *Server) Restart(instance string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.instance, s.startedAt, s.crashed = instance, time.Now(), false
+	s.token, s.leaseEnd, s.ended, s.lastEnd = 0, 0, nil, 0
+	s.highestRun = map[repeatable.Task]int64{}
+}
+
+// Crashed reports whether the process has ended and was not restarted.
+func (s *Server) Crashed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.crashed
+}
+
+// Crashes returns how often the process has ended.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.crashes
+}
+
+// interruptCalls wakes the calls that wait for the end of a run.
+func (s *Server) interruptCalls() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
 
 // SetFault sets how calls are answered from now on.
 func (s *Server) SetFault(f Fault) {
@@ -89,6 +166,10 @@
 	defer s.mu.Unlock()
 
 	s.fault = f
+
+	if f == FaultNotListening {
+		s.interruptCalls()
+	}
 }
 
 // DropAnswers drops the answers to the next n starts, which are carried out.
@@ -182,12 +263,16 @@
 	s.lastEnd++
 	s.ended = append(s.ended, repeatable.NewEndedRun(s.lastEnd, r.run, outcome))
 
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.interruptCalls()
 }
 
-// checkCall rejects a call for another instance. With FaultUnresponsive it blocks until the caller stops waiting.
+// checkCall rejects a call for another instance, and every call while nothing listens. With FaultUnresponsive it blocks
+// until the caller stops waiting.
 func (s *Server) checkCall(ctx context.Context, p repeatable.Permit) error {
+	if s.notListening() {
+		return repeatable.ErrNotReached
+	}
+
 	if s.fault == FaultUnresponsive {
 		s.mu.Unlock()
 		<-ctx.Done()
@@ -203,6 +288,8 @@
 	return nil
 }
 
+func (s *Server) notListening() bool { return s.crashed || s.fault == FaultNotListening }
+
 func (s *Server) renewLease(leaseEnd time.Duration) {
 	s.applyLeaseExpiry()
 	s.leaseEnd = max(s.leaseEnd, min(leaseEnd, s.clock()+maxLease))
@@ -274,6 +361,8 @@
 
 	switch input {
 	case Hang:
+	case Crash:
+		started.timer = time.AfterFunc(crashDelay, func() { s.crashWith(started) })
 	case Fail:
 		started.timer = time.AfterFunc(time.Millisecond, func() { s.finish(started, repeatable.Failed) })
 	default:
@@ -288,6 +377,17 @@
 	return repeatable.Started
 }
 
+// crashWith ends the process of the server unless the run has ended before.
+func (s *Server) crashWith(r *activeRun) {
+	s.mu.Lock()
+	runs := s.running[r.run.Task()] == r
+	s.mu.Unlock()
+
+	if runs {
+		s.Crash()
+	}
+}
+
 // finish ends a run whose time is over, unless it has ended before.
 func (s *Server) finish(r *activeRun, outcome repeatable.Outcome) {
 	s.mu.Lock()
@@ -342,6 +442,10 @@
 		s.awaitEnd(ctx, wait)
 	}
 
+	if s.notListening() {
+		return repeatable.WatchResult{}, errConnectionReset
+	}
+
 	s.applyLeaseExpiry()
 
 	runs := make([]repeatable.Run, 0, len(s.running))
@@ -349,7 +453,7 @@
 		runs = append(runs, r.run)
 	}
 
-	return repeatable.NewWatchResult(s.clock(), s.StartedAtMS(), runs, slices.Clone(s.ended)), s.blockIfNoAnswer(ctx)
+	return repeatable.NewWatchResult(s.clock(), s.startedAt.UnixMilli(), runs, slices.Clone(s.ended)), s.blockIfNoAnswer(ctx)
 }
 
 // awaitEnd waits until a run ends, at most for the duration wait. It unlocks the mutex while it waits.
