Give up a task that crashes the backend servers that start it

Callers of other jobs lost their runs again and again: a task whose backend server crashed was placed again until its caller left, and crashed another one each time. Failed runs were limited by the attempts of the route, lost ones by nothing.

Evidence: the same jobs are the newest on the crashed server at 5.06 and 6.18 s, at 5.35 and 6.61 s and so on (backend_unreachable).

A job fails after two crashes in which it had started last, which the sidecar reports with the result, or after three of any kind: work that only runs beside a deadly task is not given up for two.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -27,8 +27,7 @@
 	sidecar  uint64
 	done     bool
 	failures int
-	// crashes counts the backend servers whose process ended while they ran the task.
-	crashes int
+	crashes  crashCount
 	// sidecarLost is true while the task may still run at a sidecar that was lost.
 	sidecarLost bool
 }
@@ -341,7 +340,7 @@
 	}
 
 	if m.GetCrashed() {
-		p.crashes++
+		p.crashes.add(m.GetSuspected())
 	}
 
 	if r != wire.Result_RESULT_DONE {
@@ -350,12 +349,15 @@
 
 		a.dispatcher.log.Info().Str("event", "task_not_done").Str("job", a.job.ID()).Uint32("task", index).
 			Str("sidecar", s.name).Stringer("result", r).Dur("run", run).Int("failures", p.failures).
-			Bool("crashed", m.GetCrashed()).Int("crashes", p.crashes).Msg("task ended without completing")
+			Bool("crashed", m.GetCrashed()).Int("crashes", p.crashes.total).Int("suspected", p.crashes.suspected).
+			Msg("task ended without completing")
 	}
 
 	switch {
 	case p.failures >= a.job.Policy().AttemptLimit():
 		a.end(job.Failed{}, "a task failed too often")
+	case p.crashes.exceeded():
+		a.end(job.Failed{}, "a task crashes the backend servers that start it")
 	case a.allDone():
 		a.logLate()
 		a.end(job.Completed{}, "")
--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
@@ -21,7 +22,7 @@
 	}
 
 	if i.failingSince == 0 {
-		i.failingSince = uptime.Now()
+		w.markFailing(i)
 	}
 
 	if i.notReached || !errors.Is(err, ErrNotReached) {
@@ -43,6 +44,29 @@
 		Msg("nothing listens at the address of the backend server; its runs, the newest first, may have ended with it")
 }
 
+// markFailing records when the first call failed, and which job had started last by then: if the backend server has
+// crashed, that job is the likely cause.
+func (w *Worker) markFailing(i *incarnation) {
+	i.failingSince, i.suspect = uptime.Now(), reservation.Key{}
+
+	for _, t := range w.startedTasks() {
+		if t.startedAt <= i.failingSince {
+			i.suspect = t.key
+
+			return
+		}
+	}
+}
+
+// markCrashed records that the process of the backend server has ended with all its tasks.
+func (w *Worker) markCrashed(i *incarnation) {
+	if i.failingSince == 0 {
+		w.markFailing(i)
+	}
+
+	i.crashed = true
+}
+
 // startedTasks returns the tasks that have started, the newest first.
 func (w *Worker) startedTasks() []*task {
 	started := make([]*task, 0, len(w.tasks))
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/lease"
+	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
@@ -36,6 +37,8 @@
 	notReached   bool
 	// crashed is true once the process of the backend server is known to have ended and no task of it can run.
 	crashed bool
+	// suspect is the job that had started last at failingSince.
+	suspect reservation.Key
 	// ctx ends with the incarnation.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -187,7 +190,7 @@
 	defer w.mu.Unlock()
 
 	if w.incarnation == i {
-		i.crashed = true
+		w.markCrashed(i)
 		w.endIncarnation("another instance answered")
 	}
 }
@@ -214,7 +217,10 @@
 	}
 
 	i.ready = false
-	i.crashed = i.notReached
+
+	if i.notReached {
+		w.markCrashed(i)
+	}
 
 	for _, t := range w.tasks {
 		w.finish(t, Lost)
@@ -241,7 +247,7 @@
 	}
 
 	if result.startedAtMS != 0 && i.announcement.startedAtMS != 0 && result.startedAtMS != i.announcement.startedAtMS {
-		i.crashed = true
+		w.markCrashed(i)
 		w.endIncarnation("the backend server was restarted with the same instance id")
 
 		return
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -123,11 +123,21 @@
 	s.send(r.frame(s.Active()))
 }
 
-// sendEnded reports the end of a task. crashed is true if the process of the backend server has ended with it.
-func (s *entrySession) sendEnded(jobNumber uint64, index uint32, r wire.Result, run time.Duration, crashed bool) {
+// sendEnded reports the end of a task.
+func (s *entrySession) sendEnded(t *task, r wire.Result, run time.Duration) {
+	crashed := r == wire.Result_RESULT_LOST && t.startedAt > 0 && t.incarnation.crashed
+
+	s.send(wire.Frame_builder{Ended: wire.Ended_builder{
+		Job: t.key.Job(), Index: t.run.task.index, Result: r, RunMs: uint32(run.Milliseconds()),
+		FreeCpu: s.worker.pool.Free().Millicores(), Crashed: crashed,
+		Suspected: crashed && t.key == t.incarnation.suspect,
+	}.Build()}.Build())
+}
+
+// sendRejected reports a task that was not launched.
+func (s *entrySession) sendRejected(jobNumber uint64, index uint32) {
 	s.send(wire.Frame_builder{Ended: wire.Ended_builder{
-		Job: jobNumber, Index: index, Result: r, RunMs: uint32(run.Milliseconds()),
-		FreeCpu: s.worker.pool.Free().Millicores(), Crashed: crashed && r == wire.Result_RESULT_LOST,
+		Job: jobNumber, Index: index, Result: wire.Result_RESULT_REJECTED, FreeCpu: s.worker.pool.Free().Millicores(),
 	}.Build()}.Build())
 }
 
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -85,7 +85,7 @@
 			w.log.Info().Str("event", "launch_rejected").Str("job", m.GetName()).Uint32("task", index).
 				Msg("rejecting a launch: it has no reservation any more or the backend server is not ready")
 			w.pool.Cancel(size)
-			s.sendEnded(m.GetJob(), index, wire.Result_RESULT_REJECTED, 0, false)
+			s.sendRejected(m.GetJob(), index)
 
 			continue
 		}
@@ -158,7 +158,7 @@
 		Msg("stopping a run of an earlier submission of the same task")
 	w.pool.Cancel(t.size)
 
-	old.onEnd = append(old.onEnd, func() { s.sendEnded(jobNumber, t.run.task.index, wire.Result_RESULT_REJECTED, 0, false) })
+	old.onEnd = append(old.onEnd, func() { s.sendRejected(jobNumber, t.run.task.index) })
 	w.stop(old)
 }
 
@@ -359,7 +359,7 @@
 	w.metrics.recordTask(r, run)
 
 	if s := w.sessions[t.key.Session()]; s != nil {
-		s.sendEnded(t.key.Job(), t.run.task.index, r, run, t.incarnation.crashed)
+		s.sendEnded(t, r, run)
 	}
 
 	for _, f := range t.onEnd {
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -194,7 +194,7 @@
 // beginIncarnation begins a new incarnation of the backend server. The tasks of the previous one no longer run.
 func (w *Worker) beginIncarnation(ctx context.Context, a Announcement) {
 	if w.incarnation != nil {
-		w.incarnation.crashed = true
+		w.markCrashed(w.incarnation)
 	}
 
 	w.endIncarnation("the backend server announced a new incarnation")
