Close a backend server as soon as nothing listens there

After a crash, a backend server was offered for another second, until the lease of its tasks had ended: entries waited for reservations there, tasks were started there and lost, and jobs were refused elsewhere. Besides, calls that could not be delivered went on extending the lease that the sidecar waited for.

Evidence: connections were refused 5 to 60 ms after each crash, the tasks reported as lost after 1.03 to 1.09 s; runs with an age of 0 ms in backend_unreachable.

On the first refused connection the sidecar accepts no more tasks, drops the requests and tells all entries; the lease is not renewed until the next answer, and a start that was not delivered is rejected in place of lost. Running tasks still occupy their capacity until their lease has ended, since a process may refuse connections and run on. The first failed call is repeated at once.

--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -14,23 +14,44 @@
 // maxLoggedRuns limits the runs that the log line of an unreachable backend server lists.
 const maxLoggedRuns = 16
 
-// recordCallError records a call that failed. The first call for which nothing listened is logged with the runs that
-// the backend server may have lost.
-func (w *Worker) recordCallError(i *incarnation, err error) {
+// recordCallError records a call that failed, and reports whether it is the first one since the last answer. After the
+// first call for which nothing listened, no more tasks are accepted until a call is answered. The tasks occupy their
+// capacity until their lease has ended: the process may run on although it refuses connections.
+func (w *Worker) recordCallError(i *incarnation, err error) bool {
 	if w.incarnation != i {
-		return
+		return false
 	}
 
-	if i.failingSince == 0 {
+	first := i.failingSince == 0
+	if first {
 		w.markFailing(i)
 	}
 
-	if i.notReached || !errors.Is(err, ErrNotReached) {
-		return
+	if !i.notReached && errors.Is(err, ErrNotReached) {
+		i.notReached = true
+		i.lease.Suspend()
+		w.logUnreachable(i, err)
+		w.updateCapacity()
+		w.reportToAll(uptime.Now())
 	}
 
-	i.notReached = true
+	return first
+}
+
+// recordAnswer records a call that was answered. It accepts tasks again if nothing listened before.
+func (w *Worker) recordAnswer(i *incarnation) {
+	wasClosed := i.notReached
+	i.failingSince, i.notReached, i.crashed = 0, false, false
+
+	if wasClosed && i.ready {
+		w.log.Info().Str("event", "backend_reached").Str("instance", i.instance).Int("tasks", len(w.tasks)).
+			Msg("backend server answers again; it accepts tasks")
+		w.updateCapacity()
+	}
+}
 
+// logUnreachable logs the runs that the backend server may have lost.
+func (w *Worker) logUnreachable(i *incarnation, err error) {
 	runs := w.startedTasks()
 	lines := make([]string, 0, maxLoggedRuns)
 
@@ -41,7 +62,8 @@
 
 	w.log.Warn().Err(err).Str("event", "backend_unreachable").Str("instance", i.instance).Int("tasks", len(runs)).
 		Strs("runs", lines).
-		Msg("nothing listens at the address of the backend server; its runs, the newest first, may have ended with it")
+		Msg("nothing listens at the address of the backend server, which accepts no more tasks; its runs, the newest first, " +
+			"may have ended with it")
 }
 
 // markFailing records when the first call failed, and which job had started last by then: if the backend server has
@@ -50,7 +72,7 @@
 	i.failingSince, i.suspect = uptime.Now(), reservation.Key{}
 
 	for _, t := range w.startedTasks() {
-		if t.startedAt <= i.failingSince {
+		if t.startAnsweredAt > 0 {
 			i.suspect = t.key
 
 			return
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -136,7 +136,10 @@
 
 		return false
 	case err != nil:
-		i.worker.handleUnanswered(i, err)
+		if i.worker.handleUnanswered(i, err) {
+			// A connection that ends may mean that the process has; the next call tells.
+			return true
+		}
 
 		select {
 		case <-time.After(retryDelay):
@@ -195,19 +198,20 @@
 	}
 }
 
-// handleUnanswered handles a call without an answer: once the lease has expired, the tasks are reported as lost.
-func (w *Worker) handleUnanswered(i *incarnation, err error) {
+// handleUnanswered handles a call without an answer: once the lease has expired, the tasks are reported as lost. It
+// reports whether the call is the first one without an answer.
+func (w *Worker) handleUnanswered(i *incarnation, err error) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	if w.incarnation != i {
-		return
+		return false
 	}
 
-	w.recordCallError(i, err)
+	first := w.recordCallError(i, err)
 
 	if !i.lease.Expired(uptime.Now()) {
-		return
+		return first
 	}
 
 	if i.ready || len(w.tasks) > 0 {
@@ -227,6 +231,8 @@
 	}
 
 	w.updateCapacity()
+
+	return first
 }
 
 // handleWatchResult handles the answer to a call to Watch that was sent at the time sent.
@@ -238,7 +244,7 @@
 		return
 	}
 
-	i.failingSince, i.notReached, i.crashed = 0, false, false
+	w.recordAnswer(i)
 
 	if result.fenced {
 		i.raiseToken()
--- a/sidecar/repeatable/report.go
+++ b/sidecar/repeatable/report.go
@@ -86,3 +86,12 @@
 		s.report(r)
 	}
 }
+
+// reportToAll sends a report to every entry, as one that no entry may miss for the time between two reports.
+func (w *Worker) reportToAll(now time.Duration) {
+	r := w.newReport(now)
+
+	for _, s := range w.sessions {
+		s.report(r)
+	}
+}
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -194,6 +195,13 @@
 		return false
 	}
 
+	if attempt == 0 && errors.Is(err, ErrNotReached) {
+		w.finishAs(t, wire.Result_RESULT_REJECTED)
+		w.recordCallError(t.incarnation, err)
+
+		return false
+	}
+
 	if err != nil {
 		w.recordCallError(t.incarnation, err)
 		w.log.Warn().Err(err).Str("event", "start_unanswered").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -262,7 +262,9 @@
 
 // acceptsTasks reports whether new tasks are accepted.
 func (w *Worker) acceptsTasks() bool {
-	return w.incarnation != nil && w.incarnation.ready && !w.incarnation.announcement.draining && !w.leaving
+	i := w.incarnation
+
+	return i != nil && i.ready && !i.notReached && !i.announcement.draining && !w.leaving
 }
 
 // schedule starts launched tasks, reserves free capacity for the waiting requests and reports changes to the entries.
--- a/weir/process/lease/lease.go
+++ b/weir/process/lease/lease.go
@@ -46,6 +46,8 @@
 	renewedAt time.Duration
 	// answerDue is when the call that waits for the end of a run is overdue.
 	answerDue time.Duration
+	// suspended is true from Suspend to the next answer.
+	suspended bool
 }
 
 // RecordClock records a reading of the backend server's clock, unless the clock is known to have passed it.
@@ -73,7 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.clockReadAt == 0 || now-l.lastAnswer > unresponsiveTimeout {
+	if l.clockReadAt == 0 || l.suspended || now-l.lastAnswer > unresponsiveTimeout {
 		return 0
 	}
 
@@ -87,10 +89,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.lastAnswer = now
+	l.lastAnswer, l.suspended = now, false
 	l.renewedAt = max(l.renewedAt, sent)
 }
 
+// Suspend is called when calls are no longer delivered. The lease is not renewed until the next answer, so that it ends
+// after the last call that may have been delivered.
+func (l *Lease) Suspend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.suspended = true
+}
+
 // ExpectAnswer records that a call is sent now that waits for the end of a run.
 func (l *Lease) ExpectAnswer(wait, now time.Duration) {
 	l.mu.Lock()
--- a/weir/process/lease/lease_test.go
+++ b/weir/process/lease/lease_test.go
@@ -149,3 +149,24 @@
 	l.BeginWork(begin + time.Second)
 	is.Equal(l.Renew(begin+time.Second), time.Duration(0))
 }
+
+// Guards against a lease that calls extend which are not delivered, so that the loss of tasks is noticed late.
+func TestSuspendedLeaseIsNotExtended(t *testing.T) {
+	is := is.New(t)
+
+	const ms = time.Millisecond
+
+	var l lease.Lease
+
+	l.RecordClock(time.Hour, 1000*ms)
+	l.RecordAnswer(990*ms, 1000*ms)
+	is.True(l.Renew(1000*ms) > 0)
+
+	l.Suspend()
+	is.Equal(l.Renew(1200*ms), time.Duration(0))
+	is.True(!l.Expired(1000*ms + lease.Duration))
+	is.True(l.Expired(1200*ms + lease.Duration))
+
+	l.RecordAnswer(1300*ms, 1310*ms)
+	is.True(l.Renew(1320*ms) > 0)
+}
