Count a crash only against tasks that are known to have started

Its first start was on its way when another job's task crashed the backend server at 5.342 s; the unanswered start counted as a crash with its job as the likely cause. At 6.904 s it had started last at another one that crashed.

A run counts as crashed only if its start was answered, and only such a run can be the likely cause. So that a task that crashes the server before the answer is not started for ever, its job is interrupted after five lost runs of any cause. TestUnansweredStartIsNoCrash failed before on this expectation (by reading: the flag was set for every started task).

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -339,8 +339,8 @@
 	default:
 	}
 
-	if m.GetCrashed() {
-		p.crashes.add(m.GetSuspected())
+	if r == wire.Result_RESULT_LOST {
+		p.crashes.add(m.GetCrashed(), m.GetSuspected())
 	}
 
 	if r != wire.Result_RESULT_DONE {
@@ -356,8 +356,10 @@
 	switch {
 	case p.failures >= a.job.Policy().AttemptLimit():
 		a.end(job.Failed{}, "a task failed too often")
-	case p.crashes.exceeded():
+	case p.crashes.isDeadly():
 		a.end(job.Failed{}, "a task crashes the backend servers that start it")
+	case p.crashes.lostTooOften():
+		a.end(a.incompleteOutcome("a task was lost too often", 0), "a task was lost too often")
 	case a.allDone():
 		a.logLate()
 		a.end(job.Completed{}, "")
--- a/sidecar/repeatable/crash_test.go
+++ b/sidecar/repeatable/crash_test.go
@@ -77,3 +77,25 @@
 	is.True(f.HasEnded())
 	is.True(!f.GetEnded().GetCrashed())
 }
+
+// Guards against blaming a crash on a task whose start was on its way when the backend server crashed.
+func TestUnansweredStartIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "older", leasedbackend.Hang, 1)
+	fx.await("the older task runs", fx.hasRunning(1))
+
+	fx.backend.SetFault(leasedbackend.FaultNoAnswer)
+	fx.startJob(2, "unanswered", leasedbackend.Hang, 1)
+	fx.await("the unanswered task runs", fx.hasRunning(2))
+	fx.backend.Crash()
+
+	for range 2 {
+		m := fx.nextFrame().GetEnded()
+		is.Equal(m.GetResult(), wire.Result_RESULT_LOST)
+		is.Equal(m.GetCrashed(), m.GetJob() == 1)
+		is.Equal(m.GetSuspected(), m.GetJob() == 1)
+	}
+}
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -123,9 +123,10 @@
 	s.send(r.frame(s.Active()))
 }
 
-// sendEnded reports the end of a task.
+// sendEnded reports the end of a task. A crash counts only for tasks that are known to have started: the answer to a
+// start is also lost if the backend server crashes for another reason before it arrives.
 func (s *entrySession) sendEnded(t *task, r wire.Result, run time.Duration) {
-	crashed := r == wire.Result_RESULT_LOST && t.startedAt > 0 && t.incarnation.crashed
+	crashed := r == wire.Result_RESULT_LOST && t.startAnsweredAt > 0 && t.incarnation.crashed
 
 	s.send(wire.Frame_builder{Ended: wire.Ended_builder{
 		Job: t.key.Job(), Index: t.run.task.index, Result: r, RunMs: uint32(run.Milliseconds()),
