Confine a kind of job that crashes backend servers to a few of them

With a tenth of the jobs of one kind deadly, every backend server crashed three times in ten seconds, and jobs of all kinds were refused for want of servers: kinds without a deadly job lost as much as the poisoned one. A budget of crashes for each task does not help them, since 111 of 145 crashes were first runs.

Cause: the loss of a backend server counted as independent of what it ran. New jobs of the kind went to every backend server.

On a crash the sidecar tells all entries which kinds ran there, how long before the crash their newest job had started, and how often one starts. Each entry judges the latest crashes together: how probable is it that a kind without a part in them had always started a job so shortly before? A suspected kind prefers a fifth of the backend servers; a confined one may use no others, other kinds keep away from them, and its jobs are refused at once while these are down.

TestKindThatCrashesServersIsConfined fails without the evidence.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -6,6 +6,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
+	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
@@ -122,6 +123,10 @@
 	case a.phase == phaseEnded || a.unplaced() == 0:
 		a.releaseReservations()
 		s.releaseJob(a.number)
+	case a.dispatcher.access(a.job, s) == quarantine.Forbidden:
+		delete(a.granted, s.number)
+		delete(a.requested, s.number)
+		s.releaseJob(a.number)
 	default:
 		a.launch()
 	}
--- a/entry/repeatable/crash_test.go
+++ b/entry/repeatable/crash_test.go
@@ -108,3 +108,32 @@
 
 	is.Equal(innocent.wait(t), job.Completed{})
 }
+
+// Guards against a kind of job that crashes one backend server after the other, until none is left for other kinds.
+func TestKindThatCrashesServersIsConfined(t *testing.T) {
+	is := is.New(t)
+
+	const servers, deadlyJobs = 12, 8
+
+	f := newFixture(t, 1, servers, 8)
+	kindOf := func(id, input, kind string) job.Job {
+		policy := job.NewPolicy(kind, service, 1, 3, 1.6, strictTarget)
+
+		return job.New(id, input, 1, job.NewSize(core, 1), 50*time.Millisecond, callerTimeout, policy, job.Constraints{})
+	}
+
+	for n := range deadlyJobs {
+		f.submit(t.Context(), f.entries[0], kindOf(fmt.Sprintf("deadly-%d", n), leasedbackend.Crash, "deadly")).wait(t)
+	}
+
+	crashed := 0
+
+	for _, s := range f.sidecars {
+		if s.backend.Crashes() > 0 {
+			crashed++
+		}
+	}
+
+	is.True(crashed < servers/2)
+	is.Equal(f.submit(t.Context(), f.entries[0], kindOf("other", "5ms", "other")).wait(t), job.Completed{})
+}
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
+	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
@@ -55,6 +56,8 @@
 	runTimes                         runTimeEstimator
 	releaseRate                      admission.ReleaseRateEstimator
 	routeFetcher                     routeFetcher
+	// quarantine has the kinds that are restricted because they seem to crash backend servers.
+	quarantine quarantine.Tracker
 	// sidecarEstimate is the estimated number of sidecars in the deployment, as of the last tick.
 	sidecarEstimate int
 	shuttingDown    bool
@@ -166,7 +169,7 @@
 	servers := 0
 
 	for _, s := range d.sidecars {
-		if !s.canRun(j, now) {
+		if !s.canRun(j, now) || d.access(j, s) == quarantine.Forbidden {
 			continue
 		}
 
@@ -194,8 +197,16 @@
 	servers := make([]jobplacement.Server, 0, len(d.sidecars))
 
 	for _, s := range d.sidecars {
-		if s.canRun(a.job, now) && !a.excluded[s.number] && a.requested[s.number] == 0 {
+		if !s.canRun(a.job, now) || a.excluded[s.number] || a.requested[s.number] > 0 {
+			continue
+		}
+
+		switch d.access(a.job, s) {
+		case quarantine.Allowed:
 			servers = append(servers, s.candidate(a.job.Policy().Priority()))
+		case quarantine.LastResort:
+			servers = append(servers, s.candidate(a.job.Policy().Priority()).AsLastResort())
+		case quarantine.Forbidden:
 		}
 	}
 
--- a/entry/repeatable/keepalive.go
+++ b/entry/repeatable/keepalive.go
@@ -19,6 +19,7 @@
 	}
 
 	d.sidecarEstimate = d.estimateSidecars()
+	d.advanceQuarantine(now)
 
 	for _, s := range d.sidecars {
 		s.SetActive(inUse[s.number], now)
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -27,6 +27,9 @@
 	// was requested since that report and is not reserved yet.
 	report              *wire.Room
 	requestedMillicores int64
+	// inZone is true while the backend server belongs to the zone of its service, to which kinds that crash others are
+	// confined.
+	inZone bool
 	// sentRoutesVersion is the version of the routes that was sent last with a keep-alive.
 	sentRoutesVersion uint64
 }
@@ -229,6 +232,8 @@
 		} else {
 			s.releaseJob(m.GetJob())
 		}
+	case wire.Frame_BackendCrash_case:
+		d.handleBackendCrash(s, f.GetBackendCrash(), uptime.Now())
 	case wire.Frame_Ended_case:
 		m := f.GetEnded()
 		s.report.SetFreeCpu(m.GetFreeCpu())
--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
@@ -33,6 +34,7 @@
 		w.logUnreachable(i, err)
 		w.updateCapacity()
 		w.reportToAll(uptime.Now())
+		w.reportCrash(i)
 	}
 
 	return first
@@ -50,6 +52,36 @@
 	}
 }
 
+// reportCrash tells every entry which kinds ran at a backend server that seems to have crashed.
+func (w *Worker) reportCrash(i *incarnation) {
+	frame := wire.Frame_builder{BackendCrash: wire.BackendCrash_builder{Exposures: w.exposures(i)}.Build()}.Build()
+
+	for _, s := range w.sessions {
+		s.send(frame)
+	}
+}
+
+// exposures describes the tasks that had started when calls began to fail, by kind, the kind of the newest first.
+func (w *Worker) exposures(i *incarnation) []*wire.CrashExposure {
+	var exposures []*wire.CrashExposure
+
+	seen := map[string]bool{}
+
+	for _, t := range w.startedTasks() {
+		if t.kind == "" || seen[t.kind] || t.startedAt > i.failingSince {
+			continue
+		}
+
+		seen[t.kind] = true
+		exposures = append(exposures, wire.CrashExposure_builder{
+			Kind: t.kind, AgeUs: uint32(t.age(i.failingSince).Microseconds()),
+			StartsPer_1000S: uint32(1000 * i.startRates.Rate(t.kind, i.failingSince)),
+		}.Build())
+	}
+
+	return exposures
+}
+
 // logUnreachable logs the runs that the backend server may have lost.
 func (w *Worker) logUnreachable(i *incarnation, err error) {
 	runs := w.startedTasks()
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/lease"
+	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
@@ -39,6 +40,8 @@
 	crashed bool
 	// suspect is the job that had started last at failingSince.
 	suspect reservation.Key
+	// startRates has the rates at which jobs start, by kind.
+	startRates quarantine.StartRates
 	// ctx ends with the incarnation.
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -131,6 +131,7 @@
 
 			t.startedAt = uptime.Now()
 			w.launchRates.add(t.startedAt, t.priority, t.size.Millicores())
+			t.incarnation.startRates.Record(t.kind, t.run.task.job, t.startedAt)
 
 			go t.runStart()
 		}
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -29,6 +29,8 @@
 	// slowness is the ratio of the measured run times to the expected ones.
 	slowness float64
 	labels   []string
+	// lastResort is true if the server is used only when the others are full.
+	lastResort bool
 	// freeTasks is how many tasks of the job may start there at once.
 	freeTasks int
 	score     float64
@@ -42,6 +44,28 @@
 	}
 }
 
+// AsLastResort returns the server as one that is used only when the others are full.
+func (s Server) AsLastResort() Server {
+	s.lastResort = true
+
+	return s
+}
+
+// rankOffset separates the servers that are used only when the others are full, in the order of either kind of request.
+func (s Server) rankOffset() float64 {
+	offset := 0.0
+
+	if s.slowness >= slowThreshold {
+		offset += 10
+	}
+
+	if s.lastResort {
+		offset += 40 // beyond the offset of the preferred label
+	}
+
+	return offset
+}
+
 const (
 	minSlowness = 0.1
 	// doubleRequestRunTime is the run time of a task for which two reservations are requested per task without free
@@ -154,10 +178,7 @@
 		// first.
 		s.score = math.Pow(random.Float64(), float64(max(1, d.size.Millicores()))/float64(max(1, s.free.Millicores())))
 		s.score -= 0.5 * (s.slowness - 1)
-
-		if s.slowness >= slowThreshold {
-			s.score -= 10
-		}
+		s.score -= s.rankOffset()
 
 		if p := d.constraints.PreferredLabel(); p != "" && slices.Contains(s.labels, p) {
 			s.score += 20
@@ -187,11 +208,7 @@
 func (d Demand) requestQueued(servers []Server, requested map[uint64]int, shortfall int, random *rand.Rand) {
 	for i := range servers {
 		s := &servers[i]
-		s.score = float64(s.queued)/float64(s.capacity)*s.slowness + 0.05*random.Float64()
-
-		if s.slowness >= slowThreshold {
-			s.score += 10
-		}
+		s.score = float64(s.queued)/float64(s.capacity)*s.slowness + 0.05*random.Float64() + s.rankOffset()
 	}
 
 	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.score, b.score) })
--- a/weir/process/jobplacement/choose_test.go
+++ b/weir/process/jobplacement/choose_test.go
@@ -162,3 +162,19 @@
 	), map[uint64]int{1: 1, 2: 1, 3: 1})
 	is.Equal(len(jobplacement.Choose(newDemand(3, job.NewConstraints("c", "", 0)), servers(), random()).Requests()), 0)
 }
+
+// Guards against tasks that are placed at a server of last resort although others have free capacity, even slow ones or
+// ones without the preferred label.
+func TestLastResortIsUsedLast(t *testing.T) {
+	is := is.New(t)
+
+	for _, tasks := range []int{4, 12} {
+		p := jobplacement.Choose(
+			newDemand(tasks, job.NewConstraints("", "near", 0)), []jobplacement.Server{
+				newServer(1, 10, 0, 1, "near").AsLastResort(), newServer(2, 10, 0, 5),
+			}, random())
+		requested := requestedTasks(p)
+		is.Equal(requested[2], min(tasks, 10))
+		is.Equal(requested[1], max(0, tasks-10))
+	}
+}
