--- a/sidecar/repeatable/crash_test.go
+++ b/sidecar/repeatable/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -78,6 +79,30 @@
 	is.True(!f.GetEnded().GetCrashed())
 }
 
+// Guards against a report of a crash that leaves out a kind, or does not tell which one started last.
+func TestCrashIsReportedWithTheKinds(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startKind(1, "older", "lookup")
+	fx.await("the older task runs", fx.hasRunning(1))
+	fx.startKind(2, "newer", "quick")
+	fx.await("the newer task runs", fx.hasRunning(2))
+	fx.backend.Crash()
+
+	select {
+	case m := <-fx.crashes:
+		is.Equal(len(m.GetExposures()), 2)
+		is.Equal(m.GetExposures()[0].GetKind(), "quick")
+		is.Equal(m.GetExposures()[1].GetKind(), "lookup")
+		is.True(m.GetExposures()[0].GetAgeUs() <= m.GetExposures()[1].GetAgeUs())
+		is.True(m.GetExposures()[0].GetStartsPer_1000S() > 0)
+	case <-time.After(waitTimeout):
+		t.Fatalf("no report of the crash within %s", waitTimeout)
+	}
+}
+
 // Guards against blaming a crash on a task whose start was on its way when the backend server crashed.
 func TestUnansweredStartIsNoCrash(t *testing.T) {
 	is := is.New(t)
--- a/sidecar/repeatable/worker_test.go
+++ b/sidecar/repeatable/worker_test.go
@@ -31,8 +31,10 @@
 	backend *leasedbackend.Server
 	worker  *repeatable.Worker
 	entry   *session.Session
-	// frames holds the frames that the sidecar has sent, except capacity reports.
+	// frames holds the frames that the sidecar has sent, except capacity reports and reports of crashes.
 	frames chan *wire.Frame
+	// crashes holds the reports of crashes.
+	crashes chan *wire.BackendCrash
 	// reports holds the latest capacity report.
 	reports chan *wire.Room
 	links   *repeatable.Links
@@ -49,7 +51,8 @@
 	is.NoErr(err)
 
 	fx := &fixture{
-		t: t, backend: b, frames: make(chan *wire.Frame, 1024), reports: make(chan *wire.Room, 1), node: &quic.Node{},
+		t: t, backend: b, frames: make(chan *wire.Frame, 1024), reports: make(chan *wire.Room, 1),
+		crashes: make(chan *wire.BackendCrash, 16), node: &quic.Node{},
 	}
 	fx.worker = repeatable.NewWorker("sidecar", b, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
 	is.NoErr(fx.node.Listen("127.0.0.1:0", keys))
@@ -102,7 +105,12 @@
 
 func (fx *fixture) run() {
 	fx.entry.Run(fx.t.Context(), func(f *wire.Frame) {
-		if !f.HasRoom() {
+		switch {
+		case f.HasBackendCrash():
+			fx.crashes <- f.GetBackendCrash()
+
+			return
+		case !f.HasRoom():
 			fx.frames <- f
 
 			return
@@ -202,9 +210,21 @@
 // startJob reserves capacity for a job and launches all its tasks.
 func (fx *fixture) startJob(number uint64, name, input string, tasks int) {
 	fx.t.Helper()
+	fx.start(wire.Launch_builder{Job: number, Name: name, Input: input, ExpectedMs: 50}, tasks)
+}
+
+// startKind reserves capacity for a job of a kind and launches its only task, which hangs.
+func (fx *fixture) startKind(number uint64, name, kind string) {
+	fx.t.Helper()
+	fx.start(wire.Launch_builder{Job: number, Name: name, Input: leasedbackend.Hang, ExpectedMs: 50, Kind: kind}, 1)
+}
+
+// start reserves capacity for a launch and sends it with the indices of all tasks.
+func (fx *fixture) start(launch wire.Launch_builder, tasks int) {
+	fx.t.Helper()
 
 	fx.entry.Send(wire.Frame_builder{Reserve: wire.Reserve_builder{
-		Job: number, Tasks: uint32(tasks), Cpu: core, Memory: 1, PatienceMs: 60_000, ExpectedMs: 50, NeededPermille: 1000,
+		Job: launch.Job, Tasks: uint32(tasks), Cpu: core, Memory: 1, PatienceMs: 60_000, ExpectedMs: 50, NeededPermille: 1000,
 	}.Build()}.Build())
 
 	indices := make([]uint32, 0, tasks)
@@ -218,9 +238,8 @@
 		}
 	}
 
-	fx.entry.Send(wire.Frame_builder{Launch: wire.Launch_builder{
-		Job: number, Name: name, Indices: indices, Input: input, ExpectedMs: 50,
-	}.Build()}.Build())
+	launch.Indices = indices
+	fx.entry.Send(wire.Frame_builder{Launch: launch.Build()}.Build())
 }
 
 func (fx *fixture) nextResult() wire.Result {
