Remember crashes for jobs that are sent again to another entry

A sidecar tells all entries which tasks were lost by a crash; an entry counts them when it gets the job, and fails a job on arrival that has crashed enough. A sidecar tells an entry that connects the crashes of the last 10 s; an entry that has just started collects them for 300 ms and judges them in their order.

What is held against a kind now also ends by time when the kind was never restricted. The log line of a refusal names the level of the kind.

--- a/entry/repeatable/crash.go
+++ b/entry/repeatable/crash.go
@@ -1,5 +1,12 @@
 package repeatable
 
+import (
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/request/job"
+)
+
 const (
 	// maxSuspectedCrashes is the number of crashes for which a task is the likely cause after which its job fails: one
 	// may be a coincidence.
@@ -8,6 +15,11 @@
 	maxCrashes = 3
 	// maxLosses is the number of runs of a task that were lost for any cause after which its job is given up.
 	maxLosses = 5
+	// crashMemory is how long crashes are remembered for jobs that are sent again, after the last crash. Callers send a
+	// job again within their deadlines.
+	crashMemory = 20 * time.Second
+	// maxRememberedJobs limits the jobs whose crashes are remembered.
+	maxRememberedJobs = 10_000
 )
 
 // crashCount counts the backend servers whose process ended while they ran a task.
@@ -39,3 +51,79 @@
 
 // lostTooOften reports whether the task is not to be started again although no crashes are known to be its fault.
 func (c *crashCount) lostTooOften() bool { return c.losses >= maxLosses }
+
+// crashHistory has the crashes under the tasks of jobs of all entries, since a job whose entry died is sent again to
+// another one. The zero value has none.
+type crashHistory struct {
+	jobs map[string]*crashedJob
+}
+
+type crashedJob struct {
+	// tasks is keyed by index.
+	tasks map[uint32]crashCount
+	// expiry is on the clock of package uptime.
+	expiry time.Duration
+}
+
+// record adds the tasks that a sidecar reports as lost by a crash.
+func (h *crashHistory) record(m *wire.CrashedTasks, now time.Duration) {
+	if h.jobs == nil {
+		h.jobs = map[string]*crashedJob{}
+	}
+
+	for _, t := range m.GetTasks() {
+		j := h.jobs[t.GetJob()]
+
+		switch {
+		case j == nil && len(h.jobs) >= maxRememberedJobs:
+			continue
+		case j == nil:
+			j = &crashedJob{tasks: map[uint32]crashCount{}}
+			h.jobs[t.GetJob()] = j
+		}
+
+		c := j.tasks[t.GetIndex()]
+		c.add(true, t.GetSuspected())
+
+		j.tasks[t.GetIndex()], j.expiry = c, now+crashMemory
+	}
+}
+
+// expire removes what is older than crashMemory.
+func (h *crashHistory) expire(now time.Duration) {
+	for id, j := range h.jobs {
+		if j.expiry <= now {
+			delete(h.jobs, id)
+		}
+	}
+}
+
+// isDeadly reports whether a task of a job is not to be started again.
+func (h *crashHistory) isDeadly(j job.Job) bool {
+	known := h.jobs[j.ID()]
+	if known == nil {
+		return false
+	}
+
+	for _, c := range known.tasks {
+		if c.isDeadly() {
+			return true
+		}
+	}
+
+	return false
+}
+
+// apply sets the crashes of the tasks of a job that is sent again.
+func (h *crashHistory) apply(a *activeJob) {
+	known := h.jobs[a.job.ID()]
+	if known == nil {
+		return
+	}
+
+	for index, c := range known.tasks {
+		if int(index) < len(a.placements) {
+			a.placements[index].crashes = c
+		}
+	}
+}
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -58,6 +58,10 @@
 	routeFetcher                     routeFetcher
 	// quarantine has the kinds that are restricted because they seem to crash backend servers.
 	quarantine quarantine.Tracker
+	// crashes has the crashes under tasks of all entries. earlyCrashes has those that were reported while this entry was
+	// new; they are judged together, in the order in which they happened.
+	crashes      crashHistory
+	earlyCrashes []reportedCrash
 	// sidecarEstimate is the estimated number of sidecars in the deployment, as of the last tick.
 	sidecarEstimate int
 	shuttingDown    bool
@@ -78,12 +82,12 @@
 // unless another caller waits for it.
 func (d *Dispatcher) Submit(ctx context.Context, j job.Job) job.Outcome {
 	begin := uptime.Now()
-	a, refusal := d.admit(j, begin)
+	a, answer := d.admit(j, begin)
 
-	if refusal != nil {
-		d.metrics.recordOutcome(j, *refusal, uptime.Now()-begin)
+	if answer != nil {
+		d.metrics.recordOutcome(j, answer, uptime.Now()-begin)
 
-		return *refusal
+		return answer
 	}
 
 	deadline := time.NewTimer(j.Timeout())
@@ -103,8 +107,9 @@
 	return o
 }
 
-// admit admits a job or refuses it. A caller that submits an active job again joins that job.
-func (d *Dispatcher) admit(j job.Job, now time.Duration) (*activeJob, *job.Refused) {
+// admit admits a job, or returns the outcome of one that is not admitted. A caller that submits an active job again joins
+// that job.
+func (d *Dispatcher) admit(j job.Job, now time.Duration) (*activeJob, job.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -114,6 +119,13 @@
 		return a, nil
 	}
 
+	if d.crashes.isDeadly(j) {
+		d.log.Info().Str("event", "job_deadly").Str("job", j.ID()).Str("kind", j.Policy().Kind()).
+			Msg("job failed on arrival: a task of it crashes the backend servers that start it")
+
+		return nil, job.Failed{}
+	}
+
 	run := d.runTimes.estimate(j)
 	load := d.load(j, now)
 
@@ -139,14 +151,13 @@
 // refuse logs that a job is refused on arrival and returns the refusal.
 func (d *Dispatcher) refuse(
 	j job.Job, run time.Duration, load admission.Load, reason string, retryAfter time.Duration,
-) *job.Refused {
+) job.Refused {
 	d.log.Info().Str("event", "job_refused").Str("job", j.ID()).Str("kind", j.Policy().Kind()).Str("reason", reason).
 		Int("tasks", j.Tasks()).Int64("cpu", j.Size().Millicores()).Dur("expected_run", run).Stringer("load", load).
-		Dur("retry_after", retryAfter).Uint64("routes", d.routes.Version()).Msg("job refused on arrival")
-
-	r := job.NewRefused(reason, retryAfter)
+		Dur("retry_after", retryAfter).Uint64("routes", d.routes.Version()).
+		Stringer("kind_level", d.quarantine.Level(j.Policy().Kind())).Msg("job refused on arrival")
 
-	return &r
+	return job.NewRefused(reason, retryAfter)
 }
 
 func (d *Dispatcher) addJob(j job.Job, run, now time.Duration) *activeJob {
@@ -154,6 +165,7 @@
 	a := newActiveJob(d, d.lastJobNumber, j, run, now)
 	d.activeJobs[a.number] = a
 	d.activeJobsByID[j.ID()] = a
+	d.crashes.apply(a)
 
 	return a
 }
--- a/entry/repeatable/quarantine.go
+++ b/entry/repeatable/quarantine.go
@@ -1,10 +1,13 @@
 package repeatable
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -13,27 +16,70 @@
 	return d.quarantine.Access(j.Policy().Service(), j.Policy().Kind(), s.inZone)
 }
 
+// newEntryTime is how long after its start an entry collects the crashes of the last seconds from its sidecars, before
+// it judges them.
+const newEntryTime = 300 * time.Millisecond
+
+// reportedCrash is a crash of the backend server of a sidecar, at a time on the clock of package uptime.
+type reportedCrash struct {
+	at        time.Duration
+	sidecar   *sidecar
+	exposures []quarantine.Exposure
+}
+
 // handleBackendCrash handles the report that the backend server of a sidecar seems to have crashed.
 func (d *Dispatcher) handleBackendCrash(s *sidecar, m *wire.BackendCrash, now time.Duration) {
-	d.updateZones()
+	c := reportedCrash{now - time.Duration(m.GetAgoMs())*time.Millisecond, s, decodeExposures(m.GetExposures())}
+
+	switch {
+	case now < d.started+newEntryTime:
+		d.earlyCrashes = append(d.earlyCrashes, c)
+	case m.GetAgoMs() == 0:
+		d.recordCrash(c)
+	}
+}
 
-	exposures := make([]quarantine.Exposure, 0, len(m.GetExposures()))
+func decodeExposures(encoded []*wire.CrashExposure) []quarantine.Exposure {
+	exposures := make([]quarantine.Exposure, 0, len(encoded))
 
-	for _, e := range m.GetExposures() {
+	for _, e := range encoded {
 		age := time.Duration(e.GetAgeUs()) * time.Microsecond
-		exposures = append(exposures,
-			quarantine.NewExposure(e.GetKind(), age, float64(e.GetStartsPer_1000S())/1000))
+		exposures = append(exposures, quarantine.NewExposure(e.GetKind(), age, float64(e.GetStartsPer_1000S())/1000))
 	}
 
-	changes := d.quarantine.RecordCrash(s.report.GetService(), exposures, s.inZone, now)
-	d.log.Info().Str("event", "backend_crashed").Str("sidecar", s.name).Bool("in_zone", s.inZone).
-		Stringer("exposures", quarantine.Exposures(exposures)).Msg("a backend server seems to have crashed")
+	return exposures
+}
+
+func (d *Dispatcher) recordCrash(c reportedCrash) {
+	d.updateZones()
+
+	changes := d.quarantine.RecordCrash(c.sidecar.report.GetService(), c.exposures, c.sidecar.inZone, c.at)
+	d.log.Info().Str("event", "backend_crashed").Str("sidecar", c.sidecar.name).Bool("in_zone", c.sidecar.inZone).
+		Dur("ago", uptime.Now()-c.at).Stringer("exposures", quarantine.Exposures(c.exposures)).
+		Msg("a backend server seems to have crashed")
 	d.applyQuarantine(changes)
 }
 
-// advanceQuarantine passes the time to the tracker of crashes.
+// recordEarlyCrashes judges the crashes that were reported while this entry was new.
+func (d *Dispatcher) recordEarlyCrashes() {
+	slices.SortFunc(d.earlyCrashes, func(a, b reportedCrash) int { return cmp.Compare(a.at, b.at) })
+
+	for _, c := range d.earlyCrashes {
+		d.recordCrash(c)
+	}
+
+	d.earlyCrashes = nil
+}
+
+// advanceQuarantine passes the time to the records of crashes.
 func (d *Dispatcher) advanceQuarantine(now time.Duration) {
-	if !d.quarantine.Restricts() {
+	d.crashes.expire(now)
+
+	if now >= d.started+newEntryTime {
+		d.recordEarlyCrashes()
+	}
+
+	if d.quarantine.IsEmpty() {
 		return
 	}
 
--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -52,15 +52,73 @@
 	}
 }
 
+const (
+	// maxPastCrashes and pastCrashTime limit the crashes that are told to an entry that connects: those that may still
+	// restrict a kind.
+	maxPastCrashes = 6
+	pastCrashTime  = 10 * time.Second
+)
+
+// pastCrash is a crash that is told to entries that connect later.
+type pastCrash struct {
+	at        time.Duration
+	exposures []*wire.CrashExposure
+}
+
 // reportCrash tells every entry which kinds ran at a backend server that seems to have crashed.
 func (w *Worker) reportCrash(i *incarnation) {
-	frame := wire.Frame_builder{BackendCrash: wire.BackendCrash_builder{Exposures: w.exposures(i)}.Build()}.Build()
+	c := pastCrash{i.failingSince, w.exposures(i)}
+
+	w.pastCrashes = append(w.pastCrashes, c)
+	if len(w.pastCrashes) > maxPastCrashes {
+		w.pastCrashes = w.pastCrashes[1:]
+	}
 
+	for _, s := range w.sessions {
+		s.send(wire.Frame_builder{BackendCrash: wire.BackendCrash_builder{Exposures: c.exposures}.Build()}.Build())
+	}
+}
+
+// sendPastCrashes tells the entry of a new session the crashes of the last seconds.
+func (s *entrySession) sendPastCrashes(now time.Duration) {
+	for _, c := range s.worker.pastCrashes {
+		if ago := now - c.at; ago < pastCrashTime {
+			s.send(wire.Frame_builder{BackendCrash: wire.BackendCrash_builder{
+				Exposures: c.exposures, AgoMs: uint32(max(1, ago.Milliseconds())),
+			}.Build()}.Build())
+		}
+	}
+}
+
+// loseTasks ends all tasks as lost. If the backend server has crashed, all entries are told which tasks had started.
+func (w *Worker) loseTasks(i *incarnation) {
+	var crashed []*wire.CrashedTask
+
+	for _, t := range w.tasks {
+		if t.hasCrashed() {
+			crashed = append(crashed, wire.CrashedTask_builder{
+				Job: t.run.task.job, Index: t.run.task.index, Suspected: t.key == i.suspect,
+			}.Build())
+		}
+
+		w.finish(t, Lost)
+	}
+
+	if len(crashed) == 0 {
+		return
+	}
+
+	frame := wire.Frame_builder{CrashedTasks: wire.CrashedTasks_builder{Tasks: crashed}.Build()}.Build()
 	for _, s := range w.sessions {
 		s.send(frame)
 	}
 }
 
+// hasCrashed reports whether the task ended with the process of the backend server. That counts only for a task that is
+// known to have started: the answer to a start is also lost if the backend server crashes for another reason before it
+// arrives.
+func (t *task) hasCrashed() bool { return t.startAnsweredAt > 0 && t.incarnation.crashed }
+
 // exposures describes the tasks that had started when calls began to fail, by kind, the kind of the newest first.
 func (w *Worker) exposures(i *incarnation) []*wire.CrashExposure {
 	var exposures []*wire.CrashExposure
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -229,10 +229,7 @@
 		w.markCrashed(i)
 	}
 
-	for _, t := range w.tasks {
-		w.finish(t, Lost)
-	}
-
+	w.loseTasks(i)
 	w.updateCapacity()
 
 	return first
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -59,6 +59,7 @@
 	s.number = w.lastSession
 	w.sessions[s.number] = s
 	s.reportNow()
+	s.sendPastCrashes(s.startedAt)
 	w.mu.Unlock()
 
 	w.log.Info().Str("event", "entry_connected").Str("entry", entry).Msg("entry connected")
@@ -123,10 +124,9 @@
 	s.send(r.frame(s.Active()))
 }
 
-// sendEnded reports the end of a task. A crash counts only for tasks that are known to have started: the answer to a
-// start is also lost if the backend server crashes for another reason before it arrives.
+// sendEnded reports the end of a task.
 func (s *entrySession) sendEnded(t *task, r wire.Result, run time.Duration) {
-	crashed := r == wire.Result_RESULT_LOST && t.startAnsweredAt > 0 && t.incarnation.crashed
+	crashed := r == wire.Result_RESULT_LOST && t.hasCrashed()
 
 	s.send(wire.Frame_builder{Ended: wire.Ended_builder{
 		Job: t.key.Job(), Index: t.run.task.index, Result: r, RunMs: uint32(run.Milliseconds()),
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -54,6 +54,8 @@
 	// save is called with the first announcement of each incarnation, with one that changes its drain state, and with the
 	// last one when the backend server has left.
 	save func(Announcement)
+	// pastCrashes has the latest crashes of the backend server, the newest last.
+	pastCrashes []pastCrash
 	// gone is the last announcement of the incarnation that left last.
 	gone Announcement
 	// knownEntries and sessionShare describe the set of sessions: the number of entries that are known, and the part of
@@ -235,12 +237,10 @@
 		Int("tasks", len(w.tasks)).Msg("incarnation of the backend server ended; its tasks are reported as lost")
 	w.incarnation.cancel()
 
+	ended := w.incarnation
 	w.incarnation = nil
 	w.pool.Clear()
-
-	for _, t := range w.tasks {
-		w.finish(t, Lost)
-	}
+	w.loseTasks(ended)
 
 	w.updateCapacity()
 }
--- a/sidecar/repeatable/worker_test.go
+++ b/sidecar/repeatable/worker_test.go
@@ -34,7 +34,8 @@
 	// frames holds the frames that the sidecar has sent, except capacity reports and reports of crashes.
 	frames chan *wire.Frame
 	// crashes holds the reports of crashes.
-	crashes chan *wire.BackendCrash
+	crashes      chan *wire.BackendCrash
+	crashedTasks chan *wire.CrashedTasks
 	// reports holds the latest capacity report.
 	reports chan *wire.Room
 	links   *repeatable.Links
@@ -52,7 +53,7 @@
 
 	fx := &fixture{
 		t: t, backend: b, frames: make(chan *wire.Frame, 1024), reports: make(chan *wire.Room, 1),
-		crashes: make(chan *wire.BackendCrash, 16), node: &quic.Node{},
+		crashes: make(chan *wire.BackendCrash, 16), crashedTasks: make(chan *wire.CrashedTasks, 16), node: &quic.Node{},
 	}
 	fx.worker = repeatable.NewWorker("sidecar", b, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
 	is.NoErr(fx.node.Listen("127.0.0.1:0", keys))
@@ -109,6 +110,10 @@
 		case f.HasBackendCrash():
 			fx.crashes <- f.GetBackendCrash()
 
+			return
+		case f.HasCrashedTasks():
+			fx.crashedTasks <- f.GetCrashedTasks()
+
 			return
 		case !f.HasRoom():
 			fx.frames <- f
--- a/weir/process/quarantine/quarantine_test.go
+++ b/weir/process/quarantine/quarantine_test.go
@@ -126,7 +126,9 @@
 	is.Equal(tracker.Level(deadly), quarantine.Suspected)
 	crash(&tracker, 2500*ms, false)
 	crash(&tracker, 2600*ms, false, old(deadly))
-	is.True(!tracker.Restricts())
+	is.Equal(tracker.Level(deadly), quarantine.Unrestricted)
+	tracker.Advance(10*time.Second, usable)
+	is.True(tracker.IsEmpty())
 }
 
 // Guards against a confinement that ends although nothing was learned, or never.
--- a/weir/process/quarantine/tracker.go
+++ b/weir/process/quarantine/tracker.go
@@ -310,16 +310,8 @@
 	return suspicionTime
 }
 
-// Restricts reports whether any kind is restricted.
-func (t *Tracker) Restricts() bool {
-	for _, r := range t.kinds {
-		if r.level != Unrestricted {
-			return true
-		}
-	}
-
-	return false
-}
+// IsEmpty reports whether nothing is held against any kind.
+func (t *Tracker) IsEmpty() bool { return len(t.kinds) == 0 }
 
 // Level returns the level of a kind.
 func (t *Tracker) Level(kind string) Level {
