Reject what was reserved when the capacity of a backend server shrinks

No start brought it over its capacity before either: a launched task waits until it fits. But it waited there behind whatever ran, however long, when other backend servers may have been free.

When an announcement lowers the capacity below what is allocated, the sidecar releases the reservations and rejects the launched tasks that have not started, so that entries place them elsewhere. Requests stay queued and are granted when the capacity grows again.

--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -256,7 +256,16 @@
 		w.rejectLaunched()
 	}
 
+	before := w.pool.Capacity()
 	w.pool.SetCapacity(capacity, reservation.Headroom(capacity.Millicores()))
+
+	shrunk := capacity.Millicores() < before.Millicores() || capacity.MemoryMB() < before.MemoryMB()
+	if shrunk && w.pool.Exceeded() {
+		// What has not started may start at once elsewhere.
+		w.pool.ReleaseReserved()
+		w.rejectLaunched()
+	}
+
 	w.schedule(uptime.Now())
 }
 
--- a/weir/process/reservation/pool.go
+++ b/weir/process/reservation/pool.go
@@ -293,6 +293,22 @@
 	return n
 }
 
+// ReleaseReserved releases all reservations that were not launched, after the capacity was lowered below them. Requests
+// stay queued.
+func (p *Pool) ReleaseReserved() {
+	for k, h := range p.reserved {
+		p.allocated = p.allocated.Minus(h.size.Times(h.tasks))
+		delete(p.reserved, k)
+	}
+}
+
+// Exceeded reports whether more than the capacity is allocated beyond the overcommit.
+func (p *Pool) Exceeded() bool {
+	limit := p.capacity.Plus(job.NewSize(p.overcommit, 0))
+
+	return p.allocated.Millicores() > limit.Millicores() || p.allocated.MemoryMB() > limit.MemoryMB()
+}
+
 // ReleaseSession drops the requests of a session and frees its reservations that were not launched.
 func (p *Pool) ReleaseSession(session uint64) {
 	p.requests = slices.DeleteFunc(p.requests, func(r Request) bool { return r.key.session == session })
--- a/weir/process/reservation/pool_test.go
+++ b/weir/process/reservation/pool_test.go
@@ -246,3 +246,64 @@
 
 	is.Equal(p.Free(), p.Capacity()) // seed 42
 }
+
+// Guards against starts over a capacity that shrinks and grows, for any order of calls, and against capacity that leaks.
+func TestChangingCapacityIsKept(t *testing.T) {
+	const seed = 43
+
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(seed, seed))
+	p := newPool(16)
+	size := job.NewSize(core, 1)
+	cores, launched, running := 16, 0, 0
+
+	for step := range 20000 {
+		now := time.Duration(step) * ms
+		key := reservation.NewKey(1+random.Uint64N(3), random.Uint64N(40))
+
+		switch random.IntN(9) {
+		case 0, 1:
+			p.Add(reservation.NewRequest(key, 1+random.IntN(6), size, random.IntN(3), now, now+50*ms, shortRunTime, 1))
+		case 2, 3:
+			_, n := p.Launch(key, 1+random.IntN(3))
+			launched += n
+		case 4:
+			shrinks := random.IntN(2) == 0
+			cores = random.IntN(17)
+			p.SetCapacity(job.NewSize(int64(cores)*core, 1000), 0)
+
+			if shrinks {
+				p.ReleaseReserved()
+			}
+		case 5, 6:
+			if launched > 0 && p.Begin(size) {
+				launched--
+				running++
+
+				is.True(running <= cores) // seed 43
+			}
+		case 7:
+			if running > 0 {
+				p.End(size)
+
+				running--
+			}
+		case 8:
+			p.Expire(now)
+		}
+
+		p.Allocate(now)
+	}
+
+	p.ReleaseReserved()
+
+	for range launched {
+		p.Cancel(size)
+	}
+
+	for range running {
+		p.End(size)
+	}
+
+	is.Equal(p.Free(), p.Capacity())
+}
