Take the end of a leaving backend server for no crash

Found by reading: a backend server that drains and ends without an answer to its last message refuses connections like one that crashed, so its tasks were blamed and its kinds suspected. It is reported as lost work now, not as a crash; the same holds for one that never accepted tasks from this sidecar, as after a restart of the sidecar beside a dead backend server.

--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -65,8 +65,13 @@
 	exposures []*wire.CrashExposure
 }
 
-// reportCrash tells every entry which kinds ran at a backend server that seems to have crashed.
+// reportCrash tells every entry which kinds ran at a backend server that seems to have crashed. One that was leaving, or
+// that never accepted tasks from this process, says nothing about its tasks.
 func (w *Worker) reportCrash(i *incarnation) {
+	if i.announcement.draining || !i.ready {
+		return
+	}
+
 	c := pastCrash{i.failingSince, w.exposures(i)}
 
 	w.pastCrashes = append(w.pastCrashes, c)
@@ -170,8 +175,13 @@
 	}
 }
 
-// markCrashed records that the process of the backend server has ended with all its tasks.
+// markCrashed records that the process of the backend server has ended with all its tasks. The end of one that was
+// leaving is no crash.
 func (w *Worker) markCrashed(i *incarnation) {
+	if i.announcement.draining {
+		return
+	}
+
 	if i.failingSince == 0 {
 		w.markFailing(i)
 	}
--- a/sidecar/repeatable/crash_test.go
+++ b/sidecar/repeatable/crash_test.go
@@ -124,3 +124,23 @@
 		is.Equal(m.GetSuspected(), m.GetJob() == 1)
 	}
 }
+
+// Guards against blaming tasks for the planned end of a backend server.
+func TestEndOfLeavingBackendIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startLong(1)
+	fx.await("the task runs", fx.hasRunning(1))
+
+	fx.announce(2, true)
+	fx.awaitOpen(false)
+	fx.backend.Crash()
+
+	m := fx.nextFrame().GetEnded()
+	is.Equal(m.GetResult(), wire.Result_RESULT_LOST)
+	is.True(!m.GetCrashed())
+	is.Equal(len(fx.crashes), 0)
+	is.Equal(len(fx.crashedTasks), 0)
+}
