Replace a backend server of the zone that stays away

Found by reading: the zone counted backend servers as long as their sidecars were connected. If those of the zone were lost for good, a confined kind was refused for good, as the confinement only ends while the zone is usable. Besides, a sidecar names no service between two incarnations, so that another backend server took the place of one that was just restarting.

A backend server that has accepted no tasks for 10 s leaves the zone, and the service of a sidecar is the one that it named last.

--- a/entry/repeatable/crash_test.go
+++ b/entry/repeatable/crash_test.go
@@ -137,3 +137,34 @@
 	is.True(crashed < servers/2)
 	is.Equal(f.submit(t.Context(), f.entries[0], kindOf("other", "5ms", "other")).wait(t), job.Completed{})
 }
+
+// Guards against a confined kind that is refused for good because the backend servers of the zone stay away.
+func TestZoneIsReplacedIfItStaysAway(t *testing.T) {
+	is := is.New(t)
+
+	const servers, deadlyJobs = 8, 5
+
+	f := newFixture(t, 1, servers, 8)
+	policy := job.NewPolicy("deadly", service, 1, 3, 1.6, strictTarget)
+	newDeadly := func(n int, input string) job.Job {
+		return job.New(fmt.Sprintf("%s-%d", input, n), input, 1, job.NewSize(core, 1), 50*time.Millisecond, 3*time.Second,
+			policy, job.Constraints{})
+	}
+
+	for n := range deadlyJobs {
+		f.submit(t.Context(), f.entries[0], newDeadly(n, leasedbackend.Crash)).wait(t)
+	}
+
+	is.True(f.crashes() < servers)
+
+	_, refused := f.submit(t.Context(), f.entries[0], newDeadly(0, "5ms")).wait(t).(job.Refused)
+	is.True(refused) // the zone is away
+
+	n := 0
+
+	f.await("the kind is served again", func() bool {
+		n++
+
+		return f.submit(t.Context(), f.entries[0], newDeadly(n, "5ms")).wait(t) == job.Completed{}
+	})
+}
--- a/entry/repeatable/quarantine.go
+++ b/entry/repeatable/quarantine.go
@@ -51,11 +51,12 @@
 }
 
 func (d *Dispatcher) recordCrash(c reportedCrash) {
-	d.updateZones()
+	now := uptime.Now()
+	d.updateZones(now)
 
-	changes := d.quarantine.RecordCrash(c.sidecar.report.GetService(), c.exposures, c.sidecar.inZone, c.at)
+	changes := d.quarantine.RecordCrash(c.sidecar.service, c.exposures, c.sidecar.inZone, c.at)
 	d.log.Info().Str("event", "backend_crashed").Str("sidecar", c.sidecar.name).Bool("in_zone", c.sidecar.inZone).
-		Dur("ago", uptime.Now()-c.at).Stringer("exposures", quarantine.Exposures(c.exposures)).
+		Dur("ago", now-c.at).Stringer("exposures", quarantine.Exposures(c.exposures)).
 		Msg("a backend server seems to have crashed")
 	d.applyQuarantine(changes)
 }
@@ -83,7 +84,7 @@
 		return
 	}
 
-	d.updateZones()
+	d.updateZones(now)
 	d.applyQuarantine(d.quarantine.Advance(now, d.isZoneUsable))
 }
 
@@ -108,11 +109,18 @@
 	}
 }
 
+// zoneMemory is how long a backend server that accepts no tasks counts as a member of its service. One that has crashed is
+// expected back; another one replaces it in the zone if it stays away.
+const zoneMemory = 10 * time.Second
+
 // updateZones chooses the zone of each service among the connected sidecars.
-func (d *Dispatcher) updateZones() {
+func (d *Dispatcher) updateZones(now time.Duration) {
 	names := map[string][]string{}
+
 	for _, s := range d.sidecars {
-		names[s.report.GetService()] = append(names[s.report.GetService()], s.name)
+		if s.closedSince == 0 || now-s.closedSince < zoneMemory {
+			names[s.service] = append(names[s.service], s.name)
+		}
 	}
 
 	zones := map[string]map[string]bool{}
@@ -121,14 +129,14 @@
 	}
 
 	for _, s := range d.sidecars {
-		s.inZone = zones[s.report.GetService()][s.name]
+		s.inZone = zones[s.service][s.name]
 	}
 }
 
 // isZoneUsable reports whether a backend server in the zone of a service accepts tasks.
 func (d *Dispatcher) isZoneUsable(service string) bool {
 	for _, s := range d.sidecars {
-		if s.inZone && s.report.GetService() == service && s.report.GetOpen() {
+		if s.inZone && s.service == service && s.report.GetOpen() {
 			return true
 		}
 	}
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -27,6 +27,10 @@
 	// was requested since that report and is not reserved yet.
 	report              *wire.Room
 	requestedMillicores int64
+	// service is the service in the last report that named one, closedSince the time since which no tasks are accepted,
+	// zero while they are.
+	service     string
+	closedSince time.Duration
 	// inZone is true while the backend server belongs to the zone of its service, to which kinds that crash others are
 	// confined.
 	inZone bool
@@ -34,6 +38,22 @@
 	sentRoutesVersion uint64
 }
 
+// setReport replaces the capacity report.
+func (s *sidecar) setReport(r *wire.Room, now time.Duration) {
+	s.report, s.requestedMillicores = r, 0
+
+	if r.GetService() != "" {
+		s.service = r.GetService()
+	}
+
+	switch {
+	case r.GetOpen():
+		s.closedSince = 0
+	case s.closedSince == 0:
+		s.closedSince = now
+	}
+}
+
 func (s *sidecar) send(f *wire.Frame) { s.Send(f) }
 
 // canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service
@@ -166,6 +186,7 @@
 	d.lastSidecarNumber++
 	s := &sidecar{
 		Session: t, number: d.lastSidecarNumber, name: a.GetSidecar(), incarnation: a.GetIncarnation(), report: &wire.Room{},
+		closedSince: uptime.Now(),
 	}
 	d.sidecars[s.number] = s
 
@@ -219,7 +240,7 @@
 			d.clearRequests(s)
 		}
 
-		s.report, s.requestedMillicores = f.GetRoom(), 0
+		s.setReport(f.GetRoom(), uptime.Now())
 		d.fetchNewerRoutes(s)
 		d.answerKeepAlive(s, uptime.Now())
 	case wire.Frame_Reserved_case:
