Make two tests show the faults that they guard against

TestNextIncarnationEndsTheSessionBefore passed without its cure since the first session ended by its timeout; it sends reports now, so that only the next process can end it. TestReportsGoToEntriesWithJobs passed without its cure since the worker's backend server was another one than the announced one, so that no task was accepted and no report due; it announces the right one and waits until both entries know that tasks are accepted.

--- a/entry/repeatable/rawsidecar_test.go
+++ b/entry/repeatable/rawsidecar_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/hostileframes"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
+	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
@@ -119,10 +121,32 @@
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	first := f.attachRaw(f.entries[0], 1)
+
+	// The session of the first process would last: its reports go on.
+	reporter := &rawReporter{first}
+	go reporter.run()
+
 	f.attachRaw(f.entries[0], 2)
 	is.True(first.next() == nil)
 }
 
+// rawReporter sends reports of capacity until the test ends.
+type rawReporter struct{ sidecar *rawSidecar }
+
+func (r *rawReporter) run() {
+	t := time.NewTicker(session.KeepAliveInterval)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+			r.sidecar.report(0)
+		case <-r.sidecar.t.Context().Done():
+			return
+		}
+	}
+}
+
 // Guards against an entry that ends, hangs or no longer serves because of one frame with unexpected values.
 func TestHostileFrames(t *testing.T) {
 	const (
--- a/sidecar/repeatable/links_test.go
+++ b/sidecar/repeatable/links_test.go
@@ -18,7 +18,6 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
-	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
 // entryNode is an entry that accepts sessions and keeps them alive.
@@ -26,8 +25,9 @@
 	node *quic.Node
 	ctx  context.Context
 
-	// reports counts the capacity reports that arrived.
+	// reports counts the capacity reports that arrived; open is that of the last one.
 	reports atomic.Int64
+	open    atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[*session.Session]bool
@@ -87,6 +87,7 @@
 	t.Run(a.entry.ctx, func(f *wire.Frame) {
 		if f.HasRoom() {
 			a.entry.reports.Add(1)
+			a.entry.open.Store(f.GetRoom().GetOpen())
 		}
 	})
 
@@ -131,7 +132,7 @@
 	keys, err := quic.SharedKeys(t.Name())
 	is.NoErr(err)
 
-	fx := &linksFixture{fixture: &fixture{t: t}}
+	fx := &linksFixture{fixture: &fixture{t: t, backend: leasedbackend.New("i-1")}}
 	for range entries {
 		fx.entries = append(fx.entries, startEntryNode(t, keys))
 	}
@@ -141,7 +142,7 @@
 	t.Cleanup(func() { _ = n.Close() })
 
 	fx.worker = repeatable.NewWorker(
-		"sidecar", leasedbackend.New("i-1"), repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
+		"sidecar", fx.backend, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
 	fx.links = repeatable.NewLinks(n, fx.worker, sessionset.NewSidecar("sidecar", ""), 1, zerolog.Nop())
 
 	go fx.worker.Run(t.Context())
@@ -252,10 +253,8 @@
 		fx.links.Add(e.entry())
 	}
 
-	b := leasedbackend.New("i-1")
-	fx.worker.Announce(t.Context(), repeatable.NewAnnouncement(
-		b.Instance(), "service", "domain", 1, 1, job.NewSize(4*core, 1024), nil, false))
-	fx.await("both are connected", func() bool { return len(fx.connected()) == 2 })
+	fx.announce(1, false)
+	fx.await("both know that tasks are accepted", func() bool { return busy.open.Load() && idle.open.Load() })
 
 	const requests = 60
 
