Mark a request as pending before the relay passes it on

Cause: the relay marked the request as pending after it had written it to the target. If the answer came back before that, it found no request to drop the answer of. With a pause of 5 ms between the two while a fault is set, the test fails in the same line; with the mark set before the write it passes with the same pause (one run each, on a scratch copy). A pause on every request showed nothing, since the late mark of the first request then stood for the second.

--- a/standin/relay/tcp.go
+++ b/standin/relay/tcp.go
@@ -150,6 +150,11 @@
 		return false
 	}
 
+	if !p.down {
+		// Before the write: the answer may arrive before this goroutine runs again.
+		p.requestPending.Store(true)
+	}
+
 	if _, err := p.destination.Write(c.data); err != nil {
 		return false
 	}
@@ -157,7 +162,6 @@
 	if p.down {
 		p.relay.down.Add(1)
 	} else {
-		p.requestPending.Store(true)
 		p.relay.up.Add(1)
 	}
 
