Give each session of the sidecar's test fixture its own frames

Traced: the frame that was no reservation is a rejection of a job of the session that has ended (ended:{job:7 index:1000 result:REJECTED}), left in the fixture's channel.

--- a/sidecar/repeatable/worker_test.go
+++ b/sidecar/repeatable/worker_test.go
@@ -31,7 +31,7 @@
 	backend *leasedbackend.Server
 	worker  *repeatable.Worker
 	entry   *session.Session
-	// frames holds the frames that the sidecar has sent, except capacity reports and reports of crashes.
+	// frames holds the frames that the sidecar has sent in the last session, except capacity reports and reports of crashes.
 	frames chan *wire.Frame
 	// crashes holds the reports of crashes.
 	crashes      chan *wire.BackendCrash
@@ -52,7 +52,7 @@
 	is.NoErr(err)
 
 	fx := &fixture{
-		t: t, backend: b, frames: make(chan *wire.Frame, 1024), reports: make(chan *wire.Room, 1),
+		t: t, backend: b, reports: make(chan *wire.Room, 1),
 		crashes: make(chan *wire.BackendCrash, 16), crashedTasks: make(chan *wire.CrashedTasks, 16), node: &quic.Node{},
 	}
 	fx.worker = repeatable.NewWorker("sidecar", b, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
@@ -98,36 +98,43 @@
 	}.Build())
 	fx.stopKeepAlives = make(chan struct{})
 
-	go fx.run()
+	// Each session has its own frames: those of one that has ended are no answers to the next one.
+	fx.frames = make(chan *wire.Frame, 1024)
+	receiver := &frameReceiver{fx, fx.entry, fx.frames}
+
+	go receiver.run()
 
 	sender := &keepAliveSender{fx.entry, fx.stopKeepAlives}
 	go sender.run()
 }
 
-func (fx *fixture) run() {
-	fx.entry.Run(fx.t.Context(), func(f *wire.Frame) {
-		switch {
-		case f.HasBackendCrash():
-			fx.crashes <- f.GetBackendCrash()
-
-			return
-		case f.HasCrashedTasks():
-			fx.crashedTasks <- f.GetCrashedTasks()
-
-			return
-		case !f.HasRoom():
-			fx.frames <- f
+// frameReceiver sorts the frames of one session.
+type frameReceiver struct {
+	fixture *fixture
+	session *session.Session
+	frames  chan *wire.Frame
+}
 
-			return
-		}
+func (r *frameReceiver) run() {
+	r.session.Run(r.fixture.t.Context(), r.receive)
+}
 
+func (r *frameReceiver) receive(f *wire.Frame) {
+	switch {
+	case f.HasBackendCrash():
+		r.fixture.crashes <- f.GetBackendCrash()
+	case f.HasCrashedTasks():
+		r.fixture.crashedTasks <- f.GetCrashedTasks()
+	case f.HasRoom():
 		select {
-		case <-fx.reports:
+		case <-r.fixture.reports:
 		default:
 		}
 
-		fx.reports <- f.GetRoom()
-	})
+		r.fixture.reports <- f.GetRoom()
+	default:
+		r.frames <- f
+	}
 }
 
 // keepAliveSender keeps the session of the test entry alive until stopKeepAlives is closed.
