--- a/entry/repeatable/metrics.go
+++ b/entry/repeatable/metrics.go
@@ -6,6 +6,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -23,6 +24,7 @@
 		"sidecars_connected": func() int64 { return int64(len(d.sidecars)) },
 		"jobs_in_flight":     func() int64 { return int64(len(d.activeJobs)) },
 		"routes_version":     func() int64 { return int64(d.routes.Version()) },
+		"routes_age_ms":      func() int64 { return d.routes.SinceConfirmation(uptime.Now()).Milliseconds() },
 	} {
 		gometrics.NewRegisteredFunctionalGauge(name, m.registry, func() int64 {
 			d.mu.Lock()
--- a/entry/repeatable/routes.go
+++ b/entry/repeatable/routes.go
@@ -63,6 +63,10 @@
 		return
 	case f.behindSince == 0 || now-f.behindSince > 10*routeFetchInterval:
 		f.behindSince = now
+
+		d.log.Info().Str("event", "routes_behind").Uint64("version", d.routes.Version()).Uint64("reported", version).
+			Str("sidecar", s.name).Dur("since_answer", d.routes.SinceConfirmation(now)).
+			Msg("a sidecar reports a newer version of the routes")
 	case now-f.behindSince >= routeFetchInterval && now-f.lastRequest >= routeFetchInterval:
 		f.lastRequest = now
 
@@ -99,15 +103,23 @@
 
 // AdoptRoutes puts a version of the routes into force if it is newer than the one in force.
 func (d *Dispatcher) AdoptRoutes(t *routes.Table, source string) {
+	now := uptime.Now()
+
 	if !d.routes.Update(t) {
 		return
 	}
 
-	d.log.Info().Str("event", "routes_adopted").Uint64("version", t.Version()).Str("source", source).
-		Msg("new version of the routes in force")
-
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
+	var behind time.Duration
+	if d.routeFetcher.behindSince != 0 {
+		behind = now - d.routeFetcher.behindSince
+	}
+
 	d.routeFetcher.behindSince = 0
+
+	d.log.Info().Str("event", "routes_adopted").Uint64("version", t.Version()).Str("source", source).
+		Dur("behind", behind).Dur("since_answer", d.routes.SinceConfirmation(now)).
+		Msg("new version of the routes in force")
 }
--- a/sidecar/repeatable/route_distributor.go
+++ b/sidecar/repeatable/route_distributor.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
 // RouteDistributor fetches the newest routes from an entry that has them and sends them to entries that cannot reach
@@ -73,9 +74,16 @@
 	}
 
 	if d.source == nil || d.source == s {
+		d.log.Warn().Str("event", "routes_unavailable").Uint64("version", version).Str("entry", s.entry).
+			Msg("no entry is known that has the requested version of the routes")
+
 		return
 	}
 
+	d.log.Info().Str("event", "routes_requested").Uint64("version", version).Str("entry", s.entry).
+		Str("source", d.source.entry).Dur("silent", d.source.SinceContact(uptime.Now())).
+		Msg("fetching a version of the routes for an entry that lacks it")
+
 	d.waiting[s] = true
 	d.source.send(wire.Frame_builder{RoutesFetch: wire.RoutesFetch_builder{Version: version}.Build()}.Build())
 }
--- a/weir/version/routes/routes.go
+++ b/weir/version/routes/routes.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
@@ -75,6 +76,16 @@
 // Current holds the newest version of the routes. The zero value has none. It is safe for concurrent use.
 type Current struct {
 	table atomic.Pointer[Table]
+	// confirmedAt is when the store of the routes answered last, on the clock of package uptime; zero before.
+	confirmedAt atomic.Int64
+}
+
+// Confirm records that the store of the routes has answered at the time now, so that the current version is its newest.
+func (c *Current) Confirm(now time.Duration) { c.confirmedAt.Store(int64(now)) }
+
+// SinceConfirmation returns the time at now since the store answered last, or since the start of the clock.
+func (c *Current) SinceConfirmation(now time.Duration) time.Duration {
+	return now - time.Duration(c.confirmedAt.Load())
 }
 
 // Table returns the newest version, or nil if there is none.
