--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -71,8 +71,11 @@
 
 // NewDispatcher returns a dispatcher to which no sidecar is connected.
 func NewDispatcher(r *routes.Current, m *Metrics, log zerolog.Logger) *Dispatcher {
+	now := uptime.Now()
+	r.Confirm(now)
+
 	return &Dispatcher{
-		log: log, routes: r, metrics: m, started: uptime.Now(),
+		log: log, routes: r, metrics: m, started: now,
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		sidecars: map[uint64]*sidecar{}, activeJobs: map[uint64]*activeJob{}, activeJobsByID: map[string]*activeJob{},
 	}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// SilenceConnections makes the open TCP connections drop everything from now on, without closing them. New connections
+// work. It has no effect on UDP.
+func (r *Relay) SilenceConnections() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	for l := range r.links {
+		l.silent.Store(true)
+	}
+}
+
 // Counts returns the number of chunks or datagrams forwarded in each direction, and the number of dropped chunks,
 // dropped datagrams and refused connections.
 func (r *Relay) Counts() (up, down, lost int64) { return r.up.Load(), r.down.Load(), r.lost.Load() }
@@ -223,6 +234,8 @@
 type link struct {
 	client string
 	close  func()
+	// silent is true once everything on this TCP connection is dropped.
+	silent atomic.Bool
 }
 
 func closeAll(ends ...io.Closer) {
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -55,6 +55,31 @@
 	return c.LocalAddr().String()
 }
 
+// startTCPEcho starts a TCP server that sends everything back, and returns its address.
+func startTCPEcho(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { l.Close() })
+
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+
+			go io.Copy(c, c)
+		}
+	}()
+
+	return l.Addr().String()
+}
+
 func receive(c net.Conn, timeout time.Duration) (string, bool) {
 	b := make([]byte, 2048)
 	c.SetReadDeadline(time.Now().Add(timeout))
@@ -225,3 +250,38 @@
 	is.Equal(put(`{"cut": true}`), http.StatusBadRequest)
 	is.Equal(r.Faults(), relay.Faults{}.WithCutUp().WithDelay(1500*time.Microsecond))
 }
+
+// Guards against a silenced connection that is closed or still delivers, and against new connections that are silent too.
+func TestSilenceConnections(t *testing.T) {
+	is := is.New(t)
+	r := openRelay(t, relay.TCP, startTCPEcho(t))
+
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", r.Address())
+		is.NoErr(err)
+		t.Cleanup(func() { c.Close() })
+
+		return c
+	}
+
+	old := dial()
+	old.Write([]byte("before"))
+	got, ok := receive(old, 10*time.Second)
+	is.True(ok)
+	is.Equal(got, "before")
+
+	r.SilenceConnections()
+	old.Write([]byte("after"))
+
+	fresh := dial()
+	fresh.Write([]byte("new"))
+	got, ok = receive(fresh, 10*time.Second)
+	is.True(ok)
+	is.Equal(got, "new")
+
+	_, ok = receive(old, 50*time.Millisecond)
+	is.True(!ok)
+
+	_, err := old.Write([]byte("still open"))
+	is.NoErr(err)
+}
--- a/standin/relay/tcp.go
+++ b/standin/relay/tcp.go
@@ -146,6 +146,12 @@
 		return false
 	}
 
+	if p.link.silent.Load() {
+		p.relay.lost.Add(1)
+
+		return true
+	}
+
 	if p.down && p.requestPending.Swap(false) && p.relay.consumeAnswerDrop(p.link.client) {
 		return false
 	}
--- a/weir/version/routes/routes.go
+++ b/weir/version/routes/routes.go
@@ -76,14 +76,16 @@
 // Current holds the newest version of the routes. The zero value has none. It is safe for concurrent use.
 type Current struct {
 	table atomic.Pointer[Table]
-	// confirmedAt is when the store of the routes answered last, on the clock of package uptime; zero before.
+	// confirmedAt is when the store of the routes answered last, on the clock of package uptime, or when the process
+	// started; zero before.
 	confirmedAt atomic.Int64
 }
 
 // Confirm records that the store of the routes has answered at the time now, so that the current version is its newest.
+// It is called at the start, too.
 func (c *Current) Confirm(now time.Duration) { c.confirmedAt.Store(int64(now)) }
 
-// SinceConfirmation returns the time at now since the store answered last, or since the start of the clock.
+// SinceConfirmation returns the time at now since the store answered last, or since the start.
 func (c *Current) SinceConfirmation(now time.Duration) time.Duration {
 	return now - time.Duration(c.confirmedAt.Load())
 }
