--- a/entry/repeatable/routes.go
+++ b/entry/repeatable/routes.go
@@ -12,30 +12,6 @@
 // that the store can deliver the new version first.
 const routeFetchInterval = 200 * time.Millisecond
 
-const (
-	// minRoutesReadWait and maxRoutesReadWait bound how long a read of the routes waits for a new version.
-	minRoutesReadWait = time.Second
-	maxRoutesReadWait = 15 * time.Second
-	// readsPerEntry, times the number of entries, is that time. Some entry then notices within about 250 ms that no answer
-	// arrives any more on its path, and the others get the new version from it through the sidecars.
-	readsPerEntry = 250 * time.Millisecond
-)
-
-// RoutesReadWait returns how long the next read of the routes waits for a new version. A path that drops all packets is
-// noticed only after this time, so an entry that no sidecar serves with routes reads often. With many entries each one
-// reads seldom: the calls of all together stay the same.
-func (d *Dispatcher) RoutesReadWait() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	entries := 0
-	for _, s := range d.sidecars {
-		entries = max(entries, int(s.report.GetKnownEntries()))
-	}
-
-	return max(minRoutesReadWait, min(maxRoutesReadWait, time.Duration(entries)*readsPerEntry))
-}
-
 // RouteParser parses a record of routes as the operator wrote it.
 type RouteParser func(record []byte) (*routes.Table, error)
 
--- a/sidecar/repeatable/links.go
+++ b/sidecar/repeatable/links.go
@@ -145,7 +145,7 @@
 		}
 	}
 
-	l.worker.setSessionShare(len(known), sessionset.Share(l.size, len(known)))
+	l.worker.setSessionShare(sessionset.Share(l.size, len(known)))
 }
 
 // known returns the entries that may be in the set.
--- a/sidecar/repeatable/report.go
+++ b/sidecar/repeatable/report.go
@@ -40,7 +40,6 @@
 		LaunchedCpu:   w.launchRates.rates(now),
 		RunningCpu:    w.runningCPU(),
 		RoutesVersion: w.routes.Version(),
-		KnownEntries:  w.knownEntries,
 		SharePermille: w.sessionShare,
 	}
 
--- a/sidecar/repeatable/sessions.go
+++ b/sidecar/repeatable/sessions.go
@@ -69,10 +69,10 @@
 	return estimates[len(estimates)/2]
 }
 
-// setSessionShare sets the number of known entries and the part of them, in thousandths, that is in the set.
-func (w *Worker) setSessionShare(entries int, share uint32) {
+// setSessionShare sets the part of the known entries, in thousandths, that is in the set of sessions.
+func (w *Worker) setSessionShare(share uint32) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.knownEntries, w.sessionShare = uint32(entries), share
+	w.sessionShare = share
 }
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -58,9 +58,8 @@
 	pastCrashes []pastCrash
 	// gone is the last announcement of the incarnation that left last.
 	gone Announcement
-	// knownEntries and sessionShare describe the set of sessions: the number of entries that are known, and the part of
-	// them, in thousandths, that has a session.
-	knownEntries, sessionShare uint32
+	// sessionShare is the part of the known entries, in thousandths, that is in the set of sessions.
+	sessionShare uint32
 }
 
 // NewWorker returns a worker that waits for its backend server to announce itself. Without metrics nothing is counted.
