--- a/sidecar/repeatable/links_test.go
+++ b/sidecar/repeatable/links_test.go
@@ -28,6 +28,8 @@
 	// reports counts the capacity reports that arrived; open is that of the last one.
 	reports atomic.Int64
 	open    atomic.Bool
+	// fetches holds the versions of the routes that the sidecar has requested.
+	fetches chan uint64
 
 	mu       sync.Mutex
 	sessions map[*session.Session]bool
@@ -36,7 +38,7 @@
 func startEntryNode(t *testing.T, keys quic.Keys) *entryNode {
 	t.Helper()
 
-	e := &entryNode{node: &quic.Node{}, ctx: t.Context(), sessions: map[*session.Session]bool{}}
+	e := &entryNode{node: &quic.Node{}, ctx: t.Context(), sessions: map[*session.Session]bool{}, fetches: make(chan uint64, 1<<16)}
 	is.New(t).NoErr(e.node.Listen("127.0.0.1:0", keys))
 	t.Cleanup(func() { _ = e.node.Close() })
 
@@ -89,6 +91,10 @@
 			a.entry.reports.Add(1)
 			a.entry.open.Store(f.GetRoom().GetOpen())
 		}
+
+		if f.HasRoutesFetch() {
+			a.entry.fetches <- f.GetRoutesFetch().GetVersion()
+		}
 	})
 
 	a.entry.mu.Lock()
--- a/sidecar/repeatable/route_distributor.go
+++ b/sidecar/repeatable/route_distributor.go
@@ -1,6 +1,7 @@
 package repeatable
 
 import (
+	"cmp"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -15,10 +16,10 @@
 	log zerolog.Logger
 
 	mu sync.Mutex
-	// newestVersion is the newest version that an entry has reported; source is that entry, nil after its session
-	// ended.
+	// newestVersion is the newest version that an entry has reported.
 	newestVersion uint64
-	source        *entrySession
+	// sources holds the connected entries that have reported a version.
+	sources map[*entrySession]bool
 	// latest is the newest routes record that was received.
 	latest *wire.Routes
 	// waiting holds the entries that have requested a record that has not been received yet.
@@ -27,7 +28,7 @@
 
 // NewRouteDistributor returns a distributor without routes.
 func NewRouteDistributor(log zerolog.Logger) *RouteDistributor {
-	return &RouteDistributor{log: log, waiting: map[*entrySession]bool{}}
+	return &RouteDistributor{log: log, sources: map[*entrySession]bool{}, waiting: map[*entrySession]bool{}}
 }
 
 // Version returns the newest version that an entry has reported.
@@ -43,10 +44,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	s.routesVersion = version
-	if version > d.newestVersion || (version == d.newestVersion && d.source == nil) {
-		d.newestVersion, d.source = version, s
-	}
+	s.routesVersion = max(s.routesVersion, version)
+	d.sources[s] = true
+	d.newestVersion = max(d.newestVersion, version)
 }
 
 // Remove removes an entry whose session has ended.
@@ -55,14 +55,11 @@
 	defer d.mu.Unlock()
 
 	delete(d.waiting, s)
-
-	if d.source == s {
-		d.source = nil
-	}
+	delete(d.sources, s)
 }
 
 // Fetch sends an entry the routes in at least the given version. If they have not been received yet, it requests them
-// from the entry that has the newest version, unless that entry has disconnected or is the one that asks.
+// from an entry that has them. An entry that asks again makes it request them from another one.
 func (d *RouteDistributor) Fetch(s *entrySession, version uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -73,7 +70,8 @@
 		return
 	}
 
-	if d.source == nil || d.source == s {
+	source := d.sourceFor(s, version)
+	if source == nil {
 		d.log.Warn().Str("event", "routes_unavailable").Uint64("version", version).Str("entry", s.entry).
 			Msg("no entry is known that has the requested version of the routes")
 
@@ -81,11 +79,35 @@
 	}
 
 	d.log.Info().Str("event", "routes_requested").Uint64("version", version).Str("entry", s.entry).
-		Str("source", d.source.entry).Dur("silent", d.source.SinceContact(uptime.Now())).
+		Str("source", source.entry).Dur("silent", source.SinceContact(uptime.Now())).
 		Msg("fetching a version of the routes for an entry that lacks it")
 
 	d.waiting[s] = true
-	d.source.send(wire.Frame_builder{RoutesFetch: wire.RoutesFetch_builder{Version: version}.Build()}.Build())
+	source.routesFetches++
+	source.send(wire.Frame_builder{RoutesFetch: wire.RoutesFetch_builder{Version: version}.Build()}.Build())
+}
+
+// sourceFor returns an entry other than s that has at least the given version, nil if there is none. Of several it is the
+// one that was asked for routes least often, so that one that does not answer is not asked twice in a row; among those
+// the one that was heard last.
+func (d *RouteDistributor) sourceFor(s *entrySession, version uint64) *entrySession {
+	now := uptime.Now()
+
+	var best *entrySession
+
+	for c := range d.sources {
+		if c == s || c.routesVersion < version {
+			continue
+		}
+
+		if best == nil || cmp.Or(
+			cmp.Compare(c.routesFetches, best.routesFetches),
+			cmp.Compare(c.SinceContact(now), best.SinceContact(now))) < 0 {
+			best = c
+		}
+	}
+
+	return best
 }
 
 // Receive stores a record that was fetched and sends it to the entries that wait for it.
