--- a/sidecar/backend/client.go
+++ b/sidecar/backend/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/skylarkweir/skylarkweir/weir/connection/httppool"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
@@ -53,13 +54,13 @@
 		address:   strings.TrimRight(address, "/"),
 		maxOutput: maxOutput,
 		http: http.Client{
-			Transport: &http.Transport{
+			Transport: &httppool.Transport{Transport: http.Transport{
 				DialContext:         dialer.DialContext,
 				MaxIdleConns:        maxIdle,
 				MaxIdleConnsPerHost: maxIdle,
 				IdleConnTimeout:     idleTimeout,
 				DisableCompression:  true,
-			},
+			}},
 			// A redirect would start the task a second time.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/sidecar/leasedbackend/client.go
+++ b/sidecar/leasedbackend/client.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
+	"github.com/skylarkweir/skylarkweir/weir/connection/httppool"
 )
 
 const (
@@ -34,10 +35,10 @@
 
 // NewClient returns a client of the backend server at an address such as http://127.0.0.1:8080.
 func NewClient(address string) *Client {
-	return &Client{address: strings.TrimRight(address, "/"), http: &http.Client{Transport: &http.Transport{
+	return &Client{address: strings.TrimRight(address, "/"), http: &http.Client{Transport: &httppool.Transport{Transport: http.Transport{
 		MaxIdleConnsPerHost: maxConnections, MaxConnsPerHost: maxConnections, IdleConnTimeout: idleTimeout,
 		DisableCompression: true,
-	}}}
+	}}}}
 }
 
 // Status returns the status of the current incarnation of the backend server.
--- a/weir/connection/logservice/client.go
+++ b/weir/connection/logservice/client.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/skylarkweir/skylarkweir/weir/connection/httppool"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
@@ -42,7 +43,9 @@
 		address = "http://" + address
 	}
 
-	return &Client{address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxActiveAppends + 1}}}
+	return &Client{address, &http.Client{Transport: &httppool.Transport{
+		Transport: http.Transport{MaxIdleConnsPerHost: maxActiveAppends + 1},
+	}}}
 }
 
 type appendRequest struct {
