--- a/entry/repeatable/keepalive.go
+++ b/entry/repeatable/keepalive.go
@@ -20,6 +20,7 @@
 
 	d.sidecarEstimate = d.estimateSidecars()
 	d.advanceQuarantine(now)
+	d.fetchNewerRoutes(now)
 
 	for _, s := range d.sidecars {
 		s.SetActive(inUse[s.number], now)
--- a/entry/repeatable/routes.go
+++ b/entry/repeatable/routes.go
@@ -30,24 +30,43 @@
 	d.routeFetcher.parse = p
 }
 
-// fetchNewerRoutes requests the routes from a sidecar that reports a newer version than the one in force here.
-func (d *Dispatcher) fetchNewerRoutes(s *sidecar) {
-	f, now := &d.routeFetcher, uptime.Now()
-
-	switch version := s.report.GetRoutesVersion(); {
-	case version <= d.routes.Version():
-		return
-	case f.behindSince == 0 || now-f.behindSince > 10*routeFetchInterval:
+// fetchNewerRoutes requests the routes from a sidecar that has reported a newer version than the one in force here. It is
+// called at each tick, since a sidecar without work reports seldom.
+func (d *Dispatcher) fetchNewerRoutes(now time.Duration) {
+	f, s := &d.routeFetcher, d.sidecarWithNewerRoutes()
+
+	switch {
+	case s == nil:
+		f.behindSince = 0
+	case f.behindSince == 0:
 		f.behindSince = now
 
-		d.log.Info().Str("event", "routes_behind").Uint64("version", d.routes.Version()).Uint64("reported", version).
-			Str("sidecar", s.name).Dur("since_answer", d.routes.SinceConfirmation(now)).
-			Msg("a sidecar reports a newer version of the routes")
+		d.log.Info().Str("event", "routes_behind").Uint64("version", d.routes.Version()).
+			Uint64("reported", s.report.GetRoutesVersion()).Str("sidecar", s.name).
+			Dur("since_answer", d.routes.SinceConfirmation(now)).Msg("a sidecar reports a newer version of the routes")
 	case now-f.behindSince >= routeFetchInterval && now-f.lastRequest >= routeFetchInterval:
 		f.lastRequest = now
 
-		s.send(wire.Frame_builder{RoutesFetch: wire.RoutesFetch_builder{Version: version}.Build()}.Build())
+		s.send(wire.Frame_builder{
+			RoutesFetch: wire.RoutesFetch_builder{Version: s.report.GetRoutesVersion()}.Build(),
+		}.Build())
+	}
+}
+
+// sidecarWithNewerRoutes returns one of the sidecars that report the newest version of the routes, in no fixed
+// order, or nil if none has a newer version than the one in force here.
+func (d *Dispatcher) sidecarWithNewerRoutes() *sidecar {
+	var newest *sidecar
+
+	version := d.routes.Version()
+
+	for _, s := range d.sidecars {
+		if v := s.report.GetRoutesVersion(); v > version {
+			newest, version = s, v
+		}
 	}
+
+	return newest
 }
 
 func (d *Dispatcher) sendRoutes(s *sidecar) {
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -241,7 +241,6 @@
 		}
 
 		s.setReport(f.GetRoom(), uptime.Now())
-		d.fetchNewerRoutes(s)
 		d.answerKeepAlive(s, uptime.Now())
 	case wire.Frame_Reserved_case:
 		m := f.GetReserved()
--- a/sidecar/repeatable/route_distributor.go
+++ b/sidecar/repeatable/route_distributor.go
@@ -72,8 +72,7 @@
 
 	source := d.sourceFor(s, version)
 	if source == nil {
-		d.log.Warn().Str("event", "routes_unavailable").Uint64("version", version).Str("entry", s.entry).
-			Msg("no entry is known that has the requested version of the routes")
+		d.logUnavailable(s, version)
 
 		return
 	}
@@ -87,6 +86,18 @@
 	source.send(wire.Frame_builder{RoutesFetch: wire.RoutesFetch_builder{Version: version}.Build()}.Build())
 }
 
+// logUnavailable logs once for an entry and version that no entry is known that has it. An entry asks again and again.
+func (d *RouteDistributor) logUnavailable(s *entrySession, version uint64) {
+	if s.routesUnavailable == version {
+		return
+	}
+
+	s.routesUnavailable = version
+
+	d.log.Warn().Str("event", "routes_unavailable").Uint64("version", version).Str("entry", s.entry).
+		Msg("no entry is known that has the requested version of the routes")
+}
+
 // sourceFor returns an entry other than s that has at least the given version, nil if there is none. Of several it is the
 // one that was asked for routes least often, so that one that does not answer is not asked twice in a row; among those
 // the one that was heard last.
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -43,9 +43,11 @@
 	// requestedAt is the time of the last request for reservations, zero before the first.
 	requestedAt time.Duration
 	// routesVersion is the newest version of the routes that the entry has, routesFetches how often it was asked for its
-	// routes. Both change under the mutex of the route distributor.
-	routesVersion uint64
-	routesFetches int
+	// routes, and routesUnavailable the last version that it asked for in vain. They change under the mutex of the route
+	// distributor.
+	routesVersion     uint64
+	routesFetches     int
+	routesUnavailable uint64
 	// sidecars is the entry's estimate of the number of sidecars in the deployment, zero if it has none.
 	sidecars atomic.Int64
 	// startedAt is when the session began, on the clock of package uptime.
