--- a/entry/repeatable/routes.go
+++ b/entry/repeatable/routes.go
@@ -18,6 +18,8 @@
 // routeFetcher is the state of fetching routes from sidecars that report a newer version.
 type routeFetcher struct {
 	parse RouteParser
+	// confirmInterval is the longest time between two answers of the store while it can be reached, zero if unknown.
+	confirmInterval time.Duration
 	// behindSince is when a sidecar first reported a newer version, zero if none did.
 	behindSince, lastRequest time.Duration
 }
@@ -30,6 +32,26 @@
 	d.routeFetcher.parse = p
 }
 
+// ExpectConfirmation sets the longest time between two answers of the store of the routes while it can be reached.
+func (d *Dispatcher) ExpectConfirmation(interval time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.routeFetcher.confirmInterval = interval
+}
+
+// RoutesMayBeOld reports whether there may be a newer version of the routes than the one in force: a sidecar reports one,
+// or the store has not answered in time.
+func (d *Dispatcher) RoutesMayBeOld() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	f := &d.routeFetcher
+
+	return f.behindSince != 0 ||
+		f.confirmInterval > 0 && d.routes.SinceConfirmation(uptime.Now()) > f.confirmInterval
+}
+
 // fetchNewerRoutes requests the routes from a sidecar that has reported a newer version than the one in force here. It is
 // called at each tick, since a sidecar without work reports seldom.
 func (d *Dispatcher) fetchNewerRoutes(now time.Duration) {
