--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -22,6 +22,9 @@
 	phaseEnded
 )
 
+// reasonNoCapacity is the reason for the end of a job that is logged as refused instead.
+const reasonNoCapacity = "no capacity"
+
 // placement is the state of one task of a job and the sidecar where it is placed.
 type placement struct {
 	// sidecar is the number of the sidecar, zero while the task is not placed.
@@ -264,7 +267,7 @@
 			Str("reason", v.Reason()).Int("tasks", a.job.Tasks()).Dur("expected_run", a.expectedRun).Dur("waited", waited).
 			Stringer("load", load).Dur("retry_after", v.RetryAfter()).Uint64("routes", d.routes.Version()).
 			Msg("job refused: no capacity within its maximum wait")
-		a.end(job.NewRefused(v.Reason(), v.RetryAfter()), "no capacity")
+		a.end(job.NewRefused(v.Reason(), v.RetryAfter()), reasonNoCapacity)
 	}
 }
 
@@ -297,10 +300,10 @@
 		}
 	}
 
-	if _, completed := o.(job.Completed); !completed && a.phase == phaseRunning {
+	if _, completed := o.(job.Completed); !completed && reason != reasonNoCapacity {
 		a.dispatcher.log.Info().Str("event", "job_ended").Str("job", a.job.ID()).Str("kind", a.job.Policy().Kind()).
-			Str("reason", reason).Int("stopped_at", len(halted)).Dur("since_arrival", uptime.Now()-a.arrived).
-			Msg("job ended before completion; stopping its tasks")
+			Str("reason", reason).Bool("started", a.phase == phaseRunning).Int("stopped_at", len(halted)).
+			Dur("since_arrival", uptime.Now()-a.arrived).Msg("job ended before completion; stopping its tasks")
 	}
 
 	a.phase = phaseEnded
