--- a/sidecar/backend/client.go
+++ b/sidecar/backend/client.go
@@ -9,9 +9,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -73,6 +75,11 @@
 	ctx, cancel := context.WithDeadline(ctx, call.deadline)
 	defer cancel()
 
+	// The headers are buffered when they have been written, so nothing has reached the backend server before.
+	var sent atomic.Bool
+
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
+
 	r, err := http.NewRequestWithContext(
 		ctx, http.MethodPost, c.address+"/run/"+url.PathEscape(call.kind), bytes.NewReader(call.input),
 	)
@@ -88,7 +95,7 @@
 
 	response, err := c.http.Do(r)
 	if err != nil {
-		return classifyError(ctx, err)
+		return classifyError(ctx, err, sent.Load())
 	}
 	defer response.Body.Close()
 
@@ -96,7 +103,7 @@
 
 	switch status := response.StatusCode; {
 	case err != nil:
-		return classifyError(ctx, err)
+		return classifyError(ctx, err, true)
 	case status >= 200 && status < 300 && int64(len(body)) > c.maxOutput:
 		return NewFailed(fault.TaskFailed, fmt.Sprintf("output exceeds the limit of %d bytes", c.maxOutput))
 	case status >= 200 && status < 300:
@@ -136,12 +143,10 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// classifyError distinguishes a call that was never sent, since dialing failed, from one that may have run.
-func classifyError(ctx context.Context, err error) Result {
-	var op *net.OpError
-
+// classifyError distinguishes a call that was never sent from one that may have run.
+func classifyError(ctx context.Context, err error, sent bool) Result {
 	switch {
-	case errors.As(err, &op) && op.Op == "dial":
+	case !sent:
 		return NewNotStarted(err.Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return NewFailed(fault.DeadlineExceeded, "deadline passed while the task was running")
--- a/sidecar/backend/client_test.go
+++ b/sidecar/backend/client_test.go
@@ -60,6 +60,12 @@
 	is.True(ok)
 	is.Equal(failed.Kind(), fault.Cancelled)
 
+	ctx, cancel = context.WithCancel(t.Context())
+	cancel()
+
+	_, ok = c.Run(ctx, call(`{"run_ms":5000}`, time.Minute)).(backend.NotStarted)
+	is.True(ok) // nothing was sent
+
 	r, err := http.Get(server.URL + "/admin/starts")
 	is.NoErr(err)
 	defer r.Body.Close()
--- a/sidecar/tasks/close.go
+++ b/sidecar/tasks/close.go
@@ -14,19 +14,44 @@
 	// outcomeFetchTimeout limits how long a leaving sidecar waits for the homes to fetch and acknowledge outcomes once
 	// no task runs.
 	outcomeFetchTimeout = 5 * time.Second
+	// cancelledRunTimeout limits how long Close waits for the end of the calls that it has cancelled, which end at once.
+	cancelledRunTimeout = 200 * time.Millisecond
 	// drainPollInterval is the interval at which Drain checks the table.
 	drainPollInterval = 20 * time.Millisecond
 )
 
 // Close puts a tombstone on submissions and returns their started tasks. Queued tasks are rejected, and running ones
-// continue unless cancel is set. If Close returns no error, a task that it did not return will not start later.
+// continue unless cancel is set. If Close returns no error, a task that it did not return will not start later. Of the
+// cancelled tasks it waits until it is known which were sent to the backend server.
 func (t *Table) Close(submissions []string, cancel bool, retention time.Duration) ([]*wire.Closed, error) {
+	cancelled, err := t.putTombstones(submissions, cancel, retention)
+	if err != nil {
+		return nil, err
+	}
+
+	awaitRuns(cancelled)
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	closed := make([]*wire.Closed, 0, len(submissions))
+	for _, id := range submissions {
+		closed = append(closed, t.reportClosed(id, cancel))
+	}
+
+	return closed, nil
+}
+
+// putTombstones closes submissions for new starts, rejects their queued tasks, and returns the running ones that it has
+// cancelled.
+func (t *Table) putTombstones(submissions []string, cancel bool, retention time.Duration) ([]*Run, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	now := time.Now()
 	until := now.Add(max(retention, maxDeadline) + retentionMargin)
-	closed := make([]*wire.Closed, 0, len(submissions))
+
+	var cancelled []*Run
 
 	for _, id := range submissions {
 		s := t.submissions[id]
@@ -47,35 +72,56 @@
 			heap.Fix(&t.expiry, s.heapIndex)
 		}
 
-		closed = append(closed, t.closeSubmission(s, cancel))
+		t.rejectQueued(s)
+
+		if cancel {
+			cancelled = append(cancelled, s.cancelRunning()...)
+		}
 	}
 
 	t.startQueuedTasks()
 
-	return closed, nil
+	return cancelled, nil
 }
 
-func (t *Table) closeSubmission(s *submission, cancel bool) *wire.Closed {
-	var started []*wire.TaskId
-
+// rejectQueued rejects the queued tasks of a closed submission.
+func (t *Table) rejectQueued(s *submission) {
 	for _, r := range append([]startRecord(nil), s.records...) {
 		if r.run != nil && t.scheduler.Withdraw(r.run.task) {
 			t.removeRejected(r.run, Rejected{wire.Rejection_REJECTION_CLOSED, "the submission was closed"})
-			continue
 		}
+	}
+}
 
-		if cancel && r.run != nil && r.run.running {
-			r.run.cancel()
+// awaitRuns waits until all runs have ended, for at most cancelledRunTimeout.
+func awaitRuns(runs []*Run) {
+	timeout := time.NewTimer(cancelledRunTimeout)
+	defer timeout.Stop()
+
+	for _, r := range runs {
+		select {
+		case <-r.Done():
+		case <-timeout.C:
+			return
 		}
+	}
+}
 
-		started = append(started, NewID(s.id, r.index, r.attempt).Wire())
+// reportClosed returns the started tasks of a closed submission.
+func (t *Table) reportClosed(id string, cancel bool) *wire.Closed {
+	var started []*wire.TaskId
+
+	if s := t.submissions[id]; s != nil {
+		for _, r := range s.records {
+			started = append(started, NewID(id, r.index, r.attempt).Wire())
+		}
 	}
 
 	closed := &wire.Closed{}
-	closed.SetSubmission(s.id)
+	closed.SetSubmission(id)
 	closed.SetStarted(started)
 	t.metrics.closed.Inc(1)
-	t.log.Info().Str("event", "submission_closed").Str("submission", s.id).Int("started", len(started)).
+	t.log.Info().Str("event", "submission_closed").Str("submission", id).Int("started", len(started)).
 		Bool("cancel", cancel).Msg("submission closed: its tasks can no longer start here")
 
 	return closed
--- a/sidecar/tasks/execution.go
+++ b/sidecar/tasks/execution.go
@@ -120,18 +120,30 @@
 		t.holdOutcome(run, Failed{kind, result.Message(), runTime}, len(result.Message()))
 	case backend.NotStarted:
 		if rejection == nil {
-			t.recordResult(run, now, true, true)
-			rejection = &Rejected{wire.Rejection_REJECTION_BACKEND_REFUSED, result.Message()}
-		} else {
-			t.recordResult(run, now, false, false)
+			rejection = unsentRejection(run, result, now)
 		}
 
+		refused := rejection.reason == wire.Rejection_REJECTION_BACKEND_REFUSED
+		t.recordResult(run, now, refused, refused)
 		t.removeRejected(run, *rejection)
 	}
 
 	t.startQueuedTasks()
 }
 
+// unsentRejection returns the rejection of a task whose call was never sent: the submission was closed, the deadline has
+// passed, or the backend server did not accept a connection.
+func unsentRejection(run *Run, result backend.NotStarted, now time.Time) *Rejected {
+	switch {
+	case run.ctx.Err() != nil:
+		return &Rejected{wire.Rejection_REJECTION_CLOSED, "the submission was closed before the task was sent"}
+	case !now.Before(run.request.deadline):
+		return &Rejected{wire.Rejection_REJECTION_DEADLINE, "the deadline passed before the task was sent"}
+	default:
+		return &Rejected{wire.Rejection_REJECTION_BACKEND_REFUSED, result.Message()}
+	}
+}
+
 // releaseSlots releases the slots of an ended task, or after cancelledSlotHold if the backend server may still be
 // running it.
 func (t *Table) releaseSlots(run *Run, result backend.Result) {
--- a/sidecar/tasks/submission.go
+++ b/sidecar/tasks/submission.go
@@ -32,6 +32,20 @@
 	return -1
 }
 
+// cancelRunning cancels the running tasks and returns them.
+func (s *submission) cancelRunning() []*Run {
+	var cancelled []*Run
+
+	for _, r := range s.records {
+		if r.run != nil && r.run.running {
+			r.run.cancel()
+			cancelled = append(cancelled, r.run)
+		}
+	}
+
+	return cancelled
+}
+
 func (s *submission) remove(id ID) {
 	if i := s.find(id); i >= 0 {
 		s.records = append(s.records[:i], s.records[i+1:]...)
--- a/sidecar/tasks/table_test.go
+++ b/sidecar/tasks/table_test.go
@@ -209,6 +209,28 @@
 	}
 }
 
+// unsentBackend is a backend server that no call reaches before it is cancelled.
+type unsentBackend struct{}
+
+func (unsentBackend) Run(ctx context.Context, _ backend.Call) backend.Result {
+	<-ctx.Done()
+
+	return backend.NewNotStarted("cancelled before the call was sent")
+}
+
+// Guards against a cancelled submission that reports a task as started whose call never reached the backend server.
+func TestUnsentTaskIsNotReportedAsStarted(t *testing.T) {
+	is := is.New(t)
+	fx := newFixtureWithBackend(unsentBackend{}, 1, 4, tasks.Limits{})
+	run := fx.start("job", 0, "")
+
+	closed, err := fx.table.Close([]string{"job"}, true, 0)
+	is.NoErr(err)
+	is.Equal(len(closed[0].GetStarted()), 0)
+	is.Equal(reason(run), wire.Rejection_REJECTION_CLOSED)
+	is.True(!fx.statistics.Suspect())
+}
+
 // Guards against a queued task that starts although its lease has lapsed or its submission was closed, and against a
 // cancellation that does not reach a running task.
 func TestQueuedTasksAreWithdrawn(t *testing.T) {
