--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -7,38 +7,12 @@
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
-	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
-// Rule is one of Product, Windowed, Unlimited, Unordered and Unconfined. Compare prints the names of these types.
-type Rule interface{ rule() }
-
-// Product makes the decisions of the product unchanged.
-type Product struct{}
-
-// Windowed expects capacity to become free as fast as tasks were launched in the second before, and ends every wait for
-// a first reservation after the maximum wait that admission returned.
-type Windowed struct{}
-
-// Unlimited admits every job, which then waits until its caller times out.
-type Unlimited struct{}
-
-// Unordered ignores priorities.
-type Unordered struct{}
-
-// Unconfined lets every kind use every backend server, whatever it crashes.
-type Unconfined struct{}
-
-func (Product) rule()    {}
-func (Windowed) rule()   {}
-func (Unlimited) rule()  {}
-func (Unordered) rule()  {}
-func (Unconfined) rule() {}
-
 const (
 	// requestInterval is the interval at which a job requests reservations at more backend servers.
 	requestInterval = 25 * time.Millisecond
@@ -195,13 +169,6 @@
 	}
 }
 
-func (sm *simulation) schedule(t time.Duration, action func()) {
-	sm.lastOrder++
-	heap.Push(&sm.events, event{t, sm.lastOrder, action})
-}
-
-func (sm *simulation) scheduleAfter(d time.Duration, action func()) { sm.schedule(sm.now+d, action) }
-
 // sendReports sends a report from every sidecar to every entry.
 func (sm *simulation) sendReports() {
 	for n, s := range sm.servers {
@@ -338,134 +305,6 @@
 	return sum
 }
 
-// requestReservations requests reservations for the tasks that have not been launched.
-func (sm *simulation) requestReservations(j *activeJob) {
-	e := sm.entries[j.entry]
-
-	var servers []jobplacement.Server
-
-	for n, r := range e.reports {
-		access := sm.access(j, n)
-		if !e.connected[n] || r.closed || j.requestedFrom[n] || access == quarantine.Forbidden {
-			continue
-		}
-
-		s := sm.servers[n]
-		candidate := jobplacement.NewServer(
-			uint64(n), job.NewSize(max(0, r.freeCPU-e.requestedCPU[n]), 1<<20),
-			r.queuedAhead(sm.priority(j)), s.capacity.Millicores(), s.slowness, nil,
-		)
-
-		if access == quarantine.LastResort {
-			candidate = candidate.AsLastResort()
-		}
-
-		servers = append(servers, candidate)
-	}
-
-	runTime := j.job.Estimate()
-	plan := jobplacement.Choose(
-		jobplacement.NewDemand(len(j.pending), j.job.Size(), job.Constraints{}, runTime), servers, sm.random,
-	)
-	share := plan.NeededShare(len(j.pending), j.outstanding)
-
-	for _, rq := range plan.Requests() {
-		n := int(rq.ID())
-		j.requestedFrom[n] = true
-		j.outstanding += rq.Tasks()
-		e.requestedCPU[n] += int64(share * float64(j.job.Size().Millicores()*int64(rq.Tasks())))
-
-		sm.scheduleAfter(sm.load.messageDelay, func() {
-			sm.servers[n].pool.Add(reservation.NewRequest(reservation.NewKey(1, j.number), rq.Tasks(), j.job.Size(),
-				sm.priority(j), j.arrivedAt, j.arrivedAt+jobTimeout, runTime, share))
-			sm.processQueue(n)
-		})
-	}
-
-	sm.scheduleAfter(requestInterval, func() {
-		if len(j.pending) > 0 && !j.isOver(sm.now) {
-			sm.requestReservations(j)
-		}
-	})
-}
-
-// processQueue starts the tasks that were launched at a backend server and grants reservations there.
-func (sm *simulation) processQueue(n int) {
-	s := sm.servers[n]
-
-	for len(s.launchedTasks) > 0 && s.pool.Begin(s.launchedTasks[0].activeJob.job.Size()) {
-		sm.startTask(n, s.launchedTasks[0])
-		s.launchedTasks = s.launchedTasks[1:]
-	}
-
-	for _, g := range s.pool.Allocate(sm.now) {
-		j, free := sm.jobs[g.Key().Job()], s.pool.Free().Millicores()
-
-		sm.scheduleAfter(sm.load.messageDelay, func() {
-			e := sm.entries[j.entry]
-			e.reports[n].freeCPU = free
-			e.requestedCPU[n] = max(0, e.requestedCPU[n]-j.job.Size().Millicores()*int64(g.Tasks()))
-			sm.launchGranted(j, n, g.Tasks())
-		})
-	}
-}
-
-// launchGranted launches tasks of a job in granted reservations.
-func (sm *simulation) launchGranted(j *activeJob, n, reservations int) {
-	j.outstanding = max(0, j.outstanding-reservations)
-
-	if j.isOver(sm.now) || len(j.pending) == 0 {
-		sm.releaseReservations(j)
-
-		return
-	}
-
-	if sm.access(j, n) == quarantine.Forbidden {
-		sm.releaseAt(j, n)
-
-		return
-	}
-
-	j.started = true
-	reservations = min(reservations, len(j.pending))
-	tasks := j.pending[:reservations]
-	j.pending = j.pending[reservations:]
-
-	sm.scheduleAfter(sm.load.messageDelay, func() {
-		s := sm.servers[n]
-		_, launched := s.pool.Launch(reservation.NewKey(1, j.number), reservations)
-		s.launchedTasks = append(s.launchedTasks, tasks[:launched]...)
-
-		if launched < len(tasks) { // the reservation has expired
-			j.pending = append(j.pending, tasks[launched:]...)
-		}
-
-		sm.processQueue(n)
-	})
-
-	if len(j.pending) == 0 {
-		sm.releaseReservations(j)
-	}
-}
-
-func (sm *simulation) releaseReservations(j *activeJob) {
-	for n := range sm.servers {
-		if !j.requestedFrom[n] {
-			continue
-		}
-
-		sm.releaseAt(j, n)
-	}
-}
-
-func (sm *simulation) releaseAt(j *activeJob, n int) {
-	sm.scheduleAfter(sm.load.messageDelay, func() {
-		// Messages keep their order, so an earlier launch has been handled.
-		sm.servers[n].pool.Release(reservation.NewKey(1, j.number))
-		sm.processQueue(n)
-	})
-}
-
 func (sm *simulation) startTask(n int, t *task) {
 	s, j := sm.servers[n], t.activeJob
 	life := s.life
@@ -512,30 +351,3 @@
 		e.releaseRate.Observe(sm.priority(j), runTime)
 	}
 }
-
-type event struct {
-	at     time.Duration
-	order  int
-	action func()
-}
-
-// eventQueue is a heap by time, then by the order in which events were added.
-type eventQueue []event
-
-func (e eventQueue) Len() int { return len(e) }
-
-func (e eventQueue) Less(i, k int) bool {
-	return e[i].at < e[k].at || (e[i].at == e[k].at && e[i].order < e[k].order)
-}
-
-func (e eventQueue) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
-
-func (e *eventQueue) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last element of the slice, where container/heap has moved the earliest event.
-func (e *eventQueue) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-
-	return last
-}
--- a/standin/leasedbackend/server.go
+++ b/standin/leasedbackend/server.go
@@ -20,9 +20,6 @@
 	Crash = "crash"
 )
 
-// crashDelay is the time from the start of a task with the input Crash to the end of the server's process.
-const crashDelay = 10 * time.Millisecond
-
 // maxLease is the longest lease that is granted.
 const maxLease = time.Second
 
@@ -32,23 +29,6 @@
 // errConnectionReset is returned by calls that wait while the process ends.
 var errConnectionReset = errors.New("connection reset by the end of the process")
 
-// Fault determines how calls are answered.
-type Fault uint8
-
-// Faults of a server.
-const (
-	// FaultNone answers every call.
-	FaultNone Fault = iota
-	// FaultNoAnswer carries out calls and does not answer them.
-	FaultNoAnswer
-	// FaultUnresponsive neither carries out calls nor answers them.
-	FaultUnresponsive
-	// FaultUnhealthy rejects starts with the result that the server is unhealthy.
-	FaultUnhealthy
-	// FaultNotListening refuses connections and breaks the calls that wait. Tasks run on.
-	FaultNotListening
-)
-
 // Server is a backend server. New makes it with its first incarnation.
 type Server struct {
 	mu        sync.Mutex
@@ -106,104 +86,6 @@
 	return s.startedAt.UnixMilli()
 }
 
-// Crash ends the process of the server with all that it runs. Calls are not delivered until Restart.
-func (s *Server) Crash() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if s.crashed {
-		return
-	}
-
-	s.crashed = true
-	s.crashes++
-
-	for _, r := range s.running {
-		if r.timer != nil {
-			r.timer.Stop()
-		}
-	}
-
-	clear(s.running)
-	s.interruptCalls()
-}
-
-// Restart begins a new incarnation after a crash, which knows nothing of the one before. Counts of starts go on.
-func (s *Server) Restart(instance string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.instance, s.startedAt, s.crashed = instance, time.Now(), false
-	s.token, s.leaseEnd, s.ended, s.lastEnd = 0, 0, nil, 0
-	s.highestRun = map[repeatable.Task]int64{}
-}
-
-// Crashed reports whether the process has ended and was not restarted.
-func (s *Server) Crashed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.crashed
-}
-
-// Crashes returns how often the process has ended.
-func (s *Server) Crashes() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.crashes
-}
-
-// interruptCalls wakes the calls that wait for the end of a run.
-func (s *Server) interruptCalls() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// SetFault sets how calls are answered from now on.
-func (s *Server) SetFault(f Fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.fault = f
-
-	if f == FaultNotListening {
-		s.interruptCalls()
-	}
-}
-
-// DropAnswers drops the answers to the next n starts, which are carried out.
-func (s *Server) DropAnswers(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.answersToDrop = n
-}
-
-// HangNext makes the next n starts hang, whatever their input.
-func (s *Server) HangNext(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.startsToHang = n
-}
-
-// RaiseToken makes the server reject every lower fencing token.
-func (s *Server) RaiseToken(token int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.token = token
-}
-
-// StartOrphaned starts a run that no entry asked for, as a start request that arrives late does.
-func (s *Server) StartOrphaned(r repeatable.Run) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.running[r.Task()] = &activeRun{run: r}
-}
-
 // Running returns the running tasks, after it has ended all of them if the lease has ended.
 func (s *Server) Running() []repeatable.Task {
 	s.mu.Lock()
@@ -288,26 +170,11 @@
 	return nil
 }
 
-func (s *Server) notListening() bool { return s.crashed || s.fault == FaultNotListening }
-
 func (s *Server) renewLease(leaseEnd time.Duration) {
 	s.applyLeaseExpiry()
 	s.leaseEnd = max(s.leaseEnd, min(leaseEnd, s.clock()+maxLease))
 }
 
-// blockIfNoAnswer blocks until the caller stops waiting if the fault is FaultNoAnswer. The call was carried out.
-func (s *Server) blockIfNoAnswer(ctx context.Context) error {
-	if s.fault != FaultNoAnswer {
-		return nil
-	}
-
-	s.mu.Unlock()
-	<-ctx.Done()
-	s.mu.Lock()
-
-	return ctx.Err()
-}
-
 // Start starts a run and returns the result and the time on the clock of this server.
 func (s *Server) Start(
 	ctx context.Context, r repeatable.Run, input string, p repeatable.Permit,
@@ -377,17 +244,6 @@
 	return repeatable.Started
 }
 
-// crashWith ends the process of the server unless the run has ended before.
-func (s *Server) crashWith(r *activeRun) {
-	s.mu.Lock()
-	runs := s.running[r.run.Task()] == r
-	s.mu.Unlock()
-
-	if runs {
-		s.Crash()
-	}
-}
-
 // finish ends a run whose time is over, unless it has ended before.
 func (s *Server) finish(r *activeRun, outcome repeatable.Outcome) {
 	s.mu.Lock()
