--- a/sidecar/backend/client.go
+++ b/sidecar/backend/client.go
@@ -18,7 +18,6 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/skylarkweir/skylarkweir/weir/connection/httppool"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
@@ -56,13 +55,13 @@
 		address:   strings.TrimRight(address, "/"),
 		maxOutput: maxOutput,
 		http: http.Client{
-			Transport: &httppool.Transport{Transport: http.Transport{
+			Transport: &http.Transport{
 				DialContext:         dialer.DialContext,
 				MaxIdleConns:        maxIdle,
 				MaxIdleConnsPerHost: maxIdle,
 				IdleConnTimeout:     idleTimeout,
 				DisableCompression:  true,
-			}},
+			},
 			// A redirect would start the task a second time.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
@@ -115,7 +114,9 @@
 	}
 }
 
-// Check requests /healthz and returns an error unless the backend server responds with a 2xx status.
+// Check requests /healthz and returns an error unless the backend server responds with a 2xx status. Without a response it
+// closes the idle connections, which may have gone silent together. A task without a response shows no such thing: it may
+// run until its deadline.
 func (c *Client) Check(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
@@ -127,6 +128,8 @@
 
 	response, err := c.http.Do(r)
 	if err != nil {
+		c.http.CloseIdleConnections()
+
 		return merry.Prepend(err, "check backend server")
 	}
 	defer response.Body.Close()
--- a/sidecar/backend/client_test.go
+++ b/sidecar/backend/client_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/skylarkweir/skylarkweir/sidecar/backend"
 	standin "github.com/skylarkweir/skylarkweir/standin/backend"
+	"github.com/skylarkweir/skylarkweir/standin/relay"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
@@ -112,3 +113,37 @@
 	is.Equal(failed.Kind(), fault.BackendFailed)
 	is.Equal(requests.Load(), int64(2))
 }
+
+// Guards against tasks that are sent over connections that have gone silent after a health check has shown that.
+func TestFailedCheckClosesSilentConnections(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer((&standin.Server{}).Handler())
+	defer server.Close()
+
+	r := &relay.Relay{}
+	is.NoErr(r.Open(t.Context(), relay.TCP, "127.0.0.1:0", strings.TrimPrefix(server.URL, "http://")))
+	t.Cleanup(func() { _ = r.Close() })
+
+	c := backend.NewClient("http://"+r.Address(), 4, 1000)
+	defer c.Close()
+
+	results := make(chan backend.Result, 4)
+	for range 4 {
+		go func() { results <- c.Run(t.Context(), call(`{"run_ms":50}`, time.Minute)) }()
+	}
+
+	for range 4 {
+		_, ok := (<-results).(backend.Completed)
+		is.True(ok)
+	}
+
+	r.SilenceConnections()
+
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+
+	is.True(c.Check(ctx) != nil)
+
+	_, ok := c.Run(t.Context(), call(`{"echo":"out"}`, 10*time.Second)).(backend.Completed)
+	is.True(ok)
+}
