--- a/standin/emulator/load.go
+++ b/standin/emulator/load.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -136,6 +137,11 @@
 	return l
 }
 
+// WithChosenSessions returns the load with as many sessions of each backend server as its sidecar would choose.
+func (l Load) WithChosenSessions() Load {
+	return l.WithSessions(sessionset.Size(0, l.entries, l.servers))
+}
+
 // WithDuration returns the load with another duration of the arrivals.
 func (l Load) WithDuration(d time.Duration) Load {
 	l.duration = d
@@ -168,6 +174,18 @@
 	deadly bool
 }
 
+// slowness returns how many times as long tasks run on a backend server.
+func (l Load) slowness(server int) float64 {
+	if server%3 == 2 {
+		return l.slowFactor
+	}
+
+	return 1
+}
+
+// draw draws the jobs of a simulation. The same seed draws the same jobs.
+func (l Load) draw(seed uint64) []arrival { return l.arrivals(rand.New(rand.NewPCG(seed, 2))) }
+
 // arrivals draws the jobs of a simulation.
 func (l Load) arrivals(random *rand.Rand) []arrival {
 	var all []arrival
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -32,6 +32,8 @@
 	servers   []*server
 	entries   []*entry
 	jobs      []*activeJob
+	// usage holds the used part of the fleet's CPU at each report.
+	usage []UsageSample
 	// zone holds the names of the backend servers to which kinds that crash others are confined.
 	zone map[string]bool
 }
@@ -96,6 +98,9 @@
 	remaining   int
 	started     bool
 	refused     bool
+	// cause is why the job was refused, empty if it was not; capacity is what was free then.
+	cause    string
+	capacity Capacity
 	// failed is true once the job was given up because of a task that crashes backend servers.
 	failed  bool
 	endedAt time.Duration
@@ -111,10 +116,7 @@
 	sm := &simulation{load: l, rule: r, random: rand.New(rand.NewPCG(seed, 1))}
 
 	for n := range l.servers {
-		s := &server{name: "server-" + strconv.Itoa(n), slowness: 1, accepting: true, running: map[*task]bool{}, capacity: job.NewSize(int64(l.coresPerServer)*1000, 1<<20)}
-		if n%3 == 2 {
-			s.slowness = l.slowFactor
-		}
+		s := &server{name: "server-" + strconv.Itoa(n), slowness: l.slowness(n), accepting: true, running: map[*task]bool{}, capacity: job.NewSize(int64(l.coresPerServer)*1000, 1<<20)}
 
 		s.pool.SetCapacity(s.capacity, reservation.Headroom(s.capacity.Millicores()))
 		sm.servers = append(sm.servers, s)
@@ -129,7 +131,7 @@
 	sm.connect()
 	sm.chooseZone()
 
-	for _, a := range l.arrivals(rand.New(rand.NewPCG(seed, 2))) {
+	for _, a := range l.draw(seed) {
 		sm.schedule(a.arrivedAt, func() { sm.arrive(a) })
 	}
 
@@ -179,6 +181,8 @@
 		sm.sendReport(n)
 	}
 
+	sm.sampleUsage()
+
 	if sm.now < sm.load.duration {
 		sm.scheduleAfter(sm.load.reportInterval, sm.sendReports)
 	}
@@ -212,7 +216,7 @@
 	switch decision := admission.Decide(a.job, a.job.Estimate(), sm.knownLoad(j), sm.random).(type) {
 	case admission.Refuse:
 		if _, unlimited := sm.rule.(Unlimited); !unlimited {
-			j.refused = true
+			sm.refuse(j, decision.Reason())
 
 			return
 		}
@@ -231,27 +235,33 @@
 		return
 	}
 
-	if extension := sm.waitExtension(j); extension > 0 {
-		sm.scheduleAfter(extension, func() { sm.endWait(j) })
-
-		return
+	switch decision := sm.extendWait(j).(type) {
+	case admission.Admit:
+		sm.scheduleAfter(decision.MaxWait(), func() { sm.endWait(j) })
+	case admission.Refuse:
+		sm.refuse(j, decision.Reason())
+		sm.releaseReservations(j)
+	default:
+		sm.refuse(j, maxWaitOver)
+		sm.releaseReservations(j)
 	}
-
-	j.refused = true
-	sm.releaseReservations(j)
 }
 
-// waitExtension returns how much longer a job waits for its first reservation after its maximum wait.
-func (sm *simulation) waitExtension(j *activeJob) time.Duration {
+// maxWaitOver is why a rule that extends no wait refuses a job.
+const maxWaitOver = "the maximum wait for a first reservation is over"
+
+// extendWait decides whether a job waits longer for its first reservation after its maximum wait. It returns nil if the
+// rule extends no wait.
+func (sm *simulation) extendWait(j *activeJob) admission.Decision {
 	if _, windowed := sm.rule.(Windowed); windowed {
-		return 0
+		return nil
 	}
 
-	decision, _ := admission.ExtendWait(
-		j.job, j.job.Estimate(), sm.now-j.arrivedAt, sm.knownLoad(j), sm.random,
-	).(admission.Admit)
+	return admission.ExtendWait(j.job, j.job.Estimate(), sm.now-j.arrivedAt, sm.knownLoad(j), sm.random)
+}
 
-	return decision.MaxWait()
+func (sm *simulation) refuse(j *activeJob, cause string) {
+	j.refused, j.cause, j.capacity = true, cause, sm.capacityFor(j)
 }
 
 func (sm *simulation) priority(j *activeJob) int {
