--- a/standin/command/command_test.go
+++ b/standin/command/command_test.go
@@ -32,6 +32,16 @@
 		is.True(errOut != "")
 	}
 
+	for _, args := range [][]string{
+		{"experiment"}, {"experiment", "--output", t.TempDir(), "--rule", "unknown"},
+		{"experiment", "--output", t.TempDir(), "--load", "unknown"},
+		{"experiment", "--output", t.TempDir(), "--seeds", "0"}, {"experiment", "--output", t.TempDir(), "--level", "0"},
+	} {
+		code, _, errOut := runStandin(args...)
+		is.Equal(code, 2)
+		is.True(errOut != "")
+	}
+
 	for _, args := range [][]string{{"--help"}, {"--version"}, {"demo", "--help"}, {"log", "--help"}, {"backend", "--help"}} {
 		code, out, _ := runStandin(args...)
 		is.Equal(code, 0)
--- a/standin/command/run.go
+++ b/standin/command/run.go
@@ -31,7 +31,8 @@
 
 // commands returns the commands in the order in which the help lists them.
 func commands(g *globalOptions) []console.Command {
-	return []console.Command{newDemo(g), newLog(), newBackend(), newCaller(g), newRelay(g), newCapacity(g), newEmulate(g)}
+	return []console.Command{newDemo(g), newLog(), newBackend(), newCaller(g), newRelay(g), newCapacity(g), newEmulate(g),
+		newExperiment(g)}
 }
 
 // signalContext returns a context that is canceled by SIGINT or SIGTERM.
