--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -179,6 +179,8 @@
 
 	for {
 		if err := l.exchange(ctx, c); err != nil {
+			c.CloseUnresponsive(err.Error())
+
 			return err.Error()
 		}
 
--- a/sidecar/entry/session.go
+++ b/sidecar/entry/session.go
@@ -143,7 +143,9 @@
 		if h := s.lastContact.Load(); h != lastSeen {
 			lastSeen, lastChange = h, time.Now()
 		} else if time.Since(lastChange) > unresponsiveTimeout {
-			return merry.Errorf("no acknowledgement from the entry for %s; closing the connection", unresponsiveTimeout)
+			s.connection.CloseUnresponsive("entry unresponsive")
+
+			return merry.Errorf("no acknowledgement from the entry for %s; closed the connection", unresponsiveTimeout)
 		}
 
 		var err error
--- a/sidecar/repeatable/link.go
+++ b/sidecar/repeatable/link.go
@@ -39,7 +39,7 @@
 }
 
 func (k *link) run(ctx context.Context) {
-	delay := minRedialDelay
+	delay, failures := minRedialDelay, 0
 
 	for ctx.Err() == nil {
 		name, s, err := k.dial(ctx)
@@ -48,8 +48,11 @@
 			k.links.worker.Serve(ctx, name, s)
 			k.setSession(nil)
 
-			delay = minRedialDelay
+			delay, failures = minRedialDelay, 0
 		} else {
+			failures++
+			k.logFailure(ctx, err, failures)
+
 			delay = min(2*delay, k.maxDelay())
 		}
 
@@ -60,6 +63,14 @@
 	}
 }
 
+// logFailure logs a failed attempt to dial, if it is the first since the last session.
+func (k *link) logFailure(ctx context.Context, err error, failures int) {
+	if failures == 1 && ctx.Err() == nil {
+		k.links.log.Info().Err(err).Str("event", "dial_failed").Str("address", k.entry.Address()).
+			Msg("no session with an entry; dialling it again until there is one")
+	}
+}
+
 func (k *link) setSession(s *session.Session) {
 	k.links.mu.Lock()
 	defer k.links.mu.Unlock()
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -26,6 +26,9 @@
 	// tailLines is the number of output lines per process in WriteTails and in errors.
 	tailLines = 20
 	loopback  = "127.0.0.1:0"
+	anyPort   = "0"
+	// hostsPerBlock is the number of hosts of a cluster that share the first three bytes of their loopback addresses.
+	hostsPerBlock = 250
 )
 
 // Cluster is a running system. Only Close may be called concurrently with the other methods.
@@ -42,6 +45,8 @@
 	processes []*Process
 	closers   []io.Closer
 	closed    bool
+	// hosts is the number of hosts that were assigned.
+	hosts int
 }
 
 // New creates the keys of a cluster in the directory. It starts no process.
@@ -136,6 +141,16 @@
 	return l, settings.Parse("load", fmt.Appendf(nil, `{"entries": [%s], "token": %q, %s}`, urls, token, fields), l)
 }
 
+// newHost returns a loopback host for the QUIC traffic of one process, by which relays tell the processes apart.
+func (c *Cluster) newHost() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.hosts++
+
+	return fmt.Sprintf("127.1.%d.%d", c.hosts/hostsPerBlock, 1+c.hosts%hostsPerBlock)
+}
+
 // WaitReady waits until every running entry and sidecar reports that it is ready.
 func (c *Cluster) WaitReady(ctx context.Context) error {
 	for _, w := range c.Workers() {
--- a/standin/cluster/cluster_test.go
+++ b/standin/cluster/cluster_test.go
@@ -67,7 +67,7 @@
 	}
 
 	// Cutting the sidecar's source address off stops its work; clearing the faults restores it.
-	e.Relay().SetClientFaults(w.SourceAddress(), relay.Faults{}.WithCut())
+	e.Relay().SetClientFaults(w.Host(), relay.Faults{}.WithCut())
 	r = client.Submit(ctx, request.WithDeadline(time.Second))
 	is.True(!r.Complete())
 	e.Relay().ClearFaults()
--- a/standin/cluster/entry.go
+++ b/standin/cluster/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"os"
 	"regexp"
 	"strings"
@@ -28,6 +29,8 @@
 type Entry struct {
 	cluster *Cluster
 	name    string
+	// host is the host of the entry's QUIC traffic.
+	host string
 	// settingsFile is rewritten at each start; from the first restart on it holds the addresses of the first start.
 	settingsFile string
 	settings     map[string]any
@@ -41,15 +44,14 @@
 	process *Process
 	// url and adminURL include the scheme.
 	url, adminURL string
-	// advertisedAddress is where other processes reach the entry over QUIC. It differs from listenAddress, the entry's
-	// own socket, if there is a relay in front.
-	advertisedAddress, listenAddress string
+	// advertisedAddress is where other processes reach the entry over QUIC, or its relay, if it has one.
+	advertisedAddress string
 }
 
 // StartEntry starts an entry and waits until it listens. Its peers are the entries that were started before.
 func (c *Cluster) StartEntry(ctx context.Context, name string, options ...Option) (*Entry, error) {
 	o := collectOptions(options)
-	e := &Entry{cluster: c, name: name, settingsFile: c.path(name + ".jsonc")}
+	e := &Entry{cluster: c, name: name, host: c.newHost(), settingsFile: c.path(name + ".jsonc")}
 
 	peers := []string{}
 	for _, other := range c.Entries() {
@@ -57,7 +59,7 @@
 	}
 
 	base := map[string]any{
-		"name": name, "callers": loopback, "admin": loopback, "listen": loopback, "peers": peers,
+		"name": name, "callers": loopback, "admin": loopback, "listen": net.JoinHostPort(e.host, anyPort), "peers": peers,
 		"log_service": c.log.URL(), "ticket_key": c.ticketKey, "keys": c.keyFiles(),
 	}
 
@@ -80,7 +82,7 @@
 
 func (e *Entry) addRelays(ctx context.Context, o startOptions, base map[string]any) error {
 	if o.relay {
-		listen, err := freeAddress(ctx)
+		listen, err := freeAddress(ctx, e.host)
 		if err != nil {
 			return err
 		}
@@ -117,7 +119,7 @@
 		listen, _ = e.settings["listen"].(string)
 	}
 
-	e.current.Store(&entryIncarnation{p, "http://" + b.Callers, "http://" + b.Admin, b.QUIC, listen})
+	e.current.Store(&entryIncarnation{p, "http://" + b.Callers, "http://" + b.Admin, b.QUIC})
 	e.settings["callers"], e.settings["admin"], e.settings["listen"] = b.Callers, b.Admin, listen
 
 	return nil
@@ -136,9 +138,8 @@
 // one.
 func (e *Entry) AdvertisedAddress() string { return e.current.Load().advertisedAddress }
 
-// SourceAddress returns the source address of the entry's own QUIC traffic. It identifies the entry as the client of
-// another entry's relay.
-func (e *Entry) SourceAddress() string { return e.current.Load().listenAddress }
+// Host returns the host of the entry's own QUIC traffic. It identifies the entry as the client of another entry's relay.
+func (e *Entry) Host() string { return e.host }
 
 // Process returns the entry's process; Restart replaces it.
 func (e *Entry) Process() *Process { return e.current.Load().process }
@@ -228,11 +229,14 @@
 // assignFreeAddresses replaces port 0 in the listen addresses by free ports.
 func assignFreeAddresses(ctx context.Context, settings map[string]any) error {
 	for _, key := range addressKeys {
-		if settings[key] != loopback {
+		configured, _ := settings[key].(string)
+
+		host, port, err := net.SplitHostPort(configured)
+		if err != nil || port != anyPort {
 			continue
 		}
 
-		address, err := freeAddress(ctx)
+		address, err := freeAddress(ctx, host)
 		if err != nil {
 			return err
 		}
--- a/standin/cluster/worker.go
+++ b/standin/cluster/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"regexp"
 	"sync/atomic"
@@ -22,8 +23,10 @@
 type Worker struct {
 	cluster            *Cluster
 	name, settingsFile string
-	settings           map[string]any
-	backend            atomic.Pointer[Process]
+	// host is the host of the sidecar's QUIC traffic.
+	host     string
+	settings map[string]any
+	backend  atomic.Pointer[Process]
 	// backendURL is the backend server's own base URL, also if there is a relay in front of it.
 	backendURL string
 	// current is replaced by Restart, possibly while another goroutine reads the status.
@@ -36,15 +39,13 @@
 	process *Process
 	// adminURL includes the scheme.
 	adminURL string
-	// quicAddress is the source address of the sidecar's QUIC traffic.
-	quicAddress string
 }
 
 // StartWorker starts a backend server and its sidecar, and waits until they listen. The sidecar's settings name the
 // entries that were started before.
 func (c *Cluster) StartWorker(ctx context.Context, name string, options ...Option) (*Worker, error) {
 	o := collectOptions(options)
-	w := &Worker{cluster: c, name: name, settingsFile: c.path(name + ".jsonc")}
+	w := &Worker{cluster: c, name: name, host: c.newHost(), settingsFile: c.path(name + ".jsonc")}
 
 	backend, err := c.start(ctx, name+"-backend", StandinProgram, "backend", "--listen", loopback)
 	if err != nil {
@@ -74,7 +75,7 @@
 	}
 
 	w.settings = o.applyTo(map[string]any{
-		"name": name, "listen": loopback, "admin": loopback, "entries": entries, "backend": backendTarget,
+		"name": name, "listen": net.JoinHostPort(w.host, anyPort), "admin": loopback, "entries": entries, "backend": backendTarget,
 		"slots": defaultSlots, "memory_mb": defaultMemoryMB, "keys": c.keyFiles(),
 	})
 
@@ -96,7 +97,7 @@
 		return err
 	}
 
-	w.current.Store(&sidecarIncarnation{p, "http://" + b.Admin, b.QUIC})
+	w.current.Store(&sidecarIncarnation{p, "http://" + b.Admin})
 	w.settings["listen"], w.settings["admin"] = b.QUIC, b.Admin
 
 	return nil
@@ -125,9 +126,8 @@
 // AdminURL returns the base URL of the sidecar's admin HTTP API.
 func (w *Worker) AdminURL() string { return w.current.Load().adminURL }
 
-// SourceAddress returns the source address of the sidecar's QUIC traffic. It identifies the sidecar as the client of an
-// entry's relay.
-func (w *Worker) SourceAddress() string { return w.current.Load().quicAddress }
+// Host returns the host of the sidecar's QUIC traffic. It identifies the sidecar as the client of an entry's relay.
+func (w *Worker) Host() string { return w.host }
 
 // Sidecar returns the sidecar's process; Restart replaces it.
 func (w *Worker) Sidecar() *Process { return w.current.Load().process }
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -32,7 +32,7 @@
 	mutex sync.Mutex
 	// faults apply to clients that are not in clientFaults.
 	faults Faults
-	// clientFaults holds the faults of single clients, by address.
+	// clientFaults holds the faults of single clients, by host.
 	clientFaults map[string]Faults
 	// changed is closed and replaced whenever the faults are replaced or cleared.
 	changed chan struct{}
@@ -88,13 +88,13 @@
 	r.notifyChange()
 }
 
-// SetClientFaults replaces the faults of the client with this address. They apply to all connections from it, so a UDP
-// client, whose address does not change, keeps them when it connects anew.
-func (r *Relay) SetClientFaults(client string, f Faults) {
+// SetClientFaults replaces the faults of the clients on this host. They apply to all connections from there, whatever port
+// a client uses when it connects anew.
+func (r *Relay) SetClientFaults(host string, f Faults) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 
-	r.clientFaults[client] = f
+	r.clientFaults[host] = f
 	r.notifyChange()
 }
 
@@ -131,8 +131,8 @@
 	}
 }
 
-// SilenceConnections makes the open TCP connections drop everything from now on, without closing them. New connections
-// work. It has no effect on UDP.
+// SilenceConnections makes the open TCP connections drop everything from now on, without closing them, and the relay drop
+// all datagrams from and to the UDP clients known so far. New connections work, and so do clients at other ports.
 func (r *Relay) SilenceConnections() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -166,24 +166,24 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *Relay) faultsOf(client string) (Faults, <-chan struct{}) {
+func (r *Relay) faultsOf(host string) (Faults, <-chan struct{}) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 
-	if f, ok := r.clientFaults[client]; ok {
+	if f, ok := r.clientFaults[host]; ok {
 		return f, r.changed
 	}
 
 	return r.faults, r.changed
 }
 
-// consumeAnswerDrop reports whether the next answer to the client is to be dropped. If so, it reduces the number of
+// consumeAnswerDrop reports whether the next answer to a client on the host is to be dropped. If so, it reduces the number of
 // answers that remain to be dropped, and counts the loss.
-func (r *Relay) consumeAnswerDrop(client string) bool {
+func (r *Relay) consumeAnswerDrop(host string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 
-	f, hasOwn := r.clientFaults[client]
+	f, hasOwn := r.clientFaults[host]
 	if !hasOwn {
 		f = r.faults
 	}
@@ -194,7 +194,7 @@
 
 	f.dropAnswers--
 	if hasOwn {
-		r.clientFaults[client] = f
+		r.clientFaults[host] = f
 	} else {
 		r.faults = f
 	}
@@ -232,9 +232,10 @@
 
 // link is one TCP connection or UDP session. close closes both ends.
 type link struct {
+	// client is the host of the client.
 	client string
 	close  func()
-	// silent is true once everything on this TCP connection is dropped.
+	// silent is true once everything on this connection or from and to this client is dropped.
 	silent atomic.Bool
 }
 
@@ -244,6 +245,16 @@
 	}
 }
 
+// hostOf returns the host of a client.
+func hostOf(a net.Addr) string {
+	host, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		return a.String()
+	}
+
+	return host
+}
+
 // sleep waits for d. It returns false if the context is done first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -142,15 +142,31 @@
 	}
 
 	r.ClearFaults()
-	r.SetClientFaults(c.LocalAddr().String(), relay.Faults{}.WithCut())
-	other, err := net.Dial("udp", r.Address())
-	is.NoErr(err)
-	defer other.Close()
-	_, ok = exchange(50 * time.Millisecond)
-	is.True(!ok)
-	other.Write([]byte("z"))
-	_, ok = receive(other, time.Second)
-	is.True(ok)
+	checkClientFaults(t, r)
+}
+
+// checkClientFaults checks that the faults of a client apply to all of its ports and to no other host.
+func checkClientFaults(t *testing.T, r *relay.Relay) {
+	t.Helper()
+
+	is := is.New(t)
+	r.SetClientFaults("127.0.0.2", relay.Faults{}.WithCut())
+
+	answered := func(host string) bool {
+		d := net.Dialer{LocalAddr: &net.UDPAddr{IP: net.ParseIP(host)}}
+		c, err := d.Dial("udp", r.Address())
+		is.NoErr(err)
+		defer c.Close()
+
+		c.Write([]byte("z"))
+		_, ok := receive(c, time.Second)
+
+		return ok
+	}
+
+	is.True(!answered("127.0.0.2"))
+	is.True(!answered("127.0.0.2")) // from another port
+	is.True(answered("127.0.0.3"))
 }
 
 // Guards against a dropped answer whose request did not reach the target. Tests use dropped answers to check that a
@@ -253,11 +269,19 @@
 
 // Guards against a silenced connection that is closed or still delivers, and against new connections that are silent too.
 func TestSilenceConnections(t *testing.T) {
+	t.Run(relay.TCP, func(t *testing.T) { checkSilence(t, relay.TCP, startTCPEcho(t)) })
+	t.Run(relay.UDP, func(t *testing.T) { checkSilence(t, relay.UDP, startUDPEcho(t)) })
+}
+
+// checkSilence checks that open connections go silent and new ones work.
+func checkSilence(t *testing.T, network, target string) {
+	t.Helper()
+
 	is := is.New(t)
-	r := openRelay(t, relay.TCP, startTCPEcho(t))
+	r := openRelay(t, network, target)
 
 	dial := func() net.Conn {
-		c, err := net.Dial("tcp", r.Address())
+		c, err := net.Dial(network, r.Address())
 		is.NoErr(err)
 		t.Cleanup(func() { c.Close() })
 
--- a/standin/relay/tcp.go
+++ b/standin/relay/tcp.go
@@ -53,7 +53,7 @@
 			return
 		}
 
-		if f, _ := r.faultsOf(c.RemoteAddr().String()); f.refuse {
+		if f, _ := r.faultsOf(hostOf(c.RemoteAddr())); f.refuse {
 			closeAll(c)
 			r.lost.Add(1)
 
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	l := &link{client: client.RemoteAddr().String(), close: func() { cancel(); closeAll(client, target) }}
+	l := &link{client: hostOf(client.RemoteAddr()), close: func() { cancel(); closeAll(client, target) }}
 
 	r.add(l)
 	defer r.remove(l)
--- a/standin/relay/udp.go
+++ b/standin/relay/udp.go
@@ -70,7 +70,7 @@
 
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{relay: r, client: client, listenConn: listenConn, target: target, up: make(chan chunk, queueCapacity)}
-	s.link = &link{client: client.String(), close: func() { cancel(); closeAll(target) }}
+	s.link = &link{client: hostOf(client), close: func() { cancel(); closeAll(target) }}
 	r.add(s.link)
 
 	down := make(chan chunk, queueCapacity)
@@ -155,7 +155,7 @@
 	f, _ := s.relay.faultsOf(s.link.client)
 
 	switch {
-	case down && f.cutDown, !down && f.cutUp:
+	case s.link.silent.Load(), down && f.cutDown, !down && f.cutUp:
 		s.relay.lost.Add(1)
 	case down && s.requestPending.Swap(false) && s.relay.consumeAnswerDrop(s.link.client):
 		// consumeAnswerDrop has counted the dropped datagram.
--- a/standin/scenario/loss_test.go
+++ b/standin/scenario/loss_test.go
@@ -161,6 +161,45 @@
 	s.Check(ctx)
 }
 
+// Guards against entries and sidecars that never find each other again once the paths between their ports have gone
+// silent, although other ports work.
+func TestSilentPathsAreReplaced(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+
+	// recoveryTime is the time within which the system serves again after a disruption of all paths.
+	const recoveryTime = 12 * time.Second
+
+	const mixedLoad = `"rate": 20, "duration": "20s", "seed": 25, "attempts": 6, "patience": "500ms", "mix": [
+		{"kind": "fit", "form": "job", "weight": 1, "tasks_least": 2, "tasks_most": 6, "run": "uniform 50ms 200ms", "deadline": "6s"},
+		{"kind": "stock", "form": "repeatable", "weight": 2, "run": "uniform 50ms 150ms", "deadline": "6s"},
+	]`
+
+	t.Log(mixedLoad)
+
+	s := scenario.Start(ctx, t, 3, 5, kinds())
+	load := s.StartLoad(ctx, mixedLoad)
+
+	s.Sleep(ctx, 3*time.Second)
+
+	silentAt := time.Now()
+	for _, e := range s.Cluster().Entries() {
+		e.Relay().SilenceConnections()
+	}
+
+	report := load.Wait()
+	t.Logf("%d of %d submissions complete, refused: %v",
+		report.All().Complete(), report.All().Submitted(), report.All().Refused())
+
+	arrived, late := countLate(t, s.History().Records(), silentAt.Add(recoveryTime), time.Now(), maxRemovalTime)
+	t.Logf("%d submissions arrived later than %s after the silence, %d of them were not complete within %s",
+		arrived, recoveryTime, late, maxRemovalTime)
+	is.True(arrived > 0)
+	is.Equal(late, 0)
+	s.Check(ctx)
+}
+
 // region is one side of a network partition.
 type region struct {
 	entries []*cluster.Entry
@@ -171,11 +210,11 @@
 func (r region) setFaults(other region, faults relay.Faults) {
 	for _, e := range r.entries {
 		for _, o := range other.entries {
-			e.Relay().SetClientFaults(o.SourceAddress(), faults)
+			e.Relay().SetClientFaults(o.Host(), faults)
 		}
 
 		for _, w := range other.workers {
-			e.Relay().SetClientFaults(w.SourceAddress(), faults)
+			e.Relay().SetClientFaults(w.Host(), faults)
 		}
 	}
 }
--- a/standin/scenario/worker_test.go
+++ b/standin/scenario/worker_test.go
@@ -90,7 +90,7 @@
 
 	cutAt := time.Now()
 	for _, e := range s.Cluster().Entries() {
-		e.Relay().SetClientFaults(workers[2].SourceAddress(), relay.Faults{}.WithCut())
+		e.Relay().SetClientFaults(workers[2].Host(), relay.Faults{}.WithCut())
 	}
 
 	s.Sleep(ctx, 7*time.Second)
--- a/weir/connection/quic/conn.go
+++ b/weir/connection/quic/conn.go
@@ -23,6 +23,9 @@
 type Conn struct {
 	quic    *quicgo.Conn
 	traffic *Traffic
+	// node and socket have dialled the connection; they are nil if the peer has.
+	node   *Node
+	socket *socket
 }
 
 // Open opens a stream. The peer accepts it only after the first frame was sent on it.
@@ -72,6 +75,16 @@
 // Close ends the connection and sends the reason to the peer.
 func (c *Conn) Close(reason string) { _ = c.quic.CloseWithError(0, reason) }
 
+// CloseUnresponsive ends a connection whose peer does not answer any more. If this process has dialled it, the next Dial
+// uses another port, as the path to the peer may have gone silent for good while others work.
+func (c *Conn) CloseUnresponsive(reason string) {
+	if c.socket != nil && c.quic.Context().Err() == nil {
+		c.node.replace(c.socket)
+	}
+
+	c.Close(reason)
+}
+
 // Stream carries one exchange of frames. Send and Receive may run concurrently, but each must not be called from several
 // goroutines at once.
 type Stream struct {
--- a/weir/connection/quic/node.go
+++ b/weir/connection/quic/node.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,13 +25,22 @@
 	maxIncomingStreams = 1 << 16
 )
 
-// Node is a QUIC endpoint that accepts and dials connections over one UDP socket. The zero value is ready for Listen.
+// Node is a QUIC endpoint that accepts connections on one UDP socket and dials from the same one, until a peer does not
+// answer there. The zero value is ready for Listen.
 type Node struct {
-	// transport is set by Listen and not changed afterwards.
-	transport    *quicgo.Transport
+	// listening is set by Listen and not changed afterwards.
+	listening    *socket
 	listener     *quicgo.Listener
 	clientConfig *tls.Config
 	traffic      Traffic
+
+	// mu guards the fields below and the sockets.
+	mu sync.Mutex
+	// dialling is the socket from which connections are dialled.
+	dialling *socket
+	// sockets holds the open sockets.
+	sockets map[*socket]bool
+	closed  bool
 }
 
 // Traffic counts the bytes of frames. Work frames carry submissions, tasks or their answers; all others are control
@@ -76,27 +87,29 @@
 		return merry.Prependf(err, "resolve %s", address)
 	}
 
-	socket, err := net.ListenUDP("udp", udp)
+	conn, err := net.ListenUDP("udp", udp)
 	if err != nil {
 		return merry.Prependf(err, "listen on %s", address)
 	}
 
-	n.transport = &quicgo.Transport{Conn: socket, StatelessResetKey: keys.statelessReset()}
-	n.clientConfig = keys.client()
+	transport := &quicgo.Transport{Conn: conn, StatelessResetKey: keys.statelessReset()}
 
-	n.listener, err = n.transport.Listen(keys.server(), quicConfig())
+	n.listener, err = transport.Listen(keys.server(), quicConfig())
 	if err != nil {
-		_ = socket.Close()
-		n.transport = nil
+		_ = conn.Close()
 
 		return merry.Prependf(err, "listen on %s", address)
 	}
 
+	n.clientConfig = keys.client()
+	n.listening = &socket{transport: transport, uses: 2}
+	n.dialling, n.sockets = n.listening, map[*socket]bool{n.listening: true}
+
 	return nil
 }
 
-// Address returns the address of the socket.
-func (n *Node) Address() net.Addr { return n.transport.Conn.LocalAddr() }
+// Address returns the address at which the node accepts connections.
+func (n *Node) Address() net.Addr { return n.listening.transport.Conn.LocalAddr() }
 
 // Traffic returns the counters of all connections of the node.
 func (n *Node) Traffic() *Traffic { return &n.traffic }
@@ -111,32 +124,31 @@
 	return &Conn{quic: c, traffic: &n.traffic}, nil
 }
 
-// Dial connects to the node at address, a host and port.
+// Dial connects to the node at address, a host and port. After an attempt that got no answer in time, or a connection
+// that was closed as unresponsive, the next one uses another port.
 func (n *Node) Dial(ctx context.Context, address string) (*Conn, error) {
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, merry.Prependf(err, "resolve %s", address)
 	}
 
-	c, err := n.transport.Dial(ctx, udp, n.clientConfig, quicConfig())
-	if err != nil {
-		return nil, merry.Prependf(err, "dial %s", address)
-	}
-
-	return &Conn{quic: c, traffic: &n.traffic}, nil
+	return n.dial(ctx, n.acquire(), udp)
 }
 
-// Close ends all connections and closes the socket. It does nothing before Listen.
+// Close ends all connections and closes the sockets. It does nothing before Listen.
 func (n *Node) Close() error {
-	if n.transport == nil {
+	if n.listening == nil {
 		return nil
 	}
 
 	_ = n.listener.Close()
-	err := n.transport.Close()
-	_ = n.transport.Conn.Close()
 
-	return err
+	var errs []error
+	for _, s := range n.closeAll() {
+		errs = append(errs, s.close())
+	}
+
+	return errors.Join(errs...)
 }
 
 func quicConfig() *quicgo.Config {
--- a/weir/connection/session/session.go
+++ b/weir/connection/session/session.go
@@ -61,7 +61,7 @@
 // EndIfUnresponsive ends the session if the peer is unresponsive at the time now.
 func (s *Session) EndIfUnresponsive(now time.Duration) {
 	if !s.ended.Load() && s.Expired(now) {
-		s.End("peer unresponsive")
+		s.endUnresponsive()
 	}
 }
 
@@ -74,11 +74,15 @@
 func (s *Session) Done() <-chan struct{} { return s.done }
 
 // End ends the session and closes its connection with the reason.
-func (s *Session) End(reason string) {
+func (s *Session) End(reason string) { s.end(reason, s.conn.Close) }
+
+func (s *Session) endUnresponsive() { s.end("peer unresponsive", s.conn.CloseUnresponsive) }
+
+func (s *Session) end(reason string, closeConn func(string)) {
 	if s.ended.CompareAndSwap(false, true) {
 		close(s.done)
 		s.stream.Reset()
-		s.conn.Close(reason)
+		closeConn(reason)
 	}
 }
 
@@ -102,7 +106,7 @@
 
 		// A frame that waited in the socket while this process was paused does not show that the peer is alive now.
 		if s.Expired(now) {
-			s.End("peer unresponsive")
+			s.endUnresponsive()
 
 			return
 		}
