--- a/entry/binding/binder.go
+++ b/entry/binding/binder.go
@@ -78,7 +78,9 @@
 }
 
 // NewBinder returns a binder that accepts keys up to the age of keyLifetime.
-func NewBinder(issuer Issuer, appender Appender, replica *ledger.Replica, keyLifetime time.Duration, log zerolog.Logger) *Binder {
+func NewBinder(
+	issuer Issuer, appender Appender, replica *ledger.Replica, keyLifetime time.Duration, log zerolog.Logger,
+) *Binder {
 	return &Binder{
 		issuer: issuer, appender: appender, replica: replica, keyLifetime: keyLifetime, log: log, pending: map[boundKey]*proposal{},
 	}
--- a/entry/peer/entry_loss.go
+++ b/entry/peer/entry_loss.go
@@ -29,8 +29,12 @@
 }
 
 // NewEntryLossDetector returns a detector that removes entries that were not reached for the given timeout.
-func NewEntryLossDetector(p *Peers, replica *ledger.Replica, appender Appender, timeout time.Duration, log zerolog.Logger) *EntryLossDetector {
-	return &EntryLossDetector{peers: p, replica: replica, appender: appender, timeout: timeout, log: log, removeAt: map[uint64]time.Time{}}
+func NewEntryLossDetector(
+	p *Peers, replica *ledger.Replica, appender Appender, timeout time.Duration, log zerolog.Logger,
+) *EntryLossDetector {
+	return &EntryLossDetector{
+		peers: p, replica: replica, appender: appender, timeout: timeout, log: log, removeAt: map[uint64]time.Time{},
+	}
 }
 
 // Run checks the entries until ctx ends.
@@ -103,6 +107,7 @@
 	var noSuccessor *wire.Entry
 
 	if err := d.appender.Append(ctx, ledger.EntryLeftRecord(e.Wire(), noSuccessor, true)); err != nil {
-		d.log.Warn().Str("event", "append_failed").Str("peer", e.Name()).Err(err).Msg("could not confirm the removal of the entry in the log; retrying while it stays unreached")
+		d.log.Warn().Str("event", "append_failed").Str("peer", e.Name()).Err(err).
+			Msg("could not confirm the removal of the entry in the log; retrying while it stays unreached")
 	}
 }
--- a/entry/peer/handover.go
+++ b/entry/peer/handover.go
@@ -39,7 +39,8 @@
 			return e, true
 		}
 
-		p.log.Warn().Str("event", "handover_refused").Str("successor", e.GetName()).Err(err).Msg("handover to the entry failed; trying the next connected entry")
+		p.log.Warn().Str("event", "handover_refused").Str("successor", e.GetName()).Err(err).
+			Msg("handover to the entry failed; trying the next connected entry")
 	}
 
 	return nil, false
@@ -224,6 +225,7 @@
 	f.SetDeparted(m)
 
 	if _, err := c.RoundTrip(ctx, f); err != nil {
-		d.link.peers.log.Warn().Str("event", "departure_untold").Str("peer", e.GetName()).Err(err).Msg("entry did not confirm the departure notice; it learns of the departure from the log")
+		d.link.peers.log.Warn().Str("event", "departure_untold").Str("peer", e.GetName()).Err(err).
+			Msg("entry did not confirm the departure notice; it learns of the departure from the log")
 	}
 }
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -112,12 +112,14 @@
 		if err == nil {
 			redialDelay = minRedialDelay
 
-			l.peers.log.Info().Str("event", "peer_connected").Str("peer", e.GetName()).Str("address", l.address).Msg("connected to entry")
+			l.peers.log.Info().Str("event", "peer_connected").Str("peer", e.GetName()).Str("address", l.address).
+				Msg("connected to entry")
 			l.setConnection(c, e)
 			reason := l.exchangeLoop(ctx, c)
 			l.setConnection(nil, nil)
 			c.Close(reason)
-			l.peers.log.Warn().Str("event", "peer_lost").Str("peer", e.GetName()).Str("address", l.address).Str("reason", reason).Msg("lost the connection to entry; reconnecting unless the link is no longer needed")
+			l.peers.log.Warn().Str("event", "peer_lost").Str("peer", e.GetName()).Str("address", l.address).Str("reason", reason).
+				Msg("lost the connection to entry; reconnecting unless the link is no longer needed")
 		}
 
 		select {
--- a/entry/peer/peers.go
+++ b/entry/peer/peers.go
@@ -71,10 +71,13 @@
 }
 
 // NewPeers returns a set that connects to the given addresses and to the entries in the ledger.
-func NewPeers(node *quic.Node, self *wire.Entry, replica *ledger.Replica, importer Importer, workerLoss *WorkerLossDetector, addresses []string, log zerolog.Logger) *Peers {
+func NewPeers(
+	node *quic.Node, self *wire.Entry, replica *ledger.Replica, importer Importer, workerLoss *WorkerLossDetector,
+	addresses []string, log zerolog.Logger,
+) *Peers {
 	return &Peers{
-		node: node, self: self, replica: replica, importer: importer, workerLoss: workerLoss, log: log, configuredAddresses: addresses,
-		links: map[string]*link{}, successors: map[uint64]*wire.Entry{}, linkAdded: make(chan struct{}, 1),
+		node: node, self: self, replica: replica, importer: importer, workerLoss: workerLoss, log: log,
+		configuredAddresses: addresses, links: map[string]*link{}, successors: map[uint64]*wire.Entry{}, linkAdded: make(chan struct{}, 1),
 	}
 }
 
--- a/entry/peer/serve.go
+++ b/entry/peer/serve.go
@@ -83,7 +83,8 @@
 	}
 
 	if err != nil {
-		s.peers.log.Warn().Str("event", "exchange_failed").Str("peer", s.from.GetName()).Err(err).Msg("a request of another entry failed; closing its stream")
+		s.peers.log.Warn().Str("event", "exchange_failed").Str("peer", s.from.GetName()).Err(err).
+			Msg("a request of another entry failed; closing its stream")
 	}
 }
 
@@ -96,7 +97,8 @@
 	r, isHome := s.peers.home.Serve(ctx, f)
 	if len(r.Body()) > maxAnswerBytes {
 		// The other entry could not read a larger frame and would treat this home as lost.
-		err := fault.New(fault.TooLarge, "the answer has %d bytes, entries other than the home forward at most %d", len(r.Body()), maxAnswerBytes)
+		err := fault.New(fault.TooLarge, "the answer has %d bytes, entries other than the home forward at most %d",
+			len(r.Body()), maxAnswerBytes)
 		r = caller.Refuse(fault.WithRan(err, fault.RanAll), f.GetSubmission())
 	}
 
--- a/entry/peer/worker_loss.go
+++ b/entry/peer/worker_loss.go
@@ -54,7 +54,9 @@
 }
 
 // NewWorkerLossDetector returns a detector for the workers that are registered in the ledger.
-func NewWorkerLossDetector(workers *fleet.Fleet, replica *ledger.Replica, appender Appender, maxConnections int, log zerolog.Logger) *WorkerLossDetector {
+func NewWorkerLossDetector(
+	workers *fleet.Fleet, replica *ledger.Replica, appender Appender, maxConnections int, log zerolog.Logger,
+) *WorkerLossDetector {
 	return &WorkerLossDetector{
 		workers: workers, replica: replica, appender: appender, log: log, startTime: time.Now(), maxConnections: maxConnections,
 		lastContact: map[string]time.Time{}, declareAt: map[string]time.Time{},
@@ -232,6 +234,7 @@
 
 	record := ledger.WorkerLeftRecord(l.worker.Name(), l.worker.Incarnation(), true)
 	if err := l.detector.appender.Append(ctx, record); err != nil {
-		l.detector.log.Warn().Str("event", "append_failed").Str("worker", l.worker.Name()).Err(err).Msg("could not confirm the loss of the worker in the log; retrying while it stays unresponsive")
+		l.detector.log.Warn().Str("event", "append_failed").Str("worker", l.worker.Name()).Err(err).
+			Msg("could not confirm the loss of the worker in the log; retrying while it stays unresponsive")
 	}
 }
--- a/sidecar/backend/health.go
+++ b/sidecar/backend/health.go
@@ -45,7 +45,8 @@
 				level = zerolog.WarnLevel
 			}
 
-			m.log.WithLevel(level).Err(err).Str("event", "backend_health").Bool("healthy", healthy).Msg("health of the backend server changed")
+			m.log.WithLevel(level).Err(err).Str("event", "backend_health").Bool("healthy", healthy).
+				Msg("health of the backend server changed")
 		}
 
 		select {
--- a/sidecar/entry/exchange.go
+++ b/sidecar/entry/exchange.go
@@ -61,7 +61,8 @@
 	}
 
 	if err != nil {
-		s.links.log.Debug().Err(err).Str("event", "exchange_ended").Str("entry", s.entry.GetName()).Msg("exchange with an entry ended early")
+		s.links.log.Debug().Err(err).Str("event", "exchange_ended").Str("entry", s.entry.GetName()).
+			Msg("exchange with an entry ended early")
 		stream.Reset()
 
 		return
--- a/sidecar/entry/link.go
+++ b/sidecar/entry/link.go
@@ -84,7 +84,8 @@
 	}
 
 	k.links.connected.Update(int64(len(k.links.Sessions())))
-	k.links.log.Info().Str("event", "entry_connected").Str("address", k.address).Str("entry", s.entry.GetName()).Msg("connected to an entry")
+	k.links.log.Info().Str("event", "entry_connected").Str("address", k.address).Str("entry", s.entry.GetName()).
+		Msg("connected to an entry")
 
 	defer func() {
 		k.session.Store(nil)
--- a/sidecar/leasedbackend/client.go
+++ b/sidecar/leasedbackend/client.go
@@ -35,10 +35,12 @@
 
 // NewClient returns a client of the backend server at an address such as http://127.0.0.1:8080.
 func NewClient(address string) *Client {
-	return &Client{address: strings.TrimRight(address, "/"), http: &http.Client{Transport: &httppool.Transport{Transport: http.Transport{
+	pool := &httppool.Transport{Transport: http.Transport{
 		MaxIdleConnsPerHost: maxConnections, MaxConnsPerHost: maxConnections, IdleConnTimeout: idleTimeout,
 		DisableCompression: true,
-	}}}}
+	}}
+
+	return &Client{address: strings.TrimRight(address, "/"), http: &http.Client{Transport: pool}}
 }
 
 // Status returns the status of the current incarnation of the backend server.
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -92,8 +92,8 @@
 	}
 
 	w.routes.Remove(s)
-	w.log.Warn().Str("event", "entry_lost").Str("entry", s.entry).Dur("silent", s.SinceContact(uptime.Now())).Int("stopped", stopped).
-		Msg("session with an entry ended; its tasks are stopped")
+	w.log.Warn().Str("event", "entry_lost").Str("entry", s.entry).Dur("silent", s.SinceContact(uptime.Now())).
+		Int("stopped", stopped).Msg("session with an entry ended; its tasks are stopped")
 	w.schedule(uptime.Now())
 }
 
--- a/standin/cluster/address.go
+++ b/standin/cluster/address.go
@@ -7,9 +7,9 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// freeAddress returns an address on a loopback host whose port was free for both TCP and UDP. The started process binds it later;
-// with the address in its settings, it has the same address after a restart. Another process could bind the port in
-// between, but that time is short.
+// freeAddress returns an address on a loopback host whose port was free for both TCP and UDP. The started process binds
+// it later; with the address in its settings, it has the same address after a restart. Another process could bind the
+// port in between, but that time is short.
 func freeAddress(ctx context.Context, host string) (string, error) {
 	const maxAttempts = 20
 
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -116,8 +116,10 @@
 	sm := &simulation{load: l, rule: r, random: rand.New(rand.NewPCG(seed, 1))}
 
 	for n := range l.servers {
-		s := &server{name: "server-" + strconv.Itoa(n), slowness: l.slowness(n), accepting: true, running: map[*task]bool{}, capacity: job.NewSize(int64(l.coresPerServer)*1000, 1<<20)}
-
+		s := &server{
+			name: "server-" + strconv.Itoa(n), slowness: l.slowness(n), accepting: true, running: map[*task]bool{},
+			capacity: job.NewSize(int64(l.coresPerServer)*1000, 1<<20),
+		}
 		s.pool.SetCapacity(s.capacity, reservation.Headroom(s.capacity.Millicores()))
 		sm.servers = append(sm.servers, s)
 	}
--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -30,11 +30,12 @@
 	r.write(kindsFile, func(w io.Writer) error { return writeKinds(w, scenarios) })
 	r.write(timelineFile, func(w io.Writer) error { return writeTimeline(w, scenarios) })
 
-	fmt.Fprintf(&r.text, "# Comparison of rules\n\n    %s\n\nThe figures are sums over the seeds: [%s](%s), and over time [%s](%s). ",
+	fmt.Fprintf(&r.text,
+		"# Comparison of rules\n\n    %s\n\nThe figures are sums over the seeds: [%s](%s), and over time [%s](%s). ",
 		command, kindsFile, kindsFile, timelineFile, timelineFile)
 	r.text.WriteString("\"Bound\" is what a scheduler with full knowledge can serve on time at most, more urgent kinds first; a " +
-		"rule that does not serve these first may exceed it for the others. \"Capacity free\" is the share of jobs that were refused although all of their tasks would have fitted at that " +
-		"moment, the headroom that long tasks may not use included: unknown to the entry by its reports, and known.\n")
+		"rule that does not serve these first may exceed it for the others. \"Capacity free\" is the share of jobs that " +
+		"were refused although all of their tasks would have fitted at that moment, the headroom that long tasks may not use included: unknown to the entry by its reports, and known.\n")
 
 	for _, load := range groupByLoad(scenarios) {
 		r.addLoad(load)
--- a/standin/relay/admin.go
+++ b/standin/relay/admin.go
@@ -17,9 +17,9 @@
 	Lost int64 `json:"lost"`
 }
 
-// Handler returns the admin endpoint. GET and PUT /v1/faults read and replace the faults, with ?client= those of
-// the clients on one host; DELETE /v1/faults clears all faults, POST /v1/break closes the connections, GET /v1/counts returns the
-// counters.
+// Handler returns the admin endpoint. GET and PUT /v1/faults read and replace the faults, with ?client= those of the
+// clients on one host; DELETE /v1/faults clears all faults, POST /v1/break closes the connections, GET /v1/counts returns
+// the counters.
 func (r *Relay) Handler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/v1/faults", r.getFaults).Methods(http.MethodGet)
--- a/weirctl/command/explain.go
+++ b/weirctl/command/explain.go
@@ -53,9 +53,12 @@
 		lastErr error
 	)
 
+	client := adminClient{credentialOptions: e.credentialOptions, Timeout: e.Timeout}
+	path := "/v1/explain/" + url.PathEscape(e.Args.Submission)
+
 	for _, address := range e.Entries {
 		var text json.RawMessage
-		if lastErr = (adminClient{credentialOptions: e.credentialOptions, Timeout: e.Timeout}).call(http.MethodGet, address, "/v1/explain/"+url.PathEscape(e.Args.Submission), &text); lastErr != nil {
+		if lastErr = client.call(http.MethodGet, address, path, &text); lastErr != nil {
 			continue
 		}
 
