--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -28,9 +28,9 @@
 	warmUpTime = 600 * time.Millisecond
 	// pauseThreshold is the delay of a clock check above which this process counts as paused: its callers may have
 	// resubmitted their jobs to another entry.
-	pauseThreshold = 400 * time.Millisecond
+	pauseThreshold = 450 * time.Millisecond
 	// tickInterval is the time between clock checks, and between checks of the sessions.
-	tickInterval = 100 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	// shutdownRetryAfter is when a caller that was refused by an entry that is shutting down may retry, at another entry.
 	shutdownRetryAfter = 100 * time.Millisecond
 	// drainPollInterval is how often Drain checks whether all jobs have ended.
--- a/entry/repeatable/keepalive.go
+++ b/entry/repeatable/keepalive.go
@@ -26,23 +26,19 @@
 		s.SetActive(inUse[s.number], now)
 		s.EndIfUnresponsive(now)
 
-		if s.KeepAliveDue(now) || s.sentRoutesVersion != d.routes.Version() {
+		if s.AnswerOverdue(now, tickInterval) || s.sentRoutesVersion != d.routes.Version() {
 			d.sendKeepAlive(s)
 		}
 	}
 }
 
-// answerKeepAlive answers the report of a sidecar on a session without work with a keep-alive if one is due soon. The
-// answer carries the acknowledgement of the report, which saves a packet.
+// answerKeepAlive answers the report of a sidecar with a keep-alive if one is due soon.
 func (d *Dispatcher) answerKeepAlive(s *sidecar, now time.Duration) {
-	if s.Idle(now) && s.KeepAliveDue(now+answerAhead) {
+	if s.AnswerDue(now) {
 		d.sendKeepAlive(s)
 	}
 }
 
-// answerAhead is how much earlier than due a keep-alive is sent as an answer.
-const answerAhead = 300 * time.Millisecond
-
 func (d *Dispatcher) sendKeepAlive(s *sidecar) {
 	s.sentRoutesVersion = d.routes.Version()
 
--- a/sidecar/repeatable/links.go
+++ b/sidecar/repeatable/links.go
@@ -16,8 +16,10 @@
 const (
 	// settleDelay is how long changes of the known entries are collected before the set is chosen again.
 	settleDelay = 50 * time.Millisecond
-	// reviewInterval is how often the set is reviewed without a change.
-	reviewInterval = 250 * time.Millisecond
+	// reviewInterval is how often the set is reviewed without a change while an entry is without a session or left the set,
+	// stableReviewInterval how often while all have one. The estimate of the number of sidecars may change meanwhile.
+	reviewInterval       = 250 * time.Millisecond
+	stableReviewInterval = time.Second
 	// replaceDelay is how long an entry of the set may be without a session before another one takes its place.
 	replaceDelay = 400 * time.Millisecond
 	// surplusDelay is how long a session is kept after its entry left the set.
@@ -110,13 +112,13 @@
 			return
 		}
 
-		l.review(ctx)
-		t.Reset(reviewInterval)
+		t.Reset(l.review(ctx))
 	}
 }
 
-// review chooses the set again, begins the missing links and ends those that are no longer needed.
-func (l *Links) review(ctx context.Context) {
+// review chooses the set again, begins the missing links and ends those that are no longer needed. It returns the time
+// until the next review.
+func (l *Links) review(ctx context.Context) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -146,6 +148,23 @@
 	}
 
 	l.worker.setSessionShare(sessionset.Share(l.size, len(known)))
+
+	if l.isStable() {
+		return stableReviewInterval
+	}
+
+	return reviewInterval
+}
+
+// isStable reports whether the set has entries, and each link has a session and an entry in the set.
+func (l *Links) isStable() bool {
+	for _, k := range l.links {
+		if k.session == nil || !k.surplusSince.IsZero() {
+			return false
+		}
+	}
+
+	return len(l.links) > 0
 }
 
 // known returns the entries that may be in the set.
--- a/sidecar/repeatable/sessions.go
+++ b/sidecar/repeatable/sessions.go
@@ -7,9 +7,8 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
-// keepSessions marks the entries that have work here, ends the sessions of unresponsive entries, and sends the reports
-// that are due as keep-alives. It reports whether an entry has work here.
-func (w *Worker) keepSessions(now time.Duration) bool {
+// sessionsInUse returns the numbers of the sessions whose entries have work here.
+func (w *Worker) sessionsInUse() map[uint64]bool {
 	inUse := map[uint64]bool{}
 	w.pool.AddSessions(inUse)
 
@@ -20,13 +19,19 @@
 		}
 	}
 
+	return inUse
+}
+
+// keepSessions marks the entries that have work here, ends the sessions of unresponsive entries, and sends the reports
+// that are due as keep-alives. The next check follows after tick.
+func (w *Worker) keepSessions(inUse map[uint64]bool, now, tick time.Duration) {
 	var r *capacityReport
 
 	for _, s := range w.sessions {
 		s.SetActive(inUse[s.number], now)
 		s.EndIfUnresponsive(now)
 
-		if !s.KeepAliveDue(now) {
+		if !s.KeepAliveDue(now, tick) {
 			continue
 		}
 
@@ -36,8 +41,6 @@
 
 		s.report(r)
 	}
-
-	return len(inUse) > 0
 }
 
 // minEstimateAge is the age of a session from which the entry's estimate of the number of sidecars counts. Before that
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -97,12 +97,16 @@
 	defer w.mu.Unlock()
 
 	now := uptime.Now()
+	inUse := w.sessionsInUse()
+
+	if len(inUse) == 0 && len(w.tasks) == 0 {
+		w.keepSessions(inUse, now, idleCheckInterval)
 
-	working := w.keepSessions(now)
-	if !working && len(w.tasks) == 0 {
 		return idleCheckInterval
 	}
 
+	w.keepSessions(inUse, now, checkInterval)
+
 	if n := w.pool.Expire(now); n > 0 {
 		w.log.Warn().Str("event", "reservations_expired").Int("count", n).
 			Msg("reservations expired before their tasks were launched")
--- a/weir/connection/session/liveness.go
+++ b/weir/connection/session/liveness.go
@@ -6,14 +6,14 @@
 )
 
 const (
-	// KeepAliveInterval is the interval at which each side of a session with work sends a frame.
+	// KeepAliveInterval is the interval at which the sidecar sends a frame on a session with work, and the entry answers.
 	KeepAliveInterval = 150 * time.Millisecond
 	// Timeout is the time without a frame from the peer after which a session with work ends; neither side acts for an
 	// unresponsive peer. The sum of Timeout and the lease of the tasks is below the time after which callers resubmit a
 	// job.
 	Timeout = 500 * time.Millisecond
 	// IdleKeepAliveInterval replaces KeepAliveInterval on a session without work.
-	IdleKeepAliveInterval = 750 * time.Millisecond
+	IdleKeepAliveInterval = time.Second
 	// IdleTimeout replaces Timeout on a session without work. Nothing runs for the peer then, so a late detection of its
 	// end delays new work only.
 	IdleTimeout = 2500 * time.Millisecond
@@ -97,13 +97,35 @@
 	return !l.Expired(now) && l.SinceContact(now) < limit
 }
 
-// KeepAliveDue reports whether a keep-alive is to be sent. It is called at an interval of at most KeepAliveInterval, and a
-// session that is skipped in one call may not be late at the next one.
-func (l *Liveness) KeepAliveDue(now time.Duration) bool {
-	interval := KeepAliveInterval
+// KeepAliveDue reports whether the sidecar, which checks each tick, is to send a keep-alive: the interval ends nearer to
+// this check than to the next one.
+func (l *Liveness) KeepAliveDue(now, tick time.Duration) bool {
+	return l.sinceSent(now) >= l.keepAliveInterval(now)-tick/2
+}
+
+// AnswerDue reports whether the entry is to answer a frame of the sidecar with a keep-alive. The answer carries the
+// acknowledgement of the frame, which would else be a packet of its own.
+func (l *Liveness) AnswerDue(now time.Duration) bool {
+	return l.sinceSent(now) >= l.keepAliveInterval(now)/2
+}
+
+// AnswerOverdue reports whether the entry, which checks each tick, is to send a keep-alive although the sidecar has sent
+// nothing to answer: a third of the interval later than one is due.
+func (l *Liveness) AnswerOverdue(now, tick time.Duration) bool {
+	interval := l.keepAliveInterval(now)
+
+	return l.sinceSent(now) >= interval+interval/3-tick/2
+}
+
+func (l *Liveness) keepAliveInterval(now time.Duration) time.Duration {
 	if l.idleKeepAlives.Load() && l.Idle(now) {
-		interval = IdleKeepAliveInterval
+		return IdleKeepAliveInterval
 	}
 
-	return now-time.Duration(l.lastSent.Load()) >= interval-KeepAliveInterval/2
+	return KeepAliveInterval
+}
+
+// sinceSent returns the time since the last frame was queued.
+func (l *Liveness) sinceSent(now time.Duration) time.Duration {
+	return now - time.Duration(l.lastSent.Load())
 }
--- a/weir/connection/session/session.go
+++ b/weir/connection/session/session.go
@@ -65,11 +65,6 @@
 	}
 }
 
-// KeepAliveDue reports whether a keep-alive is to be sent at the time now.
-func (s *Session) KeepAliveDue(now time.Duration) bool {
-	return !s.ended.Load() && s.Liveness.KeepAliveDue(now)
-}
-
 // Done returns a channel that is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.done }
 
--- a/weir/connection/session/session_test.go
+++ b/weir/connection/session/session_test.go
@@ -13,8 +13,12 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
-// waitTimeout limits every wait of a test.
-const waitTimeout = 20 * time.Second
+const (
+	// waitTimeout limits every wait of a test.
+	waitTimeout = 20 * time.Second
+	// tick is the time between two checks of a session.
+	tick = 50 * time.Millisecond
+)
 
 // pair is the two ends of a session over loopback.
 type pair struct {
@@ -119,7 +123,7 @@
 	p := newPair(t)
 	now := uptime.Now()
 
-	is.True(p.near.KeepAliveDue(now + session.KeepAliveInterval))
+	is.True(p.near.KeepAliveDue(now+session.KeepAliveInterval, tick))
 	is.True(p.near.Expired(now + session.Timeout + session.KeepAliveInterval))
 }
 
@@ -131,17 +135,53 @@
 	p.near.AllowIdleKeepAlives()
 	p.near.Send(wire.Frame_builder{KeepAlive: &wire.KeepAlive{}}.Build())
 
-	is.True(!p.near.KeepAliveDue(uptime.Now() + session.KeepAliveInterval))
+	is.True(!p.near.KeepAliveDue(uptime.Now()+session.KeepAliveInterval, tick))
 
 	p.far.Send(wire.Frame_builder{KeepAlive: wire.KeepAlive_builder{Active: true}.Build()}.Build())
 	p.receive(t)
 
 	now := uptime.Now()
 	is.True(!p.near.Idle(now))
-	is.True(p.near.KeepAliveDue(now + session.KeepAliveInterval))
+	is.True(p.near.KeepAliveDue(now+session.KeepAliveInterval, tick))
 	is.True(p.near.Idle(now + session.Timeout + session.KeepAliveInterval)) // the peer has said nothing since
 }
 
+// Guards against keep-alives of the entry that are sent shortly before those of the sidecar and so never carry their
+// acknowledgement, and against an entry that sends none because the sidecar is silent.
+func TestEntryAnswersKeepAlives(t *testing.T) {
+	for _, idle := range []bool{false, true} {
+		is := is.New(t)
+
+		var entry, sidecar session.Liveness
+
+		interval := session.KeepAliveInterval
+
+		if idle {
+			entry.AllowIdleKeepAlives()
+			sidecar.AllowIdleKeepAlives()
+
+			interval = session.IdleKeepAliveInterval
+		}
+
+		answers := 0
+
+		for now := time.Second; now < 11*time.Second; now += tick {
+			if sidecar.KeepAliveDue(now, tick) {
+				sidecar.RecordSent(now)
+				is.True(entry.AnswerDue(now))
+				entry.RecordSent(now)
+
+				answers++
+			}
+
+			is.True(!entry.AnswerOverdue(now, tick))
+		}
+
+		is.Equal(answers, 1+int((10*time.Second-1)/interval))
+		is.True(entry.AnswerOverdue(11*time.Second+interval+interval/3, tick))
+	}
+}
+
 // Guards against new work for a peer whose idle keep-alive is overdue.
 func TestOverduePeerGetsNoNewWork(t *testing.T) {
 	is := is.New(t)
--- a/weir/process/lease/model_test.go
+++ b/weir/process/lease/model_test.go
@@ -19,8 +19,8 @@
 	resubmitDelay = 1300 * time.Millisecond
 	// entryTick, sidecarTick and pauseThreshold are those of the two processes; callTimeout limits a call to the backend
 	// server.
-	entryTick, sidecarTick = 100 * time.Millisecond, 50 * time.Millisecond
-	pauseThreshold         = 400 * time.Millisecond
+	entryTick, sidecarTick = 50 * time.Millisecond, 50 * time.Millisecond
+	pauseThreshold         = 450 * time.Millisecond
 	callTimeout            = 200 * time.Millisecond
 	// latency is the time that a message takes without a fault.
 	latency = 2 * time.Millisecond
@@ -212,8 +212,9 @@
 	m.sidecar.RecordSent(m.now)
 }
 
-// receive passes the messages that have arrived to a live session and reports whether it ends.
-func (m *model) receive(queue *[]message, l *session.Liveness, ended bool) bool {
+// receive passes the messages that have arrived to a live session, and calls handle after each. It reports whether the
+// session ends.
+func (m *model) receive(queue *[]message, l *session.Liveness, ended bool, handle func()) bool {
 	for len(*queue) > 0 && (*queue)[0].at <= m.now {
 		msg := (*queue)[0]
 		*queue = (*queue)[1:]
@@ -227,13 +228,21 @@
 		}
 
 		l.RecordContact(m.now, msg.work)
+		handle()
 	}
 
 	return false
 }
 
+// answer answers a report of the sidecar.
+func (m *model) answer() {
+	if m.entry.AnswerDue(m.now) {
+		m.sendToSidecar(message{work: true})
+	}
+}
+
 func (m *model) runEntry() {
-	if m.receive(&m.toEntry, &m.entry, m.entryEnded) {
+	if m.receive(&m.toEntry, &m.entry, m.entryEnded, m.answer) {
 		m.endAtEntry()
 	}
 
@@ -256,7 +265,7 @@
 		m.endAtEntry()
 	}
 
-	if !m.entryEnded && m.entry.KeepAliveDue(m.now) {
+	if !m.entryEnded && m.entry.AnswerOverdue(m.now, entryTick) {
 		m.sendToSidecar(message{work: true})
 	}
 }
@@ -273,7 +282,7 @@
 }
 
 func (m *model) runSidecar() {
-	if m.receive(&m.toSidecar, &m.sidecar, m.sidecarEnded) {
+	if m.receive(&m.toSidecar, &m.sidecar, m.sidecarEnded, func() {}) {
 		m.endAtSidecar()
 	}
 
@@ -284,7 +293,7 @@
 	if m.now%sidecarTick == 0 && !m.sidecarEnded {
 		if m.sidecar.Expired(m.now) {
 			m.endAtSidecar()
-		} else if m.sidecar.KeepAliveDue(m.now) {
+		} else if m.sidecar.KeepAliveDue(m.now, sidecarTick) {
 			m.sendToEntry(message{work: true})
 		}
 	}
