--- a/standin/leasedbackend/handler_test.go
+++ b/standin/leasedbackend/handler_test.go
@@ -25,6 +25,9 @@
 	return client.NewClient(h.URL)
 }
 
+// leaseTime is longer than any test takes.
+const leaseTime = time.Minute
+
 // Guards against a request or an answer that changes its meaning on its way over HTTP.
 func TestRunOverHTTP(t *testing.T) {
 	is := is.New(t)
@@ -39,35 +42,36 @@
 	watched, err := c.Watch(t.Context(), 0, 0, repeatable.NewPermit("life-1", 5, 0))
 	is.NoErr(err)
 
-	permit := repeatable.NewPermit("life-1", 5, watched.Clock()+time.Second)
-	run := repeatable.NewRun(repeatable.NewTask("a job/with marks", 3), 7)
+	permit := repeatable.NewPermit("life-1", 5, watched.Clock()+leaseTime)
+	hang := repeatable.NewRun(repeatable.NewTask("a job/with marks", 3), 7)
 
-	result, clock, err := c.Start(t.Context(), run, "20ms", permit)
+	result, clock, err := c.Start(t.Context(), hang, leasedbackend.Hang, permit)
 	is.NoErr(err)
 	is.Equal(result, repeatable.Started)
 	is.True(clock >= watched.Clock())
 
-	result, _, err = c.Start(t.Context(), run, "20ms", repeatable.NewPermit("life-1", 4, watched.Clock()+time.Second))
+	result, _, err = c.Start(t.Context(), hang, leasedbackend.Hang, repeatable.NewPermit("life-1", 4, clock+leaseTime))
 	is.NoErr(err)
 	is.Equal(result, repeatable.Fenced)
 
 	watched, err = c.Watch(t.Context(), 0, 0, permit)
 	is.NoErr(err)
-	is.Equal(watched.Running(), []repeatable.Run{run})
+	is.Equal(watched.Running(), []repeatable.Run{hang})
 
-	watched, err = c.Watch(t.Context(), 0, time.Second, permit)
+	quick := repeatable.NewRun(repeatable.NewTask("b", 0), 8)
+	result, _, err = c.Start(t.Context(), quick, "20ms", permit)
 	is.NoErr(err)
-	is.Equal(len(watched.Running()), 0)
-	is.Equal(watched.Ended(), []repeatable.EndedRun{repeatable.NewEndedRun(1, run, repeatable.Done)})
+	is.Equal(result, repeatable.Started)
 
-	hang := repeatable.NewRun(repeatable.NewTask("b", 0), 8)
-	result, _, err = c.Start(t.Context(), hang, leasedbackend.Hang, permit)
+	watched, err = c.Watch(t.Context(), 0, leaseTime, permit)
 	is.NoErr(err)
-	is.Equal(result, repeatable.Started)
+	is.Equal(watched.Running(), []repeatable.Run{hang})
+	is.Equal(watched.Ended(), []repeatable.EndedRun{repeatable.NewEndedRun(1, quick, repeatable.Done)})
 	is.NoErr(c.Stop(t.Context(), hang, permit))
 
 	watched, err = c.Watch(t.Context(), 1, 0, permit)
 	is.NoErr(err)
+	is.Equal(len(watched.Running()), 0)
 	is.Equal(watched.Ended(), []repeatable.EndedRun{repeatable.NewEndedRun(2, hang, repeatable.Stopped)})
 
 	watched, err = c.Watch(t.Context(), 2, 0, repeatable.NewPermit("life-1", 3, 0))
