Log the status of a rejected start and the tries before it

Cause of the change: the lines did not tell whether a rejected start followed one without an answer (hypothesis 1) or was itself one whose outcome is unknown (hypothesis 2). Change: Backend.Start returns an answer with what the backend server said; start_rejected has it, the number of the try, the unanswered tries before it and the time since the launch; start_tries_total counts tries by result. No decision changes.

--- a/sidecar/leasedbackend/client.go
+++ b/sidecar/leasedbackend/client.go
@@ -55,17 +55,19 @@
 	return s, err
 }
 
-// Start starts a run. It returns the result and the time on the backend server's clock.
+// Start starts a run.
 func (c *Client) Start(
 	ctx context.Context, r repeatable.Run, input string, p repeatable.Permit,
-) (repeatable.StartResult, time.Duration, error) {
+) (repeatable.StartAnswer, error) {
 	var s StartResponse
 
 	if err := c.call(ctx, http.MethodPost, StartPath, StartRequest{NewRun(r), input, NewPermit(p)}, &s); err != nil {
-		return 0, 0, err
+		return repeatable.StartAnswer{}, err
 	}
 
-	return repeatable.ParseStartResult(s.Result), time.Duration(s.ClockMS) * time.Millisecond, nil
+	answer := repeatable.NewStartAnswer(repeatable.ParseStartResult(s.Result), time.Duration(s.ClockMS)*time.Millisecond)
+
+	return answer.WithDetail(s.Result), nil
 }
 
 // Stop requests the end of a run. The run is over once Watch no longer lists it as running.
--- a/sidecar/repeatable/backend.go
+++ b/sidecar/repeatable/backend.go
@@ -120,6 +120,34 @@
 	return Invalid
 }
 
+// StartAnswer is an answer to a start.
+type StartAnswer struct {
+	result StartResult
+	clock  time.Duration
+	detail string
+}
+
+// NewStartAnswer returns an answer with the time on the backend server's clock.
+func NewStartAnswer(r StartResult, clock time.Duration) StartAnswer {
+	return StartAnswer{result: r, clock: clock}
+}
+
+// WithDetail returns the answer with what the backend server said in its own words, for log lines.
+func (a StartAnswer) WithDetail(detail string) StartAnswer {
+	a.detail = detail
+
+	return a
+}
+
+// Result returns the result.
+func (a StartAnswer) Result() StartResult { return a.result }
+
+// Clock returns the time on the backend server's clock, zero if the answer does not tell it.
+func (a StartAnswer) Clock() time.Duration { return a.clock }
+
+// Detail returns what the backend server said in its own words, empty if that is not known.
+func (a StartAnswer) Detail() string { return a.detail }
+
 // Outcome is how a run ended.
 type Outcome uint8
 
@@ -198,7 +226,7 @@
 // Backend is a backend server that runs tasks under a lease. After an error it is unknown whether the backend server
 // has carried out the call, and it may still do so later.
 type Backend interface {
-	Start(ctx context.Context, r Run, input string, p Permit) (StartResult, time.Duration, error)
+	Start(ctx context.Context, r Run, input string, p Permit) (StartAnswer, error)
 	Stop(ctx context.Context, r Run, p Permit) error
 	// Watch acknowledges the ended runs up to the number lastEnd, renews the lease and waits at most wait for a run to
 	// end.
--- a/sidecar/repeatable/metrics.go
+++ b/sidecar/repeatable/metrics.go
@@ -1,6 +1,7 @@
 package repeatable
 
 import (
+	"errors"
 	"strings"
 	"time"
 
@@ -31,6 +32,25 @@
 	}).(gometrics.Histogram).Update(run.Microseconds())
 }
 
+// recordStart counts a try of a start by its result.
+func (m *Metrics) recordStart(r StartResult, err error) {
+	if m == nil {
+		return
+	}
+
+	result := r.String()
+
+	switch {
+	case errors.Is(err, ErrNotReached):
+		result = "undelivered"
+	case err != nil:
+		result = "unanswered"
+	}
+
+	name := metrics.Name("start_tries_total", "result", result)
+	m.registry.GetOrRegister(name, gometrics.NewCounter).(gometrics.Counter).Inc(1)
+}
+
 // registerGauges registers the gauges of the worker, which are read when the metrics are written.
 func (w *Worker) registerGauges(r gometrics.Registry) {
 	for name, read := range map[string]func() int64{
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -52,6 +52,8 @@
 	launchedAt time.Duration
 	// startAnsweredAt is when the answer to the start was received, zero before.
 	startAnsweredAt time.Duration
+	// unansweredStarts is the number of tries of the start that got no answer.
+	unansweredStarts int
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
 	stopping       bool
 	stopAnsweredAt time.Duration
@@ -166,32 +168,35 @@
 
 func (t *task) runStart() {
 	for attempt := 0; ; attempt++ {
-		result, err := t.start()
+		answer, err := t.start()
 
-		retry := t.worker.handleStartResult(t, result, err, attempt)
+		retry := t.worker.handleStartAnswer(t, answer, err, attempt)
 		if !retry {
 			return
 		}
 	}
 }
 
-func (t *task) start() (StartResult, error) {
+func (t *task) start() (StartAnswer, error) {
 	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
 	defer cancel()
 
-	result, clock, err := t.worker.backend.Start(ctx, t.run, t.input, t.incarnation.newPermit())
+	answer, err := t.worker.backend.Start(ctx, t.run, t.input, t.incarnation.newPermit())
 	if err == nil {
-		t.incarnation.lease.RecordClock(clock, uptime.Now())
+		t.incarnation.lease.RecordClock(answer.clock, uptime.Now())
 	}
 
-	return result, err
+	return answer, err
 }
 
-// handleStartResult handles the answer to a start and reports whether to send the start again.
-func (w *Worker) handleStartResult(t *task, result StartResult, err error, attempt int) bool {
+// handleStartAnswer handles the answer to a start and reports whether to send the start again.
+func (w *Worker) handleStartAnswer(t *task, answer StartAnswer, err error, attempt int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	result := answer.result
+	w.metrics.recordStart(result, err)
+
 	if w.tasks[t.run.task] != t {
 		return false
 	}
@@ -204,6 +209,7 @@
 	}
 
 	if err != nil {
+		t.unansweredStarts++
 		w.recordCallError(t.incarnation, err)
 		w.log.Warn().Err(err).Str("event", "start_unanswered").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
 			Int64("run", t.run.number).Int("try", attempt).
@@ -227,7 +233,9 @@
 	}
 
 	w.log.Info().Str("event", "start_rejected").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
-		Int64("run", t.run.number).Stringer("answer", result).Msg("backend server rejected a start")
+		Int64("run", t.run.number).Stringer("answer", result).Str("detail", answer.detail).Int("try", attempt).
+		Int("unanswered", t.unansweredStarts).Dur("since_launch", uptime.Now()-t.launchedAt).
+		Msg("backend server rejected a start")
 
 	if attempt+1 < maxStartAttempts && !t.stopping {
 		switch result {
--- a/standin/leasedbackend/handler.go
+++ b/standin/leasedbackend/handler.go
@@ -34,8 +34,10 @@
 		return
 	}
 
-	result, clock, err := s.Start(r.Context(), request.Run.Decode(), request.Input, request.Permit.Decode())
-	writeResponse(w, leasedbackend.StartResponse{Result: result.String(), ClockMS: clock.Milliseconds()}, err)
+	answer, err := s.Start(r.Context(), request.Run.Decode(), request.Input, request.Permit.Decode())
+	writeResponse(w, leasedbackend.StartResponse{
+		Result: answer.Result().String(), ClockMS: answer.Clock().Milliseconds(),
+	}, err)
 }
 
 func (s *Server) serveStop(w http.ResponseWriter, r *http.Request) {
--- a/standin/leasedbackend/handler_test.go
+++ b/standin/leasedbackend/handler_test.go
@@ -45,23 +45,23 @@
 	permit := repeatable.NewPermit("life-1", 5, watched.Clock()+leaseTime)
 	hang := repeatable.NewRun(repeatable.NewTask("a job/with marks", 3), 7)
 
-	result, clock, err := c.Start(t.Context(), hang, leasedbackend.Hang, permit)
+	answer, err := c.Start(t.Context(), hang, leasedbackend.Hang, permit)
 	is.NoErr(err)
-	is.Equal(result, repeatable.Started)
-	is.True(clock >= watched.Clock())
+	is.Equal(answer.Result(), repeatable.Started)
+	is.True(answer.Clock() >= watched.Clock())
 
-	result, _, err = c.Start(t.Context(), hang, leasedbackend.Hang, repeatable.NewPermit("life-1", 4, clock+leaseTime))
+	answer, err = c.Start(t.Context(), hang, leasedbackend.Hang, repeatable.NewPermit("life-1", 4, answer.Clock()+leaseTime))
 	is.NoErr(err)
-	is.Equal(result, repeatable.Fenced)
+	is.Equal(answer.Result(), repeatable.Fenced)
 
 	watched, err = c.Watch(t.Context(), 0, 0, permit)
 	is.NoErr(err)
 	is.Equal(watched.Running(), []repeatable.Run{hang})
 
 	quick := repeatable.NewRun(repeatable.NewTask("b", 0), 8)
-	result, _, err = c.Start(t.Context(), quick, "20ms", permit)
+	answer, err = c.Start(t.Context(), quick, "20ms", permit)
 	is.NoErr(err)
-	is.Equal(result, repeatable.Started)
+	is.Equal(answer.Result(), repeatable.Started)
 
 	watched, err = c.Watch(t.Context(), 0, leaseTime, permit)
 	is.NoErr(err)
@@ -88,12 +88,12 @@
 
 	run := repeatable.NewRun(repeatable.NewTask("a", 0), 1)
 
-	_, _, err := c.Start(t.Context(), run, "1ms", repeatable.NewPermit("life-1", 1, time.Hour))
+	_, err := c.Start(t.Context(), run, "1ms", repeatable.NewPermit("life-1", 1, time.Hour))
 	is.True(errors.Is(err, repeatable.ErrOtherInstance))
 
 	s.DropAnswers(1)
 
-	_, _, err = c.Start(t.Context(), run, leasedbackend.Hang, repeatable.NewPermit("life-2", 1, time.Hour))
+	_, err = c.Start(t.Context(), run, leasedbackend.Hang, repeatable.NewPermit("life-2", 1, time.Hour))
 	is.True(err != nil)
 	is.Equal(s.StartCount(run.Task()), 1)
 }
--- a/standin/leasedbackend/server.go
+++ b/standin/leasedbackend/server.go
@@ -175,15 +175,15 @@
 	s.leaseEnd = max(s.leaseEnd, min(leaseEnd, s.clock()+maxLease))
 }
 
-// Start starts a run and returns the result and the time on the clock of this server.
+// Start starts a run.
 func (s *Server) Start(
 	ctx context.Context, r repeatable.Run, input string, p repeatable.Permit,
-) (repeatable.StartResult, time.Duration, error) {
+) (repeatable.StartAnswer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if err := s.checkCall(ctx, p); err != nil {
-		return 0, 0, err
+		return repeatable.StartAnswer{}, err
 	}
 
 	result := s.start(r, input, p)
@@ -191,10 +191,10 @@
 	if s.answersToDrop > 0 {
 		s.answersToDrop--
 
-		return 0, 0, errAnswerDropped
+		return repeatable.StartAnswer{}, errAnswerDropped
 	}
 
-	return result, s.clock(), s.blockIfNoAnswer(ctx)
+	return repeatable.NewStartAnswer(result, s.clock()), s.blockIfNoAnswer(ctx)
 }
 
 func (s *Server) start(r repeatable.Run, input string, p repeatable.Permit) repeatable.StartResult {
