--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -52,6 +52,9 @@
 	launchedAt time.Duration
 	// startAnsweredAt is when the answer to the start was received, zero before.
 	startAnsweredAt time.Duration
+	// leasedUntil is the end of the lease in the last try of the start, on the backend server's clock, zero if it had none.
+	// Only the goroutine that starts the task uses it.
+	leasedUntil time.Duration
 	// unansweredStarts is the number of tries of the start that got no answer.
 	unansweredStarts int
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
@@ -181,7 +184,10 @@
 	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
 	defer cancel()
 
-	answer, err := t.worker.backend.Start(ctx, t.run, t.input, t.incarnation.newPermit())
+	p := t.incarnation.newPermit()
+	t.leasedUntil = p.leaseEnd
+
+	answer, err := t.worker.backend.Start(ctx, t.run, t.input, p)
 	if err == nil {
 		t.incarnation.lease.RecordClock(answer.clock, uptime.Now())
 	}
@@ -234,7 +240,7 @@
 
 	w.log.Info().Str("event", "start_rejected").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
 		Int64("run", t.run.number).Stringer("answer", result).Str("detail", answer.detail).Int("try", attempt).
-		Int("unanswered", t.unansweredStarts).Dur("since_launch", uptime.Now()-t.launchedAt).
+		Int("unanswered", t.unansweredStarts).Bool("leased", t.leasedUntil > 0).Dur("since_launch", uptime.Now()-t.launchedAt).
 		Msg("backend server rejected a start")
 
 	if attempt+1 < maxStartAttempts && !t.stopping {
