--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -46,6 +46,13 @@
 func newFixture(t *testing.T, b *leasedbackend.Server) *fixture {
 	t.Helper()
 
+	return newFixtureCalling(t, b, b)
+}
+
+// newFixtureCalling returns a fixture whose sidecar calls its backend server b through c.
+func newFixtureCalling(t *testing.T, b *leasedbackend.Server, c repeatable.Backend) *fixture {
+	t.Helper()
+
 	is := is.New(t)
 	keys, err := quic.SharedKeys(t.Name())
 	is.NoErr(err)
@@ -54,7 +61,7 @@
 		t: t, backend: b, reports: make(chan *wire.Room, 1),
 		crashes: make(chan *wire.BackendCrash, 16), crashedTasks: make(chan *wire.CrashedTasks, 16), node: &quic.Node{},
 	}
-	fx.worker = repeatable.NewWorker("sidecar", b, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
+	fx.worker = repeatable.NewWorker("sidecar", c, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
 	is.NoErr(fx.node.Listen("127.0.0.1:0", keys))
 
 	sidecarNode := &quic.Node{}
