Do not start a task again whose unanswered start has become outdated

What callers saw: a task that was done ran a second time at the same backend server. Cause: the answer "outdated" to a repeated start raised the run number and sent the start again, although an earlier try without an answer may be the run that has ended; its end was then not read, since the number no longer fitted. Change: after an unanswered try such a task is stopped, and the list of ended runs tells how it ended.

--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -250,6 +250,14 @@
 
 			return true
 		case Outdated:
+			if t.unansweredStarts > 0 {
+				// The run of an earlier try has ended; the list tells how.
+				t.stopOutcome = Lost
+				w.stop(t)
+
+				return false
+			}
+
 			t.run.number++
 
 			return true
