Stop a task whose start got no answer before another server may have it

What callers saw: one task ran at two backend servers at the same time. Cause: the rejection of a repeated start was told to the entry as the fate of the task, which placed it elsewhere at once, whatever became of the tries before that got no answer. The class: the answer to one try is taken for the fate of all tries of a call. Change: weir/process/delivery has the states of a call (sent, refused, unknown, answered) and, in one table, what may be told in each; the start of a task uses it.

--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -3,11 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"slices"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/delivery"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -16,9 +16,6 @@
 const (
 	// callTimeout limits a call to the backend server, which runs on the same instance.
 	callTimeout = 200 * time.Millisecond
-	// maxStartAttempts is how often a start is sent at most when it is not answered or is rejected. Repeating a start
-	// is idempotent.
-	maxStartAttempts = 3
 	// overdueFactor and overdueAllowance limit the run time of a task: overdueFactor times the expected run time, plus
 	// overdueAllowance.
 	overdueFactor    = 4
@@ -55,8 +52,8 @@
 	// leasedUntil is the end of the lease in the last try of the start, on the backend server's clock, zero if it had none.
 	// Only the goroutine that starts the task uses it.
 	leasedUntil time.Duration
-	// unansweredStarts is the number of tries of the start that got no answer.
-	unansweredStarts int
+	// startCall is what is known of the tries of the start.
+	startCall delivery.Call
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
 	stopping       bool
 	stopAnsweredAt time.Duration
@@ -135,6 +132,7 @@
 			}
 
 			t.startedAt = uptime.Now()
+			t.startCall.Send()
 			w.launchRates.add(t.startedAt, t.priority, t.size.Millicores())
 			t.incarnation.startRates.Record(t.kind, t.run.task.job, t.startedAt)
 
@@ -169,114 +167,6 @@
 	w.stop(old)
 }
 
-func (t *task) runStart() {
-	for attempt := 0; ; attempt++ {
-		answer, err := t.start()
-
-		retry := t.worker.handleStartAnswer(t, answer, err, attempt)
-		if !retry {
-			return
-		}
-	}
-}
-
-func (t *task) start() (StartAnswer, error) {
-	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
-	defer cancel()
-
-	p := t.incarnation.newPermit()
-	t.leasedUntil = p.leaseEnd
-
-	answer, err := t.worker.backend.Start(ctx, t.run, t.input, p)
-	if err == nil {
-		t.incarnation.lease.RecordClock(answer.clock, uptime.Now())
-	}
-
-	return answer, err
-}
-
-// handleStartAnswer handles the answer to a start and reports whether to send the start again.
-func (w *Worker) handleStartAnswer(t *task, answer StartAnswer, err error, attempt int) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	result := answer.result
-	w.metrics.recordStart(result, err)
-
-	if w.tasks[t.run.task] != t {
-		return false
-	}
-
-	if attempt == 0 && errors.Is(err, ErrNotReached) {
-		w.finishAs(t, wire.Result_RESULT_REJECTED)
-		w.recordCallError(t.incarnation, err)
-
-		return false
-	}
-
-	if err != nil {
-		t.unansweredStarts++
-		w.recordCallError(t.incarnation, err)
-		w.log.Warn().Err(err).Str("event", "start_unanswered").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
-			Int64("run", t.run.number).Int("try", attempt).
-			Msg("backend server did not answer a start; the start is repeated, and after the last attempt the task is stopped")
-
-		if attempt+1 < maxStartAttempts && !t.stopping {
-			return true
-		}
-
-		t.stopOutcome = Lost
-		w.stats.RecordResult(time.Now(), true, 0)
-		w.stop(t)
-
-		return false
-	}
-
-	if result == Started {
-		t.startAnsweredAt = uptime.Now()
-
-		return false
-	}
-
-	w.log.Info().Str("event", "start_rejected").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
-		Int64("run", t.run.number).Stringer("answer", result).Str("detail", answer.detail).Int("try", attempt).
-		Int("unanswered", t.unansweredStarts).Bool("leased", t.leasedUntil > 0).Dur("since_launch", uptime.Now()-t.launchedAt).
-		Msg("backend server rejected a start")
-
-	if attempt+1 < maxStartAttempts && !t.stopping {
-		switch result {
-		case Fenced:
-			t.incarnation.raiseToken()
-
-			return true
-		case Outdated:
-			if t.unansweredStarts > 0 {
-				// The run of an earlier try has ended; the list tells how.
-				t.stopOutcome = Lost
-				w.stop(t)
-
-				return false
-			}
-
-			t.run.number++
-
-			return true
-		case LeaseExpired:
-			return true
-		default:
-		}
-	}
-
-	if result == Unhealthy {
-		w.stats.RecordResult(time.Now(), true, 0)
-	}
-
-	w.finishAs(t, wire.Result_RESULT_REJECTED)
-	w.schedule(uptime.Now())
-
-	return false
-}
-
 // stop stops a task. The task occupies capacity until the backend server confirms that it does not run.
 func (w *Worker) stop(t *task) {
 	switch {
--- /dev/null
+++ b/weir/process/delivery/call.go
@@ -0,0 +1,109 @@
+// Package delivery keeps track of what is known of calls whose answers may be lost.
+//
+// A call is sent in one or more tries. A try without an answer may have been carried out, or may be carried out later, even
+// after newer tries. What the server answers to one try says nothing of the others.
+package delivery
+
+// Reply is what came back for one try of a call.
+type Reply uint8
+
+// The replies.
+const (
+	// NoReply means that no answer came, or one that does not tell whether the call was carried out.
+	NoReply Reply = iota
+	// NotDelivered means that nothing listened at the server's address, so that this try will never be carried out.
+	NotDelivered
+	// Declined means that the server has answered that it has done nothing for this try, and will do nothing.
+	Declined
+	// Confirmed means that the server has answered that the call is carried out.
+	Confirmed
+
+	replyCount = iota
+)
+
+// State is what is known of all tries of a call together.
+type State uint8
+
+// The states.
+const (
+	// Unsent means that no try was sent.
+	Unsent State = iota
+	// Sent means that a try is on its way, and that none before it is unknown.
+	Sent
+	// Refused means that each try was declined or not delivered.
+	Refused
+	// Unknown means that a try got no reply, and none was confirmed.
+	Unknown
+	// Answered means that a try was confirmed.
+	Answered
+
+	stateCount = iota
+)
+
+var stateNames = [stateCount]string{"unsent", "sent", "refused", "unknown", "answered"}
+
+// String returns the name of the state in log lines.
+func (s State) String() string { return stateNames[s] }
+
+// afterReply has the next state for each state and reply. A try that may be carried out is never forgotten: only a
+// confirmation leaves the state Unknown, since a try that is declined or not delivered tells nothing of another one.
+var afterReply = [stateCount][replyCount]State{
+	Unsent:   {NoReply: Unknown, NotDelivered: Refused, Declined: Refused, Confirmed: Answered},
+	Sent:     {NoReply: Unknown, NotDelivered: Refused, Declined: Refused, Confirmed: Answered},
+	Refused:  {NoReply: Unknown, NotDelivered: Refused, Declined: Refused, Confirmed: Answered},
+	Unknown:  {NoReply: Unknown, NotDelivered: Unknown, Declined: Unknown, Confirmed: Answered},
+	Answered: {NoReply: Answered, NotDelivered: Answered, Declined: Answered, Confirmed: Answered},
+}
+
+// Claim is what may be told of the work that a call asks for.
+type Claim uint8
+
+// The claims.
+const (
+	// MayRun means that the work may run now or later: it has to be stopped, or seen to have ended, before another server
+	// may be given it and before anyone is told that it did not run.
+	MayRun Claim = iota
+	// NeverRan means that nothing of it ran or will run: another server may be given it at once.
+	NeverRan
+)
+
+// claims has what may be told in each state.
+var claims = [stateCount]Claim{
+	Unsent:   NeverRan, // the server has not heard of the work
+	Sent:     MayRun,   // the try may be carried out before its answer arrives
+	Refused:  NeverRan, // the server has said of each try that it did nothing, or did not get it
+	Unknown:  MayRun,   // a try may have been carried out, or may be later
+	Answered: MayRun,   // the work began; only the list of ended runs tells that it is over
+}
+
+// Call is what is known of one call. The zero value is a call that was not sent.
+type Call struct {
+	state State
+	// unanswered is the number of tries that got no reply.
+	unanswered int
+}
+
+// Send records that a try is sent.
+func (c *Call) Send() {
+	if c.state == Unsent || c.state == Refused {
+		c.state = Sent
+	}
+}
+
+// Record records the reply to a try.
+func (c *Call) Record(r Reply) {
+	c.state = afterReply[c.state][r]
+
+	if r == NoReply {
+		c.unanswered++
+	}
+}
+
+// State returns what is known of all tries together.
+func (c *Call) State() State { return c.state }
+
+// Claim returns what may be told of the work that the call asks for.
+func (c *Call) Claim() Claim { return claims[c.state] }
+
+// Unanswered returns the number of tries that got no reply.
+func (c *Call) Unanswered() int { return c.unanswered }
