Do not send a start for which no lease can be given

What callers saw: tasks at a backend server that loses answers were late or refused, and in part ran twice. Cause: while a backend server has answered no renewal for 400 ms, Lease.Renew gives no lease; the start was sent all the same, and rejected with 400. Change: such a start is not sent; a task of which no try may have been carried out is rejected at once, any other is stopped.

--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -19,7 +19,14 @@
 // runStart sends the start of the task until its answer settles what becomes of it.
 func (t *task) runStart() {
 	for attempt := 0; ; attempt++ {
-		answer, err := t.start()
+		p := t.incarnation.newPermit()
+		if p.leaseEnd == 0 {
+			t.worker.handleStartWithoutLease(t, attempt)
+
+			return
+		}
+
+		answer, err := t.start(p)
 
 		if !t.worker.handleStartAnswer(t, answer, err, attempt) {
 			return
@@ -27,13 +34,10 @@
 	}
 }
 
-func (t *task) start() (StartAnswer, error) {
+func (t *task) start(p Permit) (StartAnswer, error) {
 	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
 	defer cancel()
 
-	p := t.incarnation.newPermit()
-	t.leasedUntil = p.leaseEnd
-
 	answer, err := t.worker.backend.Start(ctx, t.run, t.input, p)
 	if err == nil {
 		t.incarnation.lease.RecordClock(answer.clock, uptime.Now())
@@ -77,7 +81,7 @@
 		return false
 	case delivery.Declined:
 		t.logStart(w.log.Info(), "start_rejected", attempt).Stringer("answer", answer.result).Str("detail", answer.detail).
-			Bool("leased", t.leasedUntil > 0).Msg("backend server rejected a start")
+			Msg("backend server rejected a start")
 	default:
 		w.recordCallError(t.incarnation, err)
 		t.logStart(w.log.Warn(), "start_unanswered", attempt).Err(err).
@@ -102,6 +106,22 @@
 		Int("unanswered", t.startCall.Unanswered()).Dur("since_launch", uptime.Now()-t.launchedAt)
 }
 
+// handleStartWithoutLease gives up a start that is not sent, since no lease can be given: the backend server has answered
+// no renewal for too long, and rejects a start without a lease.
+func (w *Worker) handleStartWithoutLease(t *task, attempt int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.tasks[t.run.task] != t {
+		return
+	}
+
+	t.startCall.Record(delivery.NotDelivered)
+	t.logStart(w.log.Info(), "start_without_lease", attempt).
+		Msg("no lease can be given, as the backend server answers no renewal; the start is not sent")
+	w.giveUpStart(t, false)
+}
+
 // prepareRepeat reports whether to send the start again after a reply, and removes the cause of a rejection first.
 func (t *task) prepareRepeat(reply delivery.Reply, result StartResult) bool {
 	switch {
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -49,9 +49,6 @@
 	launchedAt time.Duration
 	// startAnsweredAt is when the answer to the start was received, zero before.
 	startAnsweredAt time.Duration
-	// leasedUntil is the end of the lease in the last try of the start, on the backend server's clock, zero if it had none.
-	// Only the goroutine that starts the task uses it.
-	leasedUntil time.Duration
 	// startCall is what is known of the tries of the start.
 	startCall delivery.Call
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
