Count a run that failed although a stop was sent

What callers would see: a task starts more often than its attempts allow. Cause: the outcome of a task that is being stopped was replaced also if its run had failed before the stop arrived, so that the entry did not count the failure. Evidence: TestFailedRunCountsAlthoughItIsBeingStopped failed on (LOST). Change: only runs that were stopped or lost take the outcome of the stop.

--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -222,7 +222,8 @@
 
 // finish ends a task that is certain not to run any longer, and reports its result.
 func (w *Worker) finish(t *task, outcome Outcome) {
-	if t.stopping && outcome != Done {
+	// A run that ended by itself keeps its outcome, although a stop was sent.
+	if t.stopping && (outcome == Stopped || outcome == Lost) {
 		outcome = t.stopOutcome
 	}
 
--- a/sidecar/repeatable/unknown_fate_test.go
+++ b/sidecar/repeatable/unknown_fate_test.go
@@ -73,6 +73,12 @@
 	listsHeld, listsReleased chan struct{}
 }
 
+func newLateListBackend() *lateListBackend {
+	return &lateListBackend{
+		Server: leasedbackend.New("i-1"), listsHeld: make(chan struct{}), listsReleased: make(chan struct{}),
+	}
+}
+
 func (b *lateListBackend) Start(
 	ctx context.Context, r repeatable.Run, input string, p repeatable.Permit,
 ) (repeatable.StartAnswer, error) {
@@ -122,9 +128,7 @@
 // repeated start is rejected as outdated.
 func TestEndedRunIsNotStartedAgain(t *testing.T) {
 	is := is.New(t)
-	b := &lateListBackend{
-		Server: leasedbackend.New("i-1"), listsHeld: make(chan struct{}), listsReleased: make(chan struct{}),
-	}
+	b := newLateListBackend()
 	fx := newFixtureCalling(t, b.Server, b)
 	fx.announce(1, false)
 	fx.awaitOpen(true)
@@ -135,6 +139,20 @@
 	is.Equal(fx.backend.StartCount(repeatable.NewTask("job", 0)), 1)
 }
 
+// Guards against a task that runs more often than its attempts allow: a run that failed is told as lost since a stop was
+// sent before the list with its end arrived.
+func TestFailedRunCountsAlthoughItIsBeingStopped(t *testing.T) {
+	is := is.New(t)
+	b := newLateListBackend()
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+
+	fx.startJob(1, "job", leasedbackend.Fail, 1)
+
+	is.Equal(fx.nextResult(), wire.Result_RESULT_FAILED)
+}
+
 // clocklessBackend has lists that do not tell its clock, so that no lease can be given. It counts the starts.
 type clocklessBackend struct {
 	*leasedbackend.Server
