--- a/weir/connection/httppool/transport_test.go
+++ b/weir/connection/httppool/transport_test.go
@@ -142,3 +142,36 @@
 	is.NoErr(get(t.Context(), c, url))
 	is.Equal(dials.Load(), int64(2))
 }
+
+// Guards against a pool that is opened anew for each lost response, although other requests are answered.
+func TestLostResponseKeepsThePoolWhileOthersAreAnswered(t *testing.T) {
+	is := is.New(t)
+	s, url := startServer(t)
+
+	var dials atomic.Int64
+
+	c := &http.Client{Transport: &httppool.Transport{Transport: http.Transport{
+		MaxIdleConnsPerHost: 3,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials.Add(1)
+
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
+	}}}
+
+	openConnections(t, s, c, url, 3)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+
+	lost := make(chan error, 1)
+
+	go func() { lost <- get(ctx, c, url+"/hang") }()
+
+	<-s.hanging
+	is.NoErr(get(t.Context(), c, url)) // answered after the lost request was sent
+	is.True(<-lost != nil)
+
+	openConnections(t, s, c, url, 2)
+	is.Equal(dials.Load(), int64(3))
+}
