Send another try of a start, stop or read of runs while the last may still be answered

What callers saw: where a share of the calls to backend servers gets no answer, jobs were late or refused, far beyond that share. Cause: each lost answer cost the whole time limit of 200 ms, of a list of runs 450 ms, while the task held capacity; answers that come take 2 to 8 ms.

--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -23,6 +23,8 @@
 		return false
 	}
 
+	i.lastLoss = uptime.Now()
+
 	first := i.failingSince == 0
 	if first {
 		w.markFailing(i)
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -6,15 +6,22 @@
 	"sync"
 	"time"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/answertime"
 	"github.com/skylarkweir/skylarkweir/weir/process/lease"
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
+	"github.com/skylarkweir/skylarkweir/weir/process/retrybudget"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
 const (
 	// unreadyWatchWait is how long a call waits for the end of the runs that an earlier sidecar has left.
 	unreadyWatchWait = 50 * time.Millisecond
+	// lossyWatchWait is how long a call waits for the end of a run while answers are lost, since the end is known only with
+	// the next call if its answer is lost.
+	lossyWatchWait = 50 * time.Millisecond
+	// lossMemory is how long after a lost answer more of them are expected.
+	lossMemory = time.Second
 	// retryDelay is the pause after a call without an answer.
 	retryDelay = 50 * time.Millisecond
 	// initialTokenStepMS is the first increase of a rejected fencing token; tokens are times in Unix milliseconds.
@@ -32,6 +39,8 @@
 	ready bool
 	// lastEnd is the highest number of an ended run that the worker has handled.
 	lastEnd uint64
+	// lastLoss is when a call without an answer reached its time limit last.
+	lastLoss time.Duration
 	// failingSince is when the first call failed after the last answer, zero while calls are answered. notReached is true
 	// if nothing listened for one of the calls since then.
 	failingSince time.Duration
@@ -47,6 +56,9 @@
 	cancel context.CancelFunc
 
 	lease lease.Lease
+	// answers is how long to wait for answers, and repeatBudget limits the tries that do not wait longer.
+	answers      answertime.Limit
+	repeatBudget *retrybudget.Budget
 
 	mu sync.Mutex
 	// token is the fencing token. It is raised by tokenStep when it is too low.
@@ -59,6 +71,7 @@
 	i := &incarnation{
 		worker: w, instance: a.instance, announcement: a, ctx: ctx, cancel: cancel,
 		token: time.Now().UnixMilli(), tokenStep: initialTokenStepMS,
+		repeatBudget: retrybudget.New(repeatsPerAnswer),
 	}
 
 	// It has just announced itself.
@@ -91,16 +104,50 @@
 	r := &leaseRenewer{i}
 	go r.run()
 
-	for first := true; ; {
+	for first := true; i.ctx.Err() == nil; first = false {
 		wait := i.watchWait(first)
-		first = false
-
 		i.lease.ExpectAnswer(wait, uptime.Now())
 
-		if !i.watch(wait) {
-			return
-		}
+		c := &watchCall{i, wait, make(chan struct{})}
+		go c.run()
+
+		c.await()
+	}
+}
+
+// watchCall is one call that waits for a run to end.
+type watchCall struct {
+	incarnation *incarnation
+	wait        time.Duration
+	// answered is closed when the answer has been handled, or its absence.
+	answered chan struct{}
+}
+
+func (c *watchCall) run() {
+	defer close(c.answered)
+
+	c.incarnation.watch(c.wait)
+}
+
+// await waits until the next call may be sent: after the answer, or once this one is overdue, so that an end whose answer
+// was lost is known soon.
+func (c *watchCall) await() {
+	i := c.incarnation
+
+	overdue := time.NewTimer(c.wait + i.answers.Current())
+	defer overdue.Stop()
+
+	select {
+	case <-c.answered:
+		return
+	case <-overdue.C:
 	}
+
+	if i.repeatBudget.AllowRetry(time.Now()) {
+		return
+	}
+
+	<-c.answered
 }
 
 // watchWait returns how long the next call waits for a run to end. The backend server accepts tasks only after an answer
@@ -116,15 +163,17 @@
 		return unreadyWatchWait
 	case len(i.worker.tasks) == 0:
 		return lease.IdleWatchWait
+	case i.failingSince > 0 || uptime.Now()-i.lastLoss < lossMemory:
+		return lossyWatchWait
 	default:
 		return lease.WatchWait
 	}
 }
 
-// watch calls Watch once and handles the result. It reports whether the incarnation goes on.
-func (i *incarnation) watch(wait time.Duration) bool {
+// watch calls Watch once and handles the result.
+func (i *incarnation) watch(wait time.Duration) {
 	if i.ctx.Err() != nil {
-		return false
+		return
 	}
 
 	ctx, cancel := context.WithTimeout(i.ctx, wait+callTimeout)
@@ -136,12 +185,10 @@
 	switch {
 	case errors.Is(err, ErrOtherInstance):
 		i.worker.handleOtherInstance(i)
-
-		return false
 	case err != nil:
 		if i.worker.handleUnanswered(i, err) {
 			// A connection that ends may mean that the process has; the next call tells.
-			return true
+			return
 		}
 
 		select {
@@ -153,8 +200,6 @@
 		i.lease.RecordAnswer(sent, uptime.Now())
 		i.worker.handleWatchResult(i, result, sent)
 	}
-
-	return true
 }
 
 func (i *incarnation) lastHandledEnd() uint64 {
--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -12,38 +12,94 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
-// maxStartAttempts is how often a start is sent at most when it is not answered or is rejected. Repeating a start is
-// idempotent.
-const maxStartAttempts = 3
-
-// runStart sends the start of the task until its answer settles what becomes of it.
-func (t *task) runStart() {
-	for attempt := 0; ; attempt++ {
-		p := t.incarnation.newPermit()
-		if p.leaseEnd == 0 {
-			t.worker.handleStartWithoutLease(t, attempt)
-
-			return
-		}
-
-		answer, err := t.start(p)
+// minStartPatience is how long a start is sent again at least while it is not answered. A long task is worth as much time as
+// it is expected to run.
+const minStartPatience = 500 * time.Millisecond
+
+// maxRejections is the number of rejections after which a start is given up, whatever their cause.
+const maxRejections = 3
+
+// startCall is the start of a task. Repeating it is idempotent.
+type startCall struct {
+	task *task
+	// call is what is known of the tries together. It changes under the worker's mutex.
+	call delivery.Call
+	// rejections is the number of tries that were rejected.
+	rejections int
+}
 
-		if !t.worker.handleStartAnswer(t, answer, err, attempt) {
-			return
-		}
+func (c *startCall) run() {
+	h := newHedge(c.task.incarnation, c)
+	if !h.run() {
+		c.task.worker.giveUpUnsettledStart(c.task)
 	}
 }
 
-func (t *task) start(p Permit) (StartAnswer, error) {
+// try sends the start once. It is settled once the task has started, has ended or is given up.
+func (c *startCall) try(attempt int) bool {
+	t := c.task
+
+	r, ok := t.worker.beginStartTry(t, attempt)
+	if !ok {
+		return true
+	}
+
+	p := t.incarnation.newPermit()
+	if p.leaseEnd == 0 {
+		t.worker.handleStartWithoutLease(t, attempt)
+
+		return true
+	}
+
 	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
 	defer cancel()
 
-	answer, err := t.worker.backend.Start(ctx, t.run, t.input, p)
+	sent := uptime.Now()
+	answer, err := t.worker.backend.Start(ctx, r, t.input, p)
+	t.incarnation.recordAnswerTime(sent, err)
+
 	if err == nil {
 		t.incarnation.lease.RecordClock(answer.clock, uptime.Now())
 	}
 
-	return answer, err
+	if err == nil && answer.result == Started {
+		t.incarnation.lease.RecordAnswer(sent, uptime.Now())
+	}
+
+	return t.worker.handleStartAnswer(t, r, answer, err, attempt)
+}
+
+// repeats reports whether the start is still worth another try.
+func (c *startCall) repeats() bool {
+	w := c.task.worker
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return c.task.awaitsStart() && uptime.Now()-c.task.startedAt < max(minStartPatience, c.task.expected)
+}
+
+// awaitsStart reports whether the task has neither started nor ended, and is not to be stopped.
+func (t *task) awaitsStart() bool {
+	return t.worker.tasks[t.run.task] == t && t.startAnsweredAt == 0 && !t.stopping
+}
+
+// beginStartTry records that a try is sent, and returns the run to start. It returns false if the start is no longer
+// wanted.
+func (w *Worker) beginStartTry(t *task, attempt int) (Run, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if !t.awaitsStart() {
+		return Run{}, false
+	}
+
+	// The task counts as sent from the moment that it may start.
+	if attempt > 0 {
+		t.startCall.call.Send()
+	}
+
+	return t.run, true
 }
 
 // startReply returns what the answer to a try of a start says of that try.
@@ -60,26 +116,29 @@
 	}
 }
 
-// handleStartAnswer handles the answer to a start and reports whether to send the start again.
-func (w *Worker) handleStartAnswer(t *task, answer StartAnswer, err error, attempt int) bool {
+// handleStartAnswer handles the answer to a try of the start of the run r, and reports whether the start is settled.
+func (w *Worker) handleStartAnswer(t *task, r Run, answer StartAnswer, err error, attempt int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	w.metrics.recordStart(answer.result, err)
 
 	if w.tasks[t.run.task] != t {
-		return false
+		return true
 	}
 
 	reply := startReply(answer, err)
-	t.startCall.Record(reply)
+	t.startCall.call.Record(reply)
 
 	switch reply {
 	case delivery.Confirmed:
-		t.startAnsweredAt = uptime.Now()
+		if t.startAnsweredAt == 0 {
+			t.startAnsweredAt = uptime.Now()
+		}
 
-		return false
+		return true
 	case delivery.Declined:
+		t.startCall.rejections++
 		t.logStart(w.log.Info(), "start_rejected", attempt).Stringer("answer", answer.result).Str("detail", answer.detail).
 			Msg("backend server rejected a start")
 	default:
@@ -88,22 +147,24 @@
 			Msg("backend server did not answer a start; it is repeated, and after the last attempt the task is stopped")
 	}
 
-	if attempt+1 < maxStartAttempts && !t.stopping && t.prepareRepeat(reply, answer.result) {
-		t.startCall.Send()
-
+	if t.startAnsweredAt > 0 {
 		return true
 	}
 
+	if !t.stopping && t.prepareRepeat(r, reply, answer.result) {
+		return false
+	}
+
 	w.giveUpStart(t, reply == delivery.Declined && answer.result == Unhealthy)
 
-	return false
+	return true
 }
 
 // logStart adds what is known of the start to a log line.
 func (t *task) logStart(line *zerolog.Event, event string, attempt int) *zerolog.Event {
 	return line.Str("event", event).Str("job", t.run.task.job).Uint32("task", t.run.task.index).
-		Int64("run", t.run.number).Int("try", attempt).Stringer("state", t.startCall.State()).
-		Int("unanswered", t.startCall.Unanswered()).Dur("since_launch", uptime.Now()-t.launchedAt)
+		Int64("run", t.run.number).Int("try", attempt).Stringer("state", t.startCall.call.State()).
+		Int("unanswered", t.startCall.call.Unanswered()).Dur("since_launch", uptime.Now()-t.launchedAt)
 }
 
 // handleStartWithoutLease gives up a start that is not sent, since no lease can be given: the backend server has answered
@@ -116,18 +177,29 @@
 		return
 	}
 
-	t.startCall.Record(delivery.NotDelivered)
+	t.startCall.call.Record(delivery.NotDelivered)
 	t.logStart(w.log.Info(), "start_without_lease", attempt).
 		Msg("no lease can be given, as the backend server answers no renewal; the start is not sent")
 	w.giveUpStart(t, false)
 }
 
-// prepareRepeat reports whether to send the start again after a reply, and removes the cause of a rejection first.
-func (t *task) prepareRepeat(reply delivery.Reply, result StartResult) bool {
+// giveUpUnsettledStart gives up a start of which no try has settled what becomes of it.
+func (w *Worker) giveUpUnsettledStart(t *task) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if t.awaitsStart() {
+		w.giveUpStart(t, false)
+	}
+}
+
+// prepareRepeat reports whether to send the start again after a reply to a try of the run r, and removes the cause of a
+// rejection first.
+func (t *task) prepareRepeat(r Run, reply delivery.Reply, result StartResult) bool {
 	switch {
 	case reply == delivery.NoReply:
 		return true
-	case reply != delivery.Declined:
+	case reply != delivery.Declined || t.startCall.rejections >= maxRejections:
 		return false
 	}
 
@@ -137,12 +209,12 @@
 
 		return true
 	case Outdated:
-		if t.startCall.Claim() == delivery.MayRun {
-			// The run of an earlier try has ended; the list tells how.
+		if t.startCall.call.Claim() == delivery.MayRun {
+			// The run of another try may have ended; the list tells how.
 			return false
 		}
 
-		t.run.number++
+		t.run.number = r.number + 1
 
 		return true
 	case LeaseExpired:
@@ -155,7 +227,7 @@
 // giveUpStart ends a task whose start is not sent again: at once if it certainly did not run, otherwise when the backend
 // server has confirmed that it does not run any more.
 func (w *Worker) giveUpStart(t *task, unhealthy bool) {
-	neverRan := t.startCall.Claim() == delivery.NeverRan
+	neverRan := t.startCall.call.Claim() == delivery.NeverRan
 
 	if unhealthy || !neverRan {
 		w.stats.RecordResult(time.Now(), true, 0)
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
-	"github.com/skylarkweir/skylarkweir/weir/process/delivery"
+	"github.com/skylarkweir/skylarkweir/weir/process/answertime"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -49,8 +49,8 @@
 	launchedAt time.Duration
 	// startAnsweredAt is when the answer to the start was received, zero before.
 	startAnsweredAt time.Duration
-	// startCall is what is known of the tries of the start.
-	startCall delivery.Call
+	// startCall is the start of the task.
+	startCall startCall
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
 	stopping       bool
 	stopAnsweredAt time.Duration
@@ -129,11 +129,12 @@
 			}
 
 			t.startedAt = uptime.Now()
-			t.startCall.Send()
+			t.startCall.task = t
+			t.startCall.call.Send()
 			w.launchRates.add(t.startedAt, t.priority, t.size.Millicores())
 			t.incarnation.startRates.Record(t.kind, t.run.task.job, t.startedAt)
 
-			go t.runStart()
+			go t.startCall.run()
 		}
 	}
 
@@ -177,25 +178,35 @@
 
 	t.stopping = true
 
-	go t.runStop()
+	c := &stopCall{t}
+	go c.run()
 }
 
-func (t *task) runStop() {
-	for {
-		ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
-		err := t.worker.backend.Stop(ctx, t.run, t.incarnation.newPermit())
+// stopCall is the stop of a task. It is sent until the backend server confirms it.
+type stopCall struct{ task *task }
 
-		cancel()
+func (c *stopCall) run() { newHedge(c.task.incarnation, c).run() }
 
-		if t.worker.handleStopAnswer(t, err) {
-			return
-		}
+func (c *stopCall) try(int) bool {
+	t := c.task
 
-		select {
-		case <-time.After(checkInterval):
-		case <-t.incarnation.ctx.Done():
-			return
-		}
+	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
+	defer cancel()
+
+	sent := uptime.Now()
+	err := t.worker.backend.Stop(ctx, t.run, t.incarnation.newPermit())
+	t.incarnation.recordAnswerTime(sent, err)
+
+	return t.worker.handleStopAnswer(t, err)
+}
+
+// repeats pauses before the next try if the last one has failed at once.
+func (c *stopCall) repeats() bool {
+	select {
+	case <-time.After(answertime.MinLimit):
+		return true
+	case <-c.task.incarnation.ctx.Done():
+		return false
 	}
 }
 
@@ -215,7 +226,9 @@
 		return false
 	}
 
-	t.stopAnsweredAt = uptime.Now()
+	if t.stopAnsweredAt == 0 {
+		t.stopAnsweredAt = uptime.Now()
+	}
 
 	return true
 }
--- a/weir/process/delivery/call.go
+++ b/weir/process/delivery/call.go
@@ -28,28 +28,28 @@
 const (
 	// Unsent means that no try was sent.
 	Unsent State = iota
-	// Sent means that a try is on its way, and that none before it is unknown.
-	Sent
 	// Refused means that each try was declined or not delivered.
 	Refused
 	// Unknown means that a try got no reply, and none was confirmed.
 	Unknown
 	// Answered means that a try was confirmed.
 	Answered
+	// Sent means that the reply to a try is still to come, and that none before it is unknown or confirmed.
+	Sent
 
 	stateCount = iota
 )
 
-var stateNames = [stateCount]string{"unsent", "sent", "refused", "unknown", "answered"}
+var stateNames = [stateCount]string{"unsent", "refused", "unknown", "answered", "sent"}
 
 // String returns the name of the state in log lines.
 func (s State) String() string { return stateNames[s] }
 
-// afterReply has the next state for each state and reply. A try that may be carried out is never forgotten: only a
-// confirmation leaves the state Unknown, since a try that is declined or not delivered tells nothing of another one.
-var afterReply = [stateCount][replyCount]State{
+// afterReply has the state that follows from the replies so far and the next one. A try that may be carried out is never
+// forgotten: only a confirmation leaves the state Unknown, since a try that is declined or not delivered tells nothing of
+// another one.
+var afterReply = [...][replyCount]State{
 	Unsent:   {NoReply: Unknown, NotDelivered: Refused, Declined: Refused, Confirmed: Answered},
-	Sent:     {NoReply: Unknown, NotDelivered: Refused, Declined: Refused, Confirmed: Answered},
 	Refused:  {NoReply: Unknown, NotDelivered: Refused, Declined: Refused, Confirmed: Answered},
 	Unknown:  {NoReply: Unknown, NotDelivered: Unknown, Declined: Unknown, Confirmed: Answered},
 	Answered: {NoReply: Answered, NotDelivered: Answered, Declined: Answered, Confirmed: Answered},
@@ -78,21 +78,22 @@
 
 // Call is what is known of one call. The zero value is a call that was not sent.
 type Call struct {
-	state State
+	// state is what the replies so far say. inFlight is the number of tries whose reply is still to come.
+	state    State
+	inFlight int
 	// unanswered is the number of tries that got no reply.
 	unanswered int
 }
 
 // Send records that a try is sent.
 func (c *Call) Send() {
-	if c.state == Unsent || c.state == Refused {
-		c.state = Sent
-	}
+	c.inFlight++
 }
 
 // Record records the reply to a try.
 func (c *Call) Record(r Reply) {
 	c.state = afterReply[c.state][r]
+	c.inFlight = max(0, c.inFlight-1)
 
 	if r == NoReply {
 		c.unanswered++
@@ -100,10 +101,16 @@
 }
 
 // State returns what is known of all tries together.
-func (c *Call) State() State { return c.state }
+func (c *Call) State() State {
+	if c.inFlight > 0 && (c.state == Unsent || c.state == Refused) {
+		return Sent
+	}
+
+	return c.state
+}
 
 // Claim returns what may be told of the work that the call asks for.
-func (c *Call) Claim() Claim { return claims[c.state] }
+func (c *Call) Claim() Claim { return claims[c.State()] }
 
 // Unanswered returns the number of tries that got no reply.
 func (c *Call) Unanswered() int { return c.unanswered }
--- a/weir/process/retrybudget/budget.go
+++ b/weir/process/retrybudget/budget.go
@@ -18,19 +18,29 @@
 
 // Budget is a token bucket; a retry takes one token. The zero value is ready for use and starts with one token.
 type Budget struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// share is the part of a retry that each request adds, zero for retriesPerRequest.
+	share  float64
 	tokens float64
 	// lastRefill is when the tokens of minRetriesPerSecond were last added; it is zero before the first time.
 	lastRefill time.Time
 }
 
+// New returns a budget to which each request adds share retries.
+func New(share float64) *Budget { return &Budget{share: share} }
+
 // RecordRequest adds the share of a retry that a request allows.
 func (b *Budget) RecordRequest(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	b.refill(now)
-	b.tokens = min(b.tokens+retriesPerRequest, maxTokens)
+	share := b.share
+	if share == 0 {
+		share = retriesPerRequest
+	}
+
+	b.tokens = min(b.tokens+share, maxTokens)
 }
 
 // AllowRetry takes one token for a retry. It returns false if there is none, and the request must not be retried.
--- a/weir/process/retrybudget/budget_test.go
+++ b/weir/process/retrybudget/budget_test.go
@@ -28,6 +28,25 @@
 	is.True(retries >= 100 && retries <= 103)
 }
 
+// Guards against a budget whose share is not the one that it was made with.
+func TestShareOfABudgetIsItsOwn(t *testing.T) {
+	is := is.New(t)
+
+	b := retrybudget.New(2)
+
+	now, retries := time.Unix(100, 0), 0
+	for range 100 {
+		now = now.Add(time.Millisecond)
+		b.RecordRequest(now)
+
+		for b.AllowRetry(now) {
+			retries++
+		}
+	}
+
+	is.True(retries >= 200 && retries <= 202)
+}
+
 // Guards against an entry with few requests that can never retry, and against a budget that grows without bound while
 // idle.
 func TestMinimumRateAndBurst(t *testing.T) {
