Say in a test's failure whether the session has ended

Cause: TestLossByCrashIsReported failed once with "no frame within 20s" beside a linter and other tests (load 22); whether the sidecar did not report the loss or the session had ended was not in the message. Change: the fixture says so.

--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -199,7 +199,15 @@
 	case f := <-fx.frames:
 		return f
 	case <-time.After(waitTimeout):
-		fx.t.Fatalf("no frame within %s", waitTimeout)
+		ended := false
+
+		select {
+		case <-fx.entry.Done():
+			ended = true
+		default:
+		}
+
+		fx.t.Fatalf("no frame within %s; the session has ended: %v", waitTimeout, ended)
 
 		return nil
 	}
