--- a/sidecar/leasedbackend/client.go
+++ b/sidecar/leasedbackend/client.go
@@ -65,7 +65,13 @@
 		return repeatable.StartAnswer{}, err
 	}
 
-	answer := repeatable.NewStartAnswer(repeatable.ParseStartResult(s.Result), time.Duration(s.ClockMS)*time.Millisecond)
+	result, known := repeatable.ParseStartResult(s.Result)
+	if !known {
+		return repeatable.StartAnswer{}, merry.Errorf("%s: answer %.40q does not tell whether the run has started",
+			StartPath, s.Result)
+	}
+
+	answer := repeatable.NewStartAnswer(result, time.Duration(s.ClockMS)*time.Millisecond)
 
 	return answer.WithDetail(s.Result), nil
 }
@@ -86,6 +92,10 @@
 		return repeatable.WatchResult{}, err
 	}
 
+	if w.ClockMS == 0 {
+		return repeatable.WatchResult{}, merry.Errorf("%s: the response has no clock, so it is no list of runs", WatchPath)
+	}
+
 	clock := time.Duration(w.ClockMS) * time.Millisecond
 	if w.Fenced {
 		return repeatable.NewFencedWatchResult(clock), nil
