Do not refuse a caller whose job goes on for another caller

What callers saw: status 503, or "ran": "none", for a job that ran later. Cause: a job sent twice to one entry is one job with two callers. When the deadline of one of them passed before the first launch, that caller was told a refusal, which says that the job never runs, although the job went on for the other one. Evidence: TestJobThatGoesOnIsNotRefused failed on (Refused, then a launch). Change: such a caller is told that the job was interrupted, which leaves open what ran.

--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -256,13 +256,16 @@
 		return a.outcome
 	}
 
-	o := a.incompleteOutcome(reason, 0)
 	a.callers--
 
-	if a.callers == 0 {
-		a.end(o, reason)
+	if a.callers > 0 {
+		// The job may still start for the others, so this caller can't be told that it never runs.
+		return job.NewInterrupted(reason)
 	}
 
+	o := a.incompleteOutcome(reason, 0)
+	a.end(o, reason)
+
 	return o
 }
 
