Do not refuse a repeated job because of its own first try

Cause: the share of a member counted each request, so a repeat with the same key was a second job, and exceeded the share beside its own first try. Evidence: TestRepeatedJobIsNotRefusedBesideItsFirstTry failed on (429 in place of 200). Change: the usage counts a job once, under its key, until its last caller has left. Result: the test passes, three times with the race detector.

--- a/entry/caller/repeatable.go
+++ b/entry/caller/repeatable.go
@@ -140,12 +140,12 @@
 			fault.New(fault.NeverRunnable, "a task of kind %s may request at most %d cores", b.kind, k.MaxCores()), "cores"), "")
 	}
 
-	cores := b.cores * b.tasks
-	if !j.usage.reserve(member, cores, memberShare(state, member)) {
+	used := jobKey{member, key}
+	if !j.usage.reserve(used, b.cores*b.tasks, memberShare(state, member)) {
 		return Refuse(fault.New(fault.Overloaded,
 			"the active jobs of member %s leave too few cores of its share at this entry for this job", member), "")
 	}
-	defer j.usage.release(member, cores)
+	defer j.usage.release(used)
 
 	start := time.Now()
 	o := j.dispatcher.Submit(ctx, b.job(member+"/"+key, k))
--- a/entry/caller/usage.go
+++ b/entry/caller/usage.go
@@ -10,34 +10,58 @@
 type memberUsage struct {
 	mu    sync.Mutex
 	cores map[string]int
+	jobs  map[jobKey]*usedJob
 }
 
-// reserve adds a job unless it would exceed the share. A member without active jobs may always have one, so that a job
-// larger than the share is not refused forever.
-func (u *memberUsage) reserve(member string, cores, share int) bool {
+// jobKey names a job by its member and the key that the caller chose.
+type jobKey struct{ member, key string }
+
+// usedJob is an active job, which counts once however often it was sent.
+type usedJob struct{ cores, callers int }
+
+// reserve adds a caller of a job unless the job would exceed the share. A member without active jobs may always have one,
+// so that a job larger than the share is not refused forever. A job that is active already takes nothing more.
+func (u *memberUsage) reserve(k jobKey, cores, share int) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 
-	if used := u.cores[member]; used > 0 && used+cores > share {
+	if j := u.jobs[k]; j != nil {
+		j.callers++
+
+		return true
+	}
+
+	if used := u.cores[k.member]; used > 0 && used+cores > share {
 		return false
 	}
 
 	if u.cores == nil {
-		u.cores = map[string]int{}
+		u.cores, u.jobs = map[string]int{}, map[jobKey]*usedJob{}
 	}
 
-	u.cores[member] += cores
+	u.cores[k.member] += cores
+	u.jobs[k] = &usedJob{cores, 1}
 
 	return true
 }
 
-func (u *memberUsage) release(member string, cores int) {
+// release removes a caller of a job, and the job with its last caller.
+func (u *memberUsage) release(k jobKey) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 
-	u.cores[member] -= cores
-	if u.cores[member] == 0 {
-		delete(u.cores, member)
+	j := u.jobs[k]
+	j.callers--
+
+	if j.callers > 0 {
+		return
+	}
+
+	delete(u.jobs, k)
+
+	u.cores[k.member] -= j.cores
+	if u.cores[k.member] == 0 {
+		delete(u.cores, k.member)
 	}
 }
 
