Do not say that nothing of a submission ran before its home was asked

What callers saw: "ran": "none" for a ticket or key whose earlier try was accepted and ran, after which a new ticket counts as safe. Cause: a body that can't be read in time, is too large or can't be decoded (entries may differ in max_tasks and max_body) was refused before the submission was looked up, with the "none" of its kind; so was another member's ticket.

--- a/entry/caller/identity.go
+++ b/entry/caller/identity.go
@@ -62,6 +62,16 @@
 	return id, t, err
 }
 
+// withEarlierTries returns the refusal of a request that was not looked up at the home of its submission. With a ticket or
+// key it leaves open what ran, since any entry may have accepted an earlier try.
+func withEarlierTries(r *http.Request, err error) error {
+	if r.Header.Get(keyHeader) == "" {
+		return err
+	}
+
+	return fault.WithRan(err, fault.RanUnknown)
+}
+
 // withKeyField sets the field of an error to the key header if the request is invalid.
 func withKeyField(err error) error {
 	if err == nil || fault.KindOf(err) != fault.InvalidRequest {
--- a/entry/caller/issuer.go
+++ b/entry/caller/issuer.go
@@ -50,7 +50,9 @@
 	}
 
 	if t.Member() != member {
-		return ticket.Ticket{}, fault.New(fault.Forbidden, "the ticket belongs to another member")
+		// That member may have used it.
+		return ticket.Ticket{}, fault.WithRan(
+			fault.New(fault.Forbidden, "the ticket belongs to another member"), fault.RanUnknown)
 	}
 
 	if !time.Now().Before(t.Expiry()) {
--- a/entry/caller/local.go
+++ b/entry/caller/local.go
@@ -229,7 +229,8 @@
 	case Submit:
 		b, err := l.Decode(ctx, f.GetForm(), f.GetBody())
 		if err != nil {
-			return Refuse(err, f.GetSubmission()), true
+			// An earlier try with this ticket may have been accepted.
+			return Refuse(fault.WithRan(err, fault.RanUnknown), f.GetSubmission()), true
 		}
 
 		return l.Submit(ctx, f.GetSubmission(), t, b), true
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -116,12 +116,7 @@
 
 		member, err := s.authenticate(r)
 		if err != nil {
-			if r.Header.Get(keyHeader) != "" {
-				// Another entry may have accepted the same submission.
-				err = fault.WithRan(err, fault.RanUnknown)
-			}
-
-			s.write(w, name, Refuse(err, ""))
+			s.write(w, name, Refuse(withEarlierTries(r, err), ""))
 
 			return
 		}
@@ -249,12 +244,12 @@
 	return func(w http.ResponseWriter, r *http.Request, member string) Reply {
 		data, err := s.readBody(w, r)
 		if err != nil {
-			return Refuse(err, "")
+			return Refuse(withEarlierTries(r, err), "")
 		}
 
 		b, err := s.local.Decode(r.Context(), form, data)
 		if err != nil {
-			return Refuse(err, "")
+			return Refuse(withEarlierTries(r, err), "")
 		}
 
 		id, t, err := s.identify(r, member)
