Do not say that nothing ran of a key that is ahead of the entry's clock

What callers saw: invalid_request with "ran": "none" for a key that another entry, whose clock is ahead, had bound and run. Evidence: TestKeyAheadOfTheClockIsNotSettled failed on (none). Change: the refusal leaves open what ran. A key of another form still says none, since no entry binds it. Result: the test passes, and the other tests of the package.

--- a/entry/binding/binder.go
+++ b/entry/binding/binder.go
@@ -150,8 +150,10 @@
 
 	switch {
 	case at.After(now.Add(maxClockSkew)):
-		return fault.New(fault.InvalidRequest, "the time of the key is %s, which is more than %s after the time of the entry, %s",
-			at.UTC().Format(time.RFC3339Nano), maxClockSkew, now.UTC().Format(time.RFC3339Nano))
+		// An entry whose clock is ahead may have bound the key.
+		return fault.WithRan(fault.New(
+			fault.InvalidRequest, "the time of the key is %s, which is more than %s after the time of the entry, %s",
+			at.UTC().Format(time.RFC3339Nano), maxClockSkew, now.UTC().Format(time.RFC3339Nano)), fault.RanUnknown)
 	case at.Before(now.Add(-b.keyLifetime)):
 		return fault.New(fault.KeyExpired, "the time of the key is %s, which is more than %s ago",
 			at.UTC().Format(time.RFC3339Nano), b.keyLifetime)
--- a/entry/binding/binder_test.go
+++ b/entry/binding/binder_test.go
@@ -343,3 +343,20 @@
 	_, err = b.Bind(t.Context(), "m", keyAt(time.Now()))
 	is.Equal(fault.KindOf(err), fault.Leaving)
 }
+
+// Guards against a key that is refused as one of which nothing ran, though another entry, whose clock is ahead, may have
+// bound it.
+func TestKeyAheadOfTheClockIsNotSettled(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	c.appendFirstRecord(is)
+
+	for k, ran := range map[uuid.UUID]fault.Ran{
+		keyAt(time.Now().Add(time.Hour)): fault.RanUnknown,
+		uuid.New():                       fault.RanNone, // no entry binds a key of this form
+	} {
+		_, err := c.entries[0].binder.Bind(t.Context(), "m", k)
+		is.Equal(fault.KindOf(err), fault.InvalidRequest)
+		is.Equal(fault.RanOf(err), ran)
+	}
+}
