Do not take a start with an unknown answer for rejected

What callers would see: one task that runs twice, if the answer to a start has no "answer" or one that protocol.md does not name. Cause: an unknown name was read as "invalid", a rejection. Evidence: TestStartIsNotRejectedByAnUnclearAnswer failed on (two cases). Change: such a start counts as one without an answer, so it is repeated and then stopped. Result: the test passes.

--- a/sidecar/leasedbackend/client.go
+++ b/sidecar/leasedbackend/client.go
@@ -65,7 +65,12 @@
 		return repeatable.StartAnswer{}, err
 	}
 
-	answer := repeatable.NewStartAnswer(repeatable.ParseStartResult(s.Result), time.Duration(s.ClockMS)*time.Millisecond)
+	result := repeatable.ParseStartResult(s.Result)
+	if result.String() != s.Result {
+		return repeatable.StartAnswer{}, merry.Errorf("%s: answer %.40q says nothing of the outcome", StartPath, s.Result)
+	}
+
+	answer := repeatable.NewStartAnswer(result, time.Duration(s.ClockMS)*time.Millisecond)
 
 	return answer.WithDetail(s.Result), nil
 }
