Take a listed run for started, and follow slower answers sooner

What callers saw: with lost answers, quick jobs missed their objective by some 40 ms for each lost try, and a run whose start was carried out was started again and again until an answer came. Cause: the measured limit was 38 ms in place of about 15 (99 of 100 answers, among them the first on new connections); a list of runs that was lost cost 90 ms; a run in the list did not count as the answer to its start. Change: the limit follows 95 of 100 answers, and three late answers in a row raise it at once; lists are read every 30 ms while answers are lost; a listed run counts as started. Evidence: TestListedRunNeedsNoFurtherTry fails without it.

--- a/sidecar/repeatable/hedge_test.go
+++ b/sidecar/repeatable/hedge_test.go
@@ -20,6 +20,9 @@
 // measuredJobs is how many jobs are run so that the times of answers are known.
 const measuredJobs = 30
 
+// maxTriesOfAListedRun is far below the tries in the 2 s that the task runs, and above those until a list is read.
+const maxTriesOfAListedRun = 20
+
 // lossyBackend passes the starts of the job "lossy" to a function of the test, with the number of the try from 1 on.
 type lossyBackend struct {
 	*leasedbackend.Server
@@ -143,3 +146,22 @@
 
 	is.True(b.tries.Load() <= maxTries)
 }
+
+// Guards against tries of a start that go on although the list of runs shows that the task runs.
+func TestListedRunNeedsNoFurtherTry(t *testing.T) {
+	is := is.New(t)
+	b := &lossyBackend{Server: leasedbackend.New("i-1")}
+	b.start = func(
+		ctx context.Context, _ int64, carryOut func() (repeatable.StartAnswer, error),
+	) (repeatable.StartAnswer, error) {
+		_, err := carryOut()
+		<-ctx.Done()
+
+		return repeatable.StartAnswer{}, errors.Join(err, ctx.Err())
+	}
+	fx := newLossyFixture(t, b)
+
+	fx.start(wire.Launch_builder{Job: measuredJobs + 1, Name: "lossy", Input: "2s", ExpectedMs: 2000}, 1)
+	is.Equal(fx.nextResult(), wire.Result_RESULT_DONE)
+	is.True(b.tries.Load() < maxTriesOfAListedRun)
+}
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -19,7 +19,7 @@
 	unreadyWatchWait = 50 * time.Millisecond
 	// lossyWatchWait is how long a call waits for the end of a run while answers are lost, since the end is known only with
 	// the next call if its answer is lost.
-	lossyWatchWait = 50 * time.Millisecond
+	lossyWatchWait = 30 * time.Millisecond
 	// lossMemory is how long after a lost answer more of them are expected.
 	lossMemory = time.Second
 	// retryDelay is the pause after a call without an answer.
@@ -344,11 +344,20 @@
 	for _, r := range result.running {
 		present[r] = true
 
-		if t := w.tasks[r.task]; t == nil || t.run.number != r.number {
+		t := w.tasks[r.task]
+		if t == nil || t.run.number != r.number {
 			orphanedRuns++
 
 			o := &orphanedRunStop{i, r}
 			go o.run()
+
+			continue
+		}
+
+		if t.startAnsweredAt == 0 {
+			// The answer to the start was lost, or is on its way.
+			t.startAnsweredAt = uptime.Now()
+			t.startCall.call.Confirm()
 		}
 	}
 
--- a/weir/process/answertime/limit.go
+++ b/weir/process/answertime/limit.go
@@ -18,11 +18,13 @@
 const (
 	// quantile is the part of the answers, in percent, that arrive within the measured time. marginFactor times that time
 	// is waited, so that a server that becomes somewhat slower is not called twice as often.
-	quantile     = 99
+	quantile     = 95
 	marginFactor = 2
 	// windowAnswers is the number of answers after which a window of the histogram ends; windowCount windows count.
 	windowAnswers = 50
 	windowCount   = 4
+	// lateAnswers is the number of answers in a row above the limit after which the server counts as slower.
+	lateAnswers = 3
 	// minAnswers is the number of answers below which nothing is measured.
 	minAnswers = 20
 	// unit is the resolution of the histogram, significantDigits the precision of its values.
@@ -38,6 +40,9 @@
 	times *hdrhistogram.WindowedHistogram
 	// count is the number of answers in the current window, total their number since the start.
 	count, total int
+	// late is the number of answers above the limit since the last one below it, quickestLate the shortest of them.
+	late         int
+	quickestLate time.Duration
 	// current is the limit that follows from the answers up to the last window, zero before minAnswers answers.
 	current time.Duration
 }
@@ -57,16 +62,38 @@
 	l.count++
 	l.total++
 
-	if l.total == minAnswers || l.count == windowAnswers || took > l.current {
+	if l.total == minAnswers || l.count == windowAnswers {
 		l.measure()
 	}
 
+	l.recordLate(took)
+
 	if l.count == windowAnswers {
 		l.count = 0
 		l.times.Rotate()
 	}
 }
 
+// recordLate raises the limit after some late answers in a row, before the histogram shows that the server is slower.
+func (l *Limit) recordLate(took time.Duration) {
+	if l.current == 0 || took <= l.current {
+		l.late = 0
+
+		return
+	}
+
+	if l.late == 0 || took < l.quickestLate {
+		l.quickestLate = took
+	}
+
+	l.late++
+
+	if l.late >= lateAnswers {
+		l.current = min(marginFactor*l.quickestLate, MaxLimit)
+		l.late = 0
+	}
+}
+
 func (l *Limit) measure() {
 	if l.total < minAnswers {
 		return
--- a/weir/process/delivery/call.go
+++ b/weir/process/delivery/call.go
@@ -100,6 +100,9 @@
 	}
 }
 
+// Confirm records that the call is known to be carried out, other than by a reply.
+func (c *Call) Confirm() { c.state = Answered }
+
 // State returns what is known of all tries together.
 func (c *Call) State() State {
 	if c.inFlight > 0 && (c.state == Unsent || c.state == Refused) {
