Let the lease end if the stop of an abandoned task gets no answer

What callers would see: one task that runs twice at the same time, when a sidecar loses its entry (or a caller leaves and sends its job again) while the backend server neither carries out nor answers the stops, but answers the lists. Cause: the bounds after a loss (MaxRunAfterLoss, the 1300 ms of a caller) count on the stop or on the end of the lease; the sidecar repeated the stop and renewed the lease all the while, so that neither came. The elapsed time was taken for the answer to the stop. Change: from the loss of its entry or the end of its job on, a task is abandoned; until the stop of such a task is answered, or its end is listed, calls carry the last end of a lease that was sent and no later one. Price: if stops stay unanswered for 600 ms, the other tasks there end too and are placed again.

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -63,6 +63,8 @@
 	mu sync.Mutex
 	// token is the fencing token. It is raised by tokenStep when it is too low.
 	token, tokenStep int64
+	// leaseEnd is the highest end of a lease that was sent, on the backend server's clock.
+	leaseEnd time.Duration
 }
 
 func newIncarnation(ctx context.Context, w *Worker, a Announcement) *incarnation {
@@ -81,25 +83,34 @@
 	return i
 }
 
-// newPermit returns a permit for a call, which renews the lease unless the backend server is unresponsive. It does not
-// while runs of an earlier sidecar are left, so that they end in time although stops are not carried out.
+// newPermit returns a permit for a call, which renews the lease unless the backend server is unresponsive or a run there
+// has to end in time although its stop may not be carried out.
 func (i *incarnation) newPermit() Permit {
-	leaseEnd := time.Duration(0)
-	if i.isReady() {
-		leaseEnd = i.lease.Renew(uptime.Now())
-	}
+	ready, abandoned := i.openRuns()
 
 	i.mu.Lock()
 	defer i.mu.Unlock()
 
+	switch {
+	case !ready:
+		return NewPermit(i.instance, i.token, 0)
+	case abandoned:
+		return NewPermit(i.instance, i.token, i.leaseEnd)
+	}
+
+	leaseEnd := i.lease.Renew(uptime.Now())
+	i.leaseEnd = max(i.leaseEnd, leaseEnd)
+
 	return NewPermit(i.instance, i.token, leaseEnd)
 }
 
-func (i *incarnation) isReady() bool {
+// openRuns reports whether no run of an earlier sidecar is left, and whether the stop of an abandoned task has not been
+// answered.
+func (i *incarnation) openRuns() (ready, abandoned bool) {
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready
+	return i.ready, i.worker.awaitsStop(i)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -85,7 +85,7 @@
 
 	for _, t := range w.tasks {
 		if t.key.Session() == s.number {
-			w.stop(t)
+			w.abandon(t)
 
 			stopped++
 		}
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -54,6 +54,9 @@
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
 	stopping       bool
 	stopAnsweredAt time.Duration
+	// abandoned is true once nobody waits for the end of the task: its entry was lost or has ended the job. The job may be
+	// started elsewhere after a time in which the task has to end, whether its stop is answered or not.
+	abandoned bool
 	// stopOutcome is the outcome that is reported for a stopped task that did not complete.
 	stopOutcome Outcome
 	// onEnd is called when it is certain that the task does not run.
@@ -182,6 +185,23 @@
 	go c.run()
 }
 
+// abandon stops a task for whose end nobody waits.
+func (w *Worker) abandon(t *task) {
+	t.abandoned = true
+	w.stop(t)
+}
+
+// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered. The caller holds mu.
+func (w *Worker) awaitsStop(i *incarnation) bool {
+	for _, t := range w.tasks {
+		if t.incarnation == i && t.abandoned && t.stopAnsweredAt == 0 {
+			return true
+		}
+	}
+
+	return false
+}
+
 // stopCall is the stop of a task. It is sent until the backend server confirms it.
 type stopCall struct{ task *task }
 
@@ -309,7 +329,7 @@
 
 	for _, t := range w.tasks {
 		if t.key == key && (all || slices.Contains(m.GetIndices(), t.run.task.index)) {
-			w.stop(t)
+			w.abandon(t)
 		}
 	}
 }
--- a/standin/leasedbackend/fault.go
+++ b/standin/leasedbackend/fault.go
@@ -21,6 +21,8 @@
 	FaultUnhealthy
 	// FaultNotListening refuses connections and breaks the calls that wait. Tasks run on.
 	FaultNotListening
+	// FaultNoStop neither carries out stops nor answers them.
+	FaultNoStop
 )
 
 // SetFault sets how calls are answered from now on.
--- a/standin/leasedbackend/server.go
+++ b/standin/leasedbackend/server.go
@@ -265,6 +265,14 @@
 		return err
 	}
 
+	if s.fault == FaultNoStop {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+
+		return ctx.Err()
+	}
+
 	s.highestRun[r.Task()] = max(s.highestRun[r.Task()], r.Number())
 
 	if current := s.running[r.Task()]; current != nil && current.run.Number() <= r.Number() {
