Probe a suspected kind in the zone before it is confined

What callers saw: with three tenths of the quick jobs deadly, jobs of other kinds were refused.

While a kind was suspected it preferred the zone, but one of the two servers there had crashed, the other was full, and the rest of its jobs crashed servers everywhere, up to seven of eleven within 0.8 s.

Change: from the second crash on, a suspected kind may use the zone only for 600 ms after each crash of which it is the likeliest cause. A zone of which no server is left is replaced until the kind is confined. The evidence and its bounds are unchanged.

--- a/entry/repeatable/quarantine.go
+++ b/entry/repeatable/quarantine.go
@@ -99,6 +99,8 @@
 		return
 	}
 
+	d.updateZones(uptime.Now())
+
 	for _, a := range d.activeJobs {
 		for number := range a.requested {
 			if s := d.sidecars[number]; s != nil && d.access(a.job, s) == quarantine.Forbidden {
@@ -109,16 +111,39 @@
 	}
 }
 
-// zoneMemory is how long a backend server that accepts no tasks counts as a member of its service. One that has crashed is
-// expected back; another one replaces it in the zone if it stays away.
-const zoneMemory = 10 * time.Second
+const (
+	// zoneMemory is how long a backend server that accepts no tasks counts as a member of its service. One that has crashed
+	// is expected back; another one replaces it in the zone if it stays away.
+	zoneMemory = 10 * time.Second
+	// crashReportDelay is the time from the report that a backend server is closed to the one of its crash, which is judged
+	// by the zone to which the server belonged.
+	crashReportDelay = 50 * time.Millisecond
+)
 
 // updateZones chooses the zone of each service among the connected sidecars.
 func (d *Dispatcher) updateZones(now time.Duration) {
+	d.setZones(now, zoneMemory, func(string) bool { return true })
+
+	open := map[string]bool{}
+
+	for _, s := range d.sidecars {
+		if s.inZone && s.closedFor(now) < crashReportDelay {
+			open[s.service] = true
+		}
+	}
+
+	d.setZones(now, crashReportDelay, func(service string) bool {
+		return !open[service] && d.quarantine.ReplacesZone(service)
+	})
+}
+
+// setZones sets the zone of each service that is to be changed, among the sidecars that have been closed for less than a
+// time.
+func (d *Dispatcher) setZones(now, memory time.Duration, changes func(service string) bool) {
 	names := map[string][]string{}
 
 	for _, s := range d.sidecars {
-		if s.closedSince == 0 || now-s.closedSince < zoneMemory {
+		if s.closedFor(now) < memory {
 			names[s.service] = append(names[s.service], s.name)
 		}
 	}
@@ -129,7 +154,9 @@
 	}
 
 	for _, s := range d.sidecars {
-		s.inZone = zones[s.service][s.name]
+		if changes(s.service) {
+			s.inZone = zones[s.service][s.name]
+		}
 	}
 }
 
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// closedFor returns how long no tasks have been accepted, zero while they are.
+func (s *sidecar) closedFor(now time.Duration) time.Duration {
+	if s.closedSince == 0 {
+		return 0
+	}
+
+	return now - s.closedSince
+}
+
 func (s *sidecar) send(f *wire.Frame) { s.Send(f) }
 
 // canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service
--- a/standin/emulator/crash.go
+++ b/standin/emulator/crash.go
@@ -18,31 +18,24 @@
 	lossDelay = 680 * time.Millisecond
 	// closeDelay is the time from a crash until the sidecar accepts no more tasks.
 	closeDelay = 2 * time.Millisecond
+	// crashReportDelay is the time in which a closed backend server is reported as crashed.
+	crashReportDelay = 50 * time.Millisecond
 	// advanceInterval is how often entries pass the time to the tracker of crashes.
 	advanceInterval = 100 * time.Millisecond
 	// maxCrashes is the number of crashes under a task after which its job fails.
 	maxCrashes = 2
 )
 
-// chooseZone chooses the zone of the backend servers, and passes the time to the trackers of the entries.
-func (sm *simulation) chooseZone() {
-	names := make([]string, 0, len(sm.servers))
-	for _, s := range sm.servers {
-		names = append(names, s.name)
-	}
-
-	sm.zone = quarantine.Zone(names)
-	sm.schedule(0, sm.advanceTrackers)
-}
-
+// advanceTrackers passes the time to the trackers of the entries.
 func (sm *simulation) advanceTrackers() {
-	usable := false
+	for _, e := range sm.entries {
+		sm.chooseZone(e)
 
-	for _, s := range sm.servers {
-		usable = usable || (s.accepting && sm.zone[s.name])
-	}
+		usable := false
+		for _, s := range sm.servers {
+			usable = usable || (s.accepting && e.zone[s.name])
+		}
 
-	for _, e := range sm.entries {
 		e.quarantine.Advance(sm.now, func(string) bool { return usable })
 	}
 
@@ -51,11 +44,33 @@
 	}
 }
 
+// chooseZone chooses the zone of the backend servers that an entry knows, as a dispatcher does. Crashed ones are expected
+// back.
+func (sm *simulation) chooseZone(e *entry) {
+	all := make([]string, 0, len(sm.servers))
+	open := make([]string, 0, len(sm.servers))
+
+	for n, s := range sm.servers {
+		all = append(all, s.name)
+
+		if r := e.reports[n]; !r.closed || sm.now-r.closedSince < crashReportDelay {
+			open = append(open, s.name)
+		}
+	}
+
+	e.zone = quarantine.Zone(all)
+
+	inZone := func(name string) bool { return e.zone[name] }
+	if e.quarantine.ReplacesZone(service) && !slices.ContainsFunc(open, inZone) {
+		e.zone = quarantine.Zone(open)
+	}
+}
+
 // access returns how a job may use a backend server, as far as its entry knows.
 func (sm *simulation) access(j *activeJob, n int) quarantine.Access {
-	policy := j.job.Policy()
+	policy, e := j.job.Policy(), sm.entries[j.entry]
 
-	return sm.entries[j.entry].quarantine.Access(policy.Service(), policy.Kind(), sm.zone[sm.servers[n].name])
+	return e.quarantine.Access(policy.Service(), policy.Kind(), e.zone[sm.servers[n].name])
 }
 
 // crash ends the process of a backend server, unless it has crashed since its life with the given number.
@@ -76,7 +91,7 @@
 // closeServer tells the entries that a backend server accepts no tasks and has dropped all requests.
 func (sm *simulation) closeServer(n int) {
 	s := sm.servers[n]
-	s.accepting = false
+	s.accepting, s.closedSince = false, sm.now
 	s.pool.Clear()
 	sm.sendReport(n)
 
@@ -85,7 +100,9 @@
 	sm.scheduleAfter(sm.load.messageDelay, func() {
 		if _, unconfined := sm.rule.(Unconfined); !unconfined {
 			for _, e := range sm.entries {
-				e.quarantine.RecordCrash("service", exposures, sm.zone[s.name], sm.now)
+				sm.chooseZone(e)
+				e.quarantine.RecordCrash(service, exposures, e.zone[s.name], sm.now)
+				sm.chooseZone(e)
 			}
 		}
 
--- a/standin/emulator/load.go
+++ b/standin/emulator/load.go
@@ -44,6 +44,8 @@
 	defaultReportInterval = 50 * time.Millisecond
 	// taskRunTimeDeviation is the deviation of the run times within a job, in proportion.
 	taskRunTimeDeviation = 0.15
+	// service is the service of all jobs.
+	service = "service"
 	// jobTimeout is how long callers wait for a job.
 	jobTimeout = 3 * time.Second
 )
@@ -229,7 +231,7 @@
 		runTimes[i] = time.Duration(logNormal(meanRunTime, taskRunTimeDeviation))
 	}
 
-	policy := job.NewPolicy(k.name, "service", k.priority, 1, 1.6, l.target)
+	policy := job.NewPolicy(k.name, service, k.priority, 1, 1.6, l.target)
 	size := job.NewSize(int64(logNormal(l.taskMillicores, taskSizeDeviation)), 64)
 
 	return arrival{arrivedAt: at, kind: n, job: job.New(
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -34,8 +34,6 @@
 	jobs      []*activeJob
 	// usage holds the used part of the fleet's CPU at each report.
 	usage []UsageSample
-	// zone holds the names of the backend servers to which kinds that crash others are confined.
-	zone map[string]bool
 }
 
 type server struct {
@@ -43,10 +41,11 @@
 	pool     reservation.Pool
 	slowness float64
 	capacity job.Size
-	// accepting is false from the time at which the sidecar notices a crash until the backend server is back. life counts
+	// accepting is false from closedSince, when the sidecar notices a crash, until the backend server is back. life counts
 	// the crashes.
-	accepting bool
-	life      int
+	accepting   bool
+	closedSince time.Duration
+	life        int
 	// launchedTasks holds launched tasks that wait for free capacity; running holds the started ones; runningCPU is in
 	// millicores by priority.
 	launchedTasks []*task
@@ -68,7 +67,9 @@
 
 // report is the state of a backend server as an entry has recorded it. CPU figures are in millicores.
 type report struct {
-	closed                 bool
+	closed bool
+	// closedSince is the time since which no tasks are accepted, if closed is true.
+	closedSince            time.Duration
 	freeCPU                int64
 	queuedCPU              []int64
 	runningCPU, launchRate [reservation.PriorityCount]int64
@@ -84,6 +85,8 @@
 	releaseRate admission.ReleaseRateEstimator
 	// quarantine records no crashes if the rule is Unconfined.
 	quarantine quarantine.Tracker
+	// zone holds the names of the backend servers to which kinds that crash others are confined.
+	zone map[string]bool
 }
 
 type activeJob struct {
@@ -131,7 +134,7 @@
 	}
 
 	sm.connect()
-	sm.chooseZone()
+	sm.advanceTrackers()
 
 	for _, a := range l.draw(seed) {
 		sm.schedule(a.arrivedAt, func() { sm.arrive(a) })
@@ -193,7 +196,7 @@
 // sendReport sends a report from a sidecar to every entry.
 func (sm *simulation) sendReport(n int) {
 	s := sm.servers[n]
-	r := report{!s.accepting, s.pool.Free().Millicores(), s.pool.QueuedCPU(), s.runningCPU, s.launchRate}
+	r := report{!s.accepting, s.closedSince, s.pool.Free().Millicores(), s.pool.QueuedCPU(), s.runningCPU, s.launchRate}
 
 	sm.scheduleAfter(sm.load.messageDelay, func() {
 		for _, e := range sm.entries {
--- a/weir/process/quarantine/quarantine_test.go
+++ b/weir/process/quarantine/quarantine_test.go
@@ -52,6 +52,48 @@
 	is.Equal(tracker.Access("another service", other, true), quarantine.Allowed)
 }
 
+// Guards against a suspected kind that crashes further servers of the other kinds while the evidence is collected, and
+// against one that stays restricted after its probe.
+func TestSuspectedKindIsProbed(t *testing.T) {
+	is := is.New(t)
+
+	var tracker quarantine.Tracker
+
+	crash(&tracker, 1000*ms, false, young(deadly), old(other))
+	is.Equal(tracker.Access(service, deadly, false), quarantine.LastResort) // one crash may be a coincidence
+
+	crash(&tracker, 1200*ms, false, young(deadly), old(other))
+	is.Equal(tracker.Level(deadly), quarantine.Probed)
+	is.Equal(tracker.Access(service, deadly, false), quarantine.Forbidden)
+	is.Equal(tracker.Access(service, deadly, true), quarantine.Allowed)
+	is.Equal(tracker.Access(service, other, true), quarantine.LastResort)
+	is.Equal(tracker.Access(service, other, false), quarantine.Allowed)
+
+	is.Equal(len(tracker.Advance(1700*ms, usable)), 0)
+	changes := tracker.Advance(1800*ms, func(string) bool { return false })
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Level(), quarantine.Suspected)
+	is.Equal(tracker.Access(service, deadly, false), quarantine.LastResort)
+}
+
+// Guards against a probe without a server, as those of the zone have crashed, and against a confined kind whose zone goes
+// through all servers.
+func TestZoneIsReplacedUntilAKindIsConfined(t *testing.T) {
+	is := is.New(t)
+
+	var tracker quarantine.Tracker
+
+	is.True(!tracker.ReplacesZone(service))
+	crash(&tracker, 1000*ms, true, young(deadly))
+	is.True(tracker.ReplacesZone(service))
+	is.True(!tracker.ReplacesZone("another service"))
+	crash(&tracker, 1200*ms, true, young(deadly))
+	is.True(tracker.ReplacesZone(service))
+	crash(&tracker, 1400*ms, true, young(deadly))
+	is.Equal(tracker.Level(deadly), quarantine.Confined)
+	is.True(!tracker.ReplacesZone(service))
+}
+
 // Guards against confining a kind because many servers crash at once, as with a rack that loses power.
 func TestManyCrashesAtOnceConfineNoKind(t *testing.T) {
 	is := is.New(t)
--- a/weir/process/quarantine/tracker.go
+++ b/weir/process/quarantine/tracker.go
@@ -9,8 +9,12 @@
 //
 //   - A suspected kind prefers the zone, and other kinds avoid it, as long as there is capacity elsewhere. If the
 //     suspicion is wrong, this costs little.
+//   - From the second crash on, a suspected kind is probed for a short time after each crash for which it is the
+//     likeliest cause: it may use the zone only. Where many of its jobs are deadly, the crashes that make up the evidence
+//     come within a second, and each one outside the zone takes a server from the other kinds. Until a kind is confined,
+//     other servers replace a zone that has crashed, so that there is one to probe.
 //   - A confined kind may use the zone only, and other kinds may not use it.
-//   - Both end after some time without a crash under the kind in which the zone was usable.
+//   - Suspicion and confinement end after some time without a crash under the kind in which the zone was usable.
 //
 // All processes choose the same zone without messages. The package does no input or output; the caller passes the time
 // in.
@@ -28,7 +32,7 @@
 	// of a probability.
 	minSuspected = 2.5
 	minConfined  = 8.0
-	// minCrashes is the number of crashes without which no kind is confined. One may be a coincidence.
+	// minCrashes is the number of crashes without which no kind is probed or confined. One may be a coincidence.
 	minCrashes = 2
 	// maxCrashes is the number of crashes that are judged together.
 	maxCrashes = 6
@@ -41,6 +45,8 @@
 	// suspicionTime and confinementTime are the times without a crash after which a suspicion and a confinement end.
 	suspicionTime   = 3 * time.Second
 	confinementTime = 5 * time.Second
+	// probeTime is how long a suspected kind may use the zone only after a crash for which it is the likeliest cause.
+	probeTime = 600 * time.Millisecond
 )
 
 // Level is how far a kind is restricted.
@@ -51,11 +57,13 @@
 	Unrestricted Level = iota
 	// Suspected means that the kind prefers the zone.
 	Suspected
-	// Confined means that the kind may use the zone only.
+	// Probed means that the kind may use the zone only, for a short time.
+	Probed
+	// Confined means that the kind may use the zone only, and other kinds may not use it.
 	Confined
 )
 
-var levelNames = [...]string{"unrestricted", "suspected", "confined"}
+var levelNames = [...]string{"unrestricted", "suspected", "probed", "confined"}
 
 // String returns the name of the level in logs.
 func (l Level) String() string { return levelNames[l] }
@@ -139,6 +147,8 @@
 	crashes []float64
 	// calm is the time without a crash under the kind in which the zone was usable, up to calmUntil.
 	calm, calmUntil time.Duration
+	// probeEnd is the end of the probe after the last crash for which the kind was the likeliest cause.
+	probeEnd time.Duration
 }
 
 // Tracker holds the levels of all kinds. The zero value restricts none. It is not safe for concurrent use.
@@ -177,11 +187,13 @@
 			continue
 		}
 
-		if kind != likeliest {
+		if kind == likeliest {
+			r.probeEnd = now + probeTime
+		} else {
 			r.excuse()
 		}
 
-		if r.updateLevel() {
+		if r.updateLevel(now) {
 			changes = append(changes, Change{kind, r.level, r.evidence()})
 		}
 	}
@@ -256,12 +268,14 @@
 }
 
 // updateLevel sets the level by the evidence and reports whether it has changed. A confinement ends with time only.
-func (r *record) updateLevel() bool {
+func (r *record) updateLevel(now time.Duration) bool {
 	level := Unrestricted
 
 	switch evidence := r.evidence(); {
 	case r.level == Confined, evidence >= minConfined && len(r.crashes) >= minCrashes:
 		level = Confined
+	case evidence >= minSuspected && len(r.crashes) >= minCrashes && now < r.probeEnd:
+		level = Probed
 	case evidence >= minSuspected:
 		level = Suspected
 	}
@@ -281,6 +295,10 @@
 		passed := now - r.calmUntil
 		r.calmUntil = now
 
+		if r.level == Probed && r.updateLevel(now) {
+			changes = append(changes, Change{kind, r.level, r.evidence()})
+		}
+
 		if !usable(r.service) {
 			continue
 		}
@@ -327,7 +345,7 @@
 	level := t.Level(kind)
 
 	switch {
-	case level == Confined && !inZone:
+	case (level == Confined || level == Probed) && !inZone:
 		return Forbidden
 	case level == Suspected && !inZone:
 		return LastResort
@@ -338,13 +356,21 @@
 	switch t.highest(service) {
 	case Confined:
 		return Forbidden
-	case Suspected:
+	case Probed, Suspected:
 		return LastResort
 	default:
 		return Allowed
 	}
 }
 
+// ReplacesZone reports whether a zone of the service of which no server accepts tasks is replaced at once: a kind is
+// suspected and none is confined. The replacement of the zone of a confined kind would go through all servers.
+func (t *Tracker) ReplacesZone(service string) bool {
+	level := t.highest(service)
+
+	return level == Suspected || level == Probed
+}
+
 // highest returns the highest level of the kinds of a service.
 func (t *Tracker) highest(service string) Level {
 	highest := Unrestricted
