Show that a late start is fenced after a restart with the same id

A process that restarts under the id that it had starts its clock anew, so the end of a lease on the clock before does not reject a start that is carried out late. The fencing token of the new incarnation does, from its first call on.

--- a/sidecar/repeatable/late_call_test.go
+++ b/sidecar/repeatable/late_call_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,10 +11,14 @@
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 )
 
-// errStopUnanswered is returned by a stop that is neither carried out nor answered.
-var errStopUnanswered = errors.New("no answer to a stop")
+// errStopUnanswered and errStartLost are returned by calls that are neither carried out nor answered.
+var (
+	errStopUnanswered = errors.New("no answer to a stop")
+	errStartLost      = errors.New("no answer to a start")
+)
 
 // unstoppableBackend carries out no stop.
 type unstoppableBackend struct{ *leasedbackend.Server }
@@ -39,3 +44,99 @@
 	fx.await("the lease of the run ends", fx.hasRunning(0))
 	fx.awaitOpen(true)
 }
+
+// restartingBackend restarts with the same instance id when the first start arrives. carriesOut determines whether the new
+// process carries that start out and answers it; otherwise the start is lost. It carries out no stop.
+type restartingBackend struct {
+	unstoppableBackend
+
+	carriesOut bool
+
+	mu sync.Mutex
+	// run and permit are those of the first start, restarted is closed after it.
+	run       repeatable.Run
+	permit    repeatable.Permit
+	restarted chan struct{}
+	// isRestarting is true from the restart until the first start is answered; no list is delivered meanwhile.
+	isRestarting bool
+}
+
+func (b *restartingBackend) Start(
+	ctx context.Context, r repeatable.Run, input string, p repeatable.Permit,
+) (repeatable.StartAnswer, error) {
+	b.mu.Lock()
+	isFirst := b.permit.LeaseEnd() == 0
+
+	if isFirst {
+		b.run, b.permit, b.isRestarting = r, p, true
+		b.Crash()
+		b.Restart(p.Instance())
+	}
+
+	b.mu.Unlock()
+
+	if !isFirst {
+		return b.Server.Start(ctx, r, input, p)
+	}
+
+	defer b.finishRestart()
+
+	if b.carriesOut {
+		return b.Server.Start(ctx, r, input, p)
+	}
+
+	return repeatable.StartAnswer{}, errStartLost
+}
+
+func (b *restartingBackend) finishRestart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.isRestarting = false
+	close(b.restarted)
+}
+
+func (b *restartingBackend) Watch(
+	ctx context.Context, lastEnd uint64, wait time.Duration, p repeatable.Permit,
+) (repeatable.WatchResult, error) {
+	b.mu.Lock()
+	isRestarting := b.isRestarting
+	b.mu.Unlock()
+
+	if isRestarting {
+		<-b.restarted
+	}
+
+	return b.Server.Watch(ctx, lastEnd, wait, p)
+}
+
+// startAndRestart starts a task at a backend server that restarts, and announces the new process.
+func startAndRestart(t *testing.T, carriesOut bool) (*fixture, *restartingBackend) {
+	t.Helper()
+
+	b := &restartingBackend{
+		unstoppableBackend: unstoppableBackend{leasedbackend.New("i-1")}, carriesOut: carriesOut,
+		restarted: make(chan struct{}),
+	}
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 1)
+
+	return fx, b
+}
+
+// Guards against a start that was meant for the process before a restart with the same instance id and that is carried
+// out late: the new process has another clock, so that the lease does not reject it.
+func TestLateStartIsFencedAfterRestart(t *testing.T) {
+	is := is.New(t)
+	fx, b := startAndRestart(t, false)
+	<-b.restarted
+	fx.announce(1, false)
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	fx.awaitOpen(true)
+
+	answer, err := b.Server.Start(t.Context(), b.run, leasedbackend.Hang, b.permit)
+	is.NoErr(err)
+	is.Equal(answer.Result(), repeatable.Fenced)
+}
