Send overlapping tries in the model of starts

Since a start or stop is tried again while the tries before may still be answered. The model does the same: a try every 12 to 200 ms (drawn for each sidecar), for 500 ms and up to three rejections of a start; a stop until one is answered.

--- a/weir/process/lease/sidecar_model_test.go
+++ b/weir/process/lease/sidecar_model_test.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// maxStartAttempts is how often the sidecar sends a start at most, runNumberUnit the unit of its run numbers.
-	maxStartAttempts = 3
-	runNumberUnit    = 100 * time.Millisecond
-	// retryDelay is the time after which the sidecar repeats a call without an answer.
-	retryDelay = 50 * time.Millisecond
+	// maxRejections is the number of rejections after which the sidecar gives a start up, startPatience how long it sends it
+	// again, runNumberUnit the unit of its run numbers.
+	maxRejections = 3
+	startPatience = 500 * time.Millisecond
+	runNumberUnit = 100 * time.Millisecond
 )
 
 // sidecarModel is a sidecar with its backend server. What may be told of a start is decided by delivery.Call, how long
@@ -22,17 +22,22 @@
 
 	backend *backendModel
 	lease   lease.Lease
-	ready   bool
-	lastEnd int
+	// repeatAfter is how long after a try without an answer the next one is sent, while it may still be answered.
+	repeatAfter time.Duration
+	ready       bool
+	lastEnd     int
 	// task is the task if it is launched here, otherwise nil.
 	task *taskModel
 }
 
 // taskModel is the task at one sidecar.
 type taskModel struct {
-	run                             int64
-	call                            delivery.Call
-	lastReply                       delivery.Reply
+	run       int64
+	startedAt time.Duration
+	call      delivery.Call
+	lastReply delivery.Reply
+	// tries is the number of tries of the start, rejections that of the rejected ones.
+	tries, rejections               int
 	startAnsweredAt, stopAnsweredAt time.Duration
 	stopping                        bool
 }
@@ -57,21 +62,25 @@
 		return
 	}
 
-	t := &taskModel{run: int64(s.now / runNumberUnit)}
+	t := &taskModel{run: int64(s.now / runNumberUnit), startedAt: s.now}
 	s.task = t
 	s.lease.BeginWork(s.now)
-	t.call.Send()
-	s.sendStart(t, 0)
+	s.sendStart(t)
 
 	if s.draw("is stopped", 0, 3) == 0 {
 		s.after(drawTime(s.draw, "stopped after", 0, time.Second), func() { s.stop(t) })
 	}
 }
 
-func (s *sidecarModel) sendStart(t *taskModel, attempt int) {
-	if s.task != t {
-		return
-	}
+// awaitsStart reports whether the task has neither started nor ended, and is not to be stopped.
+func (s *sidecarModel) awaitsStart(t *taskModel) bool {
+	return s.task == t && t.startAnsweredAt == 0 && !t.stopping
+}
+
+// sendStart sends a try of the start.
+func (s *sidecarModel) sendStart(t *taskModel) {
+	t.tries++
+	t.call.Send()
 
 	leaseEnd := s.renew()
 	if leaseEnd == 0 {
@@ -81,7 +90,7 @@
 		return
 	}
 
-	fate, run := drawStartFate(s.draw), t.run
+	try, sent, run, fate := t.tries, s.now, t.run, drawStartFate(s.draw)
 	result := fate.rejection
 
 	s.call(fate, func() {
@@ -94,8 +103,27 @@
 			s.begin(s.backend)
 		}
 	}, func(answered bool) {
-		s.handleStartAnswer(t, startReply(fate, result, answered), result, attempt)
+		if answered && result == accepted {
+			s.lease.RecordAnswer(sent, s.now)
+		}
+
+		if s.handleStartAnswer(t, run, startReply(fate, result, answered), result) {
+			s.repeatStart(t, try)
+		}
 	})
+
+	s.after(s.repeatAfter, func() { s.repeatStart(t, try) })
+}
+
+// repeatStart sends another try after the last one, or gives the start up.
+func (s *sidecarModel) repeatStart(t *taskModel, try int) {
+	switch {
+	case t.tries != try || !s.awaitsStart(t):
+	case s.now-t.startedAt < startPatience:
+		s.sendStart(t)
+	default:
+		s.giveUpStart(t)
+	}
 }
 
 func startReply(fate callFate, result rejection, answered bool) delivery.Reply {
@@ -116,39 +144,42 @@
 	t.lastReply = r
 }
 
-func (s *sidecarModel) handleStartAnswer(t *taskModel, reply delivery.Reply, result rejection, attempt int) {
+// handleStartAnswer handles the answer to a try of the start of a run, and reports whether to send the start again.
+func (s *sidecarModel) handleStartAnswer(t *taskModel, run int64, reply delivery.Reply, result rejection) bool {
 	if s.task != t {
-		return
+		return false
 	}
 
 	s.record(t, reply)
 
-	if reply == delivery.Confirmed {
+	if reply == delivery.Confirmed && t.startAnsweredAt == 0 {
 		t.startAnsweredAt = s.now
-
-		return
 	}
 
 	if reply == delivery.NotDelivered {
 		s.lease.Suspend()
 	}
 
-	if attempt+1 < maxStartAttempts && !t.stopping && s.prepareRepeat(t, reply, result) {
-		t.call.Send()
-		s.sendStart(t, attempt+1)
+	switch {
+	case t.startAnsweredAt > 0:
+		return false
+	case !t.stopping && s.prepareRepeat(t, run, reply, result):
+		return true
+	default:
+		s.giveUpStart(t)
 
-		return
+		return false
 	}
-
-	s.giveUpStart(t)
 }
 
-func (s *sidecarModel) prepareRepeat(t *taskModel, reply delivery.Reply, result rejection) bool {
+func (s *sidecarModel) prepareRepeat(t *taskModel, run int64, reply delivery.Reply, result rejection) bool {
 	if reply == delivery.NoReply {
 		return true
 	}
 
-	if reply != delivery.Declined {
+	t.rejections++
+
+	if reply != delivery.Declined || t.rejections >= maxRejections {
 		return false
 	}
 
@@ -160,7 +191,7 @@
 			return false
 		}
 
-		t.run++
+		t.run = run + 1
 
 		return true
 	default:
@@ -191,24 +222,22 @@
 	}
 }
 
-// sendStop sends a stop until it is answered.
+// sendStop sends a stop until one is answered.
 func (s *sidecarModel) sendStop(t *taskModel) {
 	const sound = 4
 
-	if s.task != t {
+	if s.task != t || t.stopAnsweredAt > 0 {
 		return
 	}
 
 	run := t.run
 	s.call(drawFate(s.draw, "stop", sound), func() { s.backend.stop(s.now, run) }, func(answered bool) {
-		if answered {
+		if answered && t.stopAnsweredAt == 0 {
 			t.stopAnsweredAt = s.now
-
-			return
 		}
-
-		s.after(retryDelay, func() { s.sendStop(t) })
 	})
+
+	s.after(s.repeatAfter, func() { s.sendStop(t) })
 }
 
 func (s *sidecarModel) renew() time.Duration {
--- a/weir/process/lease/start_model_test.go
+++ b/weir/process/lease/start_model_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/process/answertime"
 )
 
 const (
@@ -50,7 +52,10 @@
 
 	for n := range m.sidecars {
 		rate := float64(draw("clock rate", 980, 1000)) / 1000
-		s := &sidecarModel{startModel: m, backend: &backendModel{rate: rate}}
+		s := &sidecarModel{
+			startModel: m, backend: &backendModel{rate: rate},
+			repeatAfter: drawTime(draw, "repeat after", answertime.MinLimit, answertime.MaxLimit),
+		}
 		m.sidecars[n] = s
 
 		s.lease.RecordAnswer(m.now, m.now)
