Let a row of the lists of runs that can't be read cost only itself

Here: one row of the running or ended runs that can't be read (another type, a number too large, another task name, nested too deep) failed the whole answer. The row of an ended run is listed until it is acknowledged, so each later answer failed too: the lease lapsed, all tasks of the backend server were reported as lost and it was out of use for good.

Change: each row is parsed by itself; package nesting replaces values that are nested too deep by null. What the rows that can't be read mean:

- Running: the run may be that of any task, or of the one that the row names.
So the absence of a task's run from such a list proves nothing and the task is not reported as lost: it would be placed again beside its run.
A row that was listed before the task was started can't be its run and holds up nothing.
Before tasks are accepted such a run can't be named in a stop; its lease is not renewed before then, so that a row that stays for longer is known to run nothing.
- Ended with a number: it is acknowledged.
Its task is reported as lost, when neither list has its run any more: the run has ended, so a second one doesn't overlap.
Not acknowledged, it would be listed for ever, each call would return at once, and 500 of them would hide all other ends.
- Ended without a number (also one beyond 2^53, whose acknowledgement would forget all later ends): not acknowledged; its outcome counts if it can be read, a later end acknowledges it, and calls pause for 50 ms meanwhile.

Each row is logged once (run_unreadable). A task name of another occurrence or step no longer counts as a task of this system.

TestWatch expected an error for such rows, so that none is skipped unnoticed; TestWatchReportsUnreadableRows replaces that part: each such row has to be returned as unreadable, beside the rows that can be read.

--- a/sidecar/repeatable/backend.go
+++ b/sidecar/repeatable/backend.go
@@ -168,7 +168,7 @@
 
 // EndedRun is a run that the backend server lists as ended until the sidecar acknowledges it.
 type EndedRun struct {
-	// number increases with each run that ends in an incarnation.
+	// number increases with each run that ends in an incarnation; it is zero if it can't be read.
 	number  uint64
 	run     Run
 	outcome Outcome
@@ -193,6 +193,9 @@
 	running     []Run
 	ended       []EndedRun
 	fenced      bool
+	// unreadableRuns and unreadableEnds are the rows of the two lists that can't be read.
+	unreadableRuns []UnreadableRun
+	unreadableEnds []UnreadableEnd
 }
 
 // NewWatchResult returns a result with the backend server's clock, the start of its incarnation in Unix milliseconds
@@ -201,6 +204,24 @@
 	return WatchResult{clock: clock, startedAtMS: startedAtMS, running: running, ended: ended}
 }
 
+// WithUnreadable returns the result with the rows of the two lists that can't be read.
+func (r WatchResult) WithUnreadable(runs []UnreadableRun, ends []UnreadableEnd) WatchResult {
+	r.unreadableRuns, r.unreadableEnds = runs, ends
+
+	return r
+}
+
+// UnreadableRuns returns the rows of the list of runs that name no run.
+func (r WatchResult) UnreadableRuns() []UnreadableRun { return r.unreadableRuns }
+
+// UnreadableEnds returns the rows of the list of ended runs that can't be read in full.
+func (r WatchResult) UnreadableEnds() []UnreadableEnd { return r.unreadableEnds }
+
+// hasUnnumberedEnd reports whether an ended run is listed that can't be acknowledged by itself.
+func (r WatchResult) hasUnnumberedEnd() bool {
+	return slices.ContainsFunc(r.unreadableEnds, func(e UnreadableEnd) bool { return e.number == 0 })
+}
+
 // Clock returns the time on the backend server's clock.
 func (r WatchResult) Clock() time.Duration { return r.clock }
 
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -51,6 +51,8 @@
 	suspect reservation.Key
 	// startRates has the rates at which jobs start, by kind.
 	startRates quarantine.StartRates
+	// unreadable has the rows of the newest list of runs that can't be read; it changes under the worker's mutex.
+	unreadable unreadableRows
 	// ctx ends with the incarnation.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -213,14 +215,24 @@
 			return
 		}
 
-		select {
-		case <-time.After(retryDelay):
-		case <-i.ctx.Done():
-		}
+		i.pause()
 	default:
 		i.lease.RecordClock(result.clock, uptime.Now())
 		i.lease.RecordAnswer(sent, uptime.Now())
 		i.worker.handleWatchResult(i, result, sent)
+
+		if result.hasUnnumberedEnd() {
+			// The next call does not wait either: this end is listed until a later one is acknowledged.
+			i.pause()
+		}
+	}
+}
+
+// pause waits for retryDelay.
+func (i *incarnation) pause() {
+	select {
+	case <-time.After(retryDelay):
+	case <-i.ctx.Done():
 	}
 }
 
@@ -334,8 +346,13 @@
 		}
 	}
 
+	w.recordUnreadable(i, result)
+
+	// A run that can't be named in a stop ends with its lease, which is not renewed before the server is ready.
+	unlapsed := i.unreadable.unlapsed(uptime.Now())
 	orphanedRuns := w.reconcileRuns(i, result, sent)
-	if !i.ready && orphanedRuns == 0 {
+
+	if !i.ready && orphanedRuns == 0 && unlapsed == 0 {
 		i.ready = true
 
 		w.log.Info().Str("event", "backend_ready").Str("instance", i.announcement.instance).
@@ -377,7 +394,7 @@
 		// ran.
 		isListCurrent := (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
 			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent)
-		if isListCurrent && !present[t.run] {
+		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
 		}
 	}
--- a/weir/process/lease/lease.go
+++ b/weir/process/lease/lease.go
@@ -31,6 +31,9 @@
 	MaxRunAfterLoss = 1150 * time.Millisecond
 	// expiryMargin is the time after the end of the lease within which the backend server stops its tasks.
 	expiryMargin = 50 * time.Millisecond
+	// LapseTime is the time after the last renewal in which every run has ended, even if the backend server's clock runs
+	// slow.
+	LapseTime = Duration + Duration/20 + expiryMargin
 )
 
 // Lease is the lease of the tasks at one incarnation of a backend server. The zero value has no reading of its clock, so
