Reject announcements with an id or a number out of range

What callers saw: tasks whose answers are lost, since after one announcement of another writer the sidecar no longer followed its backend server.

Cause: an announcement counted if its fields had the right types. An id with a control character can be named in no call, so no answer ever ended that incarnation, and the true announcements were older than it; after a sequence number of 2^63-1 every later announcement counted as late, and a drain went unnoticed. A start far in the future ended the incarnation that runs tasks. Capacities near 2^63 overflow sums; a negative start or sequence number names nothing.

Type Announcement moves to a file of its own.

Not covered: an announcement with every value in range that names another instance with a later start; it still replaces the one in force until that instance answers 421.

--- /dev/null
+++ b/sidecar/repeatable/announcement.go
@@ -0,0 +1,113 @@
+package repeatable
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/skylarkweir/skylarkweir/weir/request/job"
+)
+
+const (
+	// maxInstanceBytes limits the id of an incarnation.
+	maxInstanceBytes = 255
+	// maxCapacity limits each part of a capacity, in millicores and in megabytes, so that sums of capacities of a whole
+	// deployment don't overflow.
+	maxCapacity = 1<<31 - 1
+	// maxSequence limits the sequence number of an announcement. All later announcements would count as older than one
+	// with the highest number there is.
+	maxSequence = 1 << 40
+	// maxClockSkew is how far in the future an incarnation may have started, by the clock of this process.
+	maxClockSkew = 24 * time.Hour
+)
+
+// Announcement describes a backend server that announces itself to the sidecar.
+type Announcement struct {
+	instance, service, failureDomain string
+	// startedAtMS is the start of the incarnation in Unix milliseconds, zero if it is not known; sequence increases
+	// with each announcement of an incarnation.
+	startedAtMS, sequence int64
+	capacity              job.Size
+	labels                []string
+	draining              bool
+	// departed is true in the last announcement that is saved of a backend server that has left.
+	departed bool
+}
+
+// Instance returns the id of the incarnation.
+func (a Announcement) Instance() string { return a.instance }
+
+// Service returns the name of the service that the backend server runs.
+func (a Announcement) Service() string { return a.service }
+
+// FailureDomain returns the failure domain in which the backend server runs.
+func (a Announcement) FailureDomain() string { return a.failureDomain }
+
+// StartedAtMS returns the start of the incarnation in Unix milliseconds, or zero if it is not known.
+func (a Announcement) StartedAtMS() int64 { return a.startedAtMS }
+
+// Capacity returns the processor time and memory that tasks may use.
+func (a Announcement) Capacity() job.Size { return a.capacity }
+
+// Labels returns the labels that tasks can require.
+func (a Announcement) Labels() []string { return a.labels }
+
+// Draining reports whether the backend server accepts no new tasks because it is about to leave.
+func (a Announcement) Draining() bool { return a.draining }
+
+// Departed reports whether the backend server has left, so that what was saved of it is out of date.
+func (a Announcement) Departed() bool { return a.departed }
+
+// precedesDepartureOf reports whether the announcement comes from the incarnation that has left with the announcement
+// gone, as one that was delayed on its way does.
+func (a Announcement) precedesDepartureOf(gone Announcement) bool {
+	if a.instance != gone.instance || a.startedAtMS != gone.startedAtMS {
+		return false
+	}
+
+	// Without the time of the start, a lower sequence number may be that of a new incarnation with the same id.
+	return a.startedAtMS != 0 || a.sequence >= gone.sequence
+}
+
+// NewAnnouncement returns an announcement of an incarnation of a backend server.
+func NewAnnouncement(
+	instance, service, failureDomain string, startedAtMS, sequence int64, capacity job.Size, labels []string,
+	draining bool,
+) Announcement {
+	return Announcement{
+		instance: instance, service: service, failureDomain: failureDomain, startedAtMS: startedAtMS, sequence: sequence,
+		capacity: capacity, labels: labels, draining: draining,
+	}
+}
+
+// Validate returns an error if the announcement describes no backend server that can be used: calls could not name it,
+// sums with its capacity could overflow, or its true announcements would count as older ones.
+func (a Announcement) Validate() error {
+	switch {
+	case !isInstance(a.instance):
+		return merry.Errorf("instance: %.40q is not an id of 1 to %d visible characters", a.instance, maxInstanceBytes)
+	case a.service == "":
+		return merry.New("service: missing")
+	case a.startedAtMS < 0 || a.startedAtMS > time.Now().Add(maxClockSkew).UnixMilli():
+		return merry.Errorf("start: %d is not between 1970 and tomorrow in Unix milliseconds", a.startedAtMS)
+	case a.sequence < 0 || a.sequence > maxSequence:
+		return merry.Errorf("sequence: %d is not in 0..%d", a.sequence, maxSequence)
+	case a.capacity.Millicores() == 0 || a.capacity.Millicores() > maxCapacity:
+		return merry.Errorf("processor time: %d millicores are not in 1..%d", a.capacity.Millicores(), maxCapacity)
+	case a.capacity.MemoryMB() > maxCapacity:
+		return merry.Errorf("memory: %d MB are not in 0..%d", a.capacity.MemoryMB(), maxCapacity)
+	}
+
+	return nil
+}
+
+// isInstance reports whether the text can be sent as the id of an incarnation in the header of a call.
+func isInstance(text string) bool {
+	for _, c := range []byte(text) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+
+	return text != "" && len(text) <= maxInstanceBytes
+}
--- a/sidecar/repeatable/backend.go
+++ b/sidecar/repeatable/backend.go
@@ -9,8 +9,6 @@
 	"slices"
 	"syscall"
 	"time"
-
-	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
 // ErrOtherInstance is returned by a Backend when another incarnation of the backend server answered.
@@ -251,62 +249,3 @@
 	// end.
 	Watch(ctx context.Context, lastEnd uint64, wait time.Duration, p Permit) (WatchResult, error)
 }
-
-// Announcement describes a backend server that announces itself to the sidecar.
-type Announcement struct {
-	instance, service, failureDomain string
-	// startedAtMS is the start of the incarnation in Unix milliseconds, zero if it is not known; sequence increases
-	// with each announcement of an incarnation.
-	startedAtMS, sequence int64
-	capacity              job.Size
-	labels                []string
-	draining              bool
-	// departed is true in the last announcement that is saved of a backend server that has left.
-	departed bool
-}
-
-// Instance returns the id of the incarnation.
-func (a Announcement) Instance() string { return a.instance }
-
-// Service returns the name of the service that the backend server runs.
-func (a Announcement) Service() string { return a.service }
-
-// FailureDomain returns the failure domain in which the backend server runs.
-func (a Announcement) FailureDomain() string { return a.failureDomain }
-
-// StartedAtMS returns the start of the incarnation in Unix milliseconds, or zero if it is not known.
-func (a Announcement) StartedAtMS() int64 { return a.startedAtMS }
-
-// Capacity returns the processor time and memory that tasks may use.
-func (a Announcement) Capacity() job.Size { return a.capacity }
-
-// Labels returns the labels that tasks can require.
-func (a Announcement) Labels() []string { return a.labels }
-
-// Draining reports whether the backend server accepts no new tasks because it is about to leave.
-func (a Announcement) Draining() bool { return a.draining }
-
-// Departed reports whether the backend server has left, so that what was saved of it is out of date.
-func (a Announcement) Departed() bool { return a.departed }
-
-// precedesDepartureOf reports whether the announcement comes from the incarnation that has left with the announcement
-// gone, as one that was delayed on its way does.
-func (a Announcement) precedesDepartureOf(gone Announcement) bool {
-	if a.instance != gone.instance || a.startedAtMS != gone.startedAtMS {
-		return false
-	}
-
-	// Without the time of the start, a lower sequence number may be that of a new incarnation with the same id.
-	return a.startedAtMS != 0 || a.sequence >= gone.sequence
-}
-
-// NewAnnouncement returns an announcement of an incarnation of a backend server.
-func NewAnnouncement(
-	instance, service, failureDomain string, startedAtMS, sequence int64, capacity job.Size, labels []string,
-	draining bool,
-) Announcement {
-	return Announcement{
-		instance: instance, service: service, failureDomain: failureDomain, startedAtMS: startedAtMS, sequence: sequence,
-		capacity: capacity, labels: labels, draining: draining,
-	}
-}
