--- a/sidecar/repeatable/links_test.go
+++ b/sidecar/repeatable/links_test.go
@@ -236,6 +236,24 @@
 	alone.await("the seed is connected", func() bool { return alone.entries[0].count() == 1 })
 }
 
+// Guards against known addresses that can't be dialled, of which there are more than a set has entries, and that end the
+// process or keep it from entries.
+func TestOddAddressesDoNotKeepEntriesOut(t *testing.T) {
+	fx := newLinksFixture(t, 2)
+
+	for n := range 2 * sessionset.MinEntries {
+		for _, format := range []string{"127.0.0.1:%d", "127.0.0.%d", ":%d", "[::%d]:0", "224.0.0.%d:1", "\x00%d:1"} {
+			fx.links.Add(sessionset.NewEntry(fmt.Sprintf(format, 1<<16+n), "odd"))
+		}
+	}
+
+	for _, e := range fx.entries {
+		fx.links.Add(e.entry())
+	}
+
+	fx.await("both entries are connected", func() bool { return len(fx.connected()) == 2 })
+}
+
 // Guards against an entry that was removed from the directory and keeps its session, or is dialled on.
 func TestRemovedEntryLosesItsSession(t *testing.T) {
 	fx := newLinksFixture(t, 2)
