--- a/sidecar/repeatable/backend.go
+++ b/sidecar/repeatable/backend.go
@@ -9,8 +9,6 @@
 	"slices"
 	"syscall"
 	"time"
-
-	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
 // ErrOtherInstance is returned by a Backend when another incarnation of the backend server answered.
@@ -168,7 +166,7 @@
 
 // EndedRun is a run that the backend server lists as ended until the sidecar acknowledges it.
 type EndedRun struct {
-	// number increases with each run that ends in an incarnation.
+	// number increases with each run that ends in an incarnation; it is zero if it can't be read.
 	number  uint64
 	run     Run
 	outcome Outcome
@@ -193,6 +191,9 @@
 	running     []Run
 	ended       []EndedRun
 	fenced      bool
+	// unreadableRuns and unreadableEnds are the rows of the two lists that can't be read.
+	unreadableRuns []UnreadableRun
+	unreadableEnds []UnreadableEnd
 }
 
 // NewWatchResult returns a result with the backend server's clock, the start of its incarnation in Unix milliseconds
@@ -201,6 +202,24 @@
 	return WatchResult{clock: clock, startedAtMS: startedAtMS, running: running, ended: ended}
 }
 
+// WithUnreadable returns the result with the rows of the two lists that can't be read.
+func (r WatchResult) WithUnreadable(runs []UnreadableRun, ends []UnreadableEnd) WatchResult {
+	r.unreadableRuns, r.unreadableEnds = runs, ends
+
+	return r
+}
+
+// UnreadableRuns returns the rows of the list of runs that name no run.
+func (r WatchResult) UnreadableRuns() []UnreadableRun { return r.unreadableRuns }
+
+// UnreadableEnds returns the rows of the list of ended runs that can't be read in full.
+func (r WatchResult) UnreadableEnds() []UnreadableEnd { return r.unreadableEnds }
+
+// hasUnnumberedEnd reports whether an ended run is listed that can't be acknowledged by itself.
+func (r WatchResult) hasUnnumberedEnd() bool {
+	return slices.ContainsFunc(r.unreadableEnds, func(e UnreadableEnd) bool { return e.number == 0 })
+}
+
 // Clock returns the time on the backend server's clock.
 func (r WatchResult) Clock() time.Duration { return r.clock }
 
@@ -230,62 +249,3 @@
 	// end.
 	Watch(ctx context.Context, lastEnd uint64, wait time.Duration, p Permit) (WatchResult, error)
 }
-
-// Announcement describes a backend server that announces itself to the sidecar.
-type Announcement struct {
-	instance, service, failureDomain string
-	// startedAtMS is the start of the incarnation in Unix milliseconds, zero if it is not known; sequence increases
-	// with each announcement of an incarnation.
-	startedAtMS, sequence int64
-	capacity              job.Size
-	labels                []string
-	draining              bool
-	// departed is true in the last announcement that is saved of a backend server that has left.
-	departed bool
-}
-
-// Instance returns the id of the incarnation.
-func (a Announcement) Instance() string { return a.instance }
-
-// Service returns the name of the service that the backend server runs.
-func (a Announcement) Service() string { return a.service }
-
-// FailureDomain returns the failure domain in which the backend server runs.
-func (a Announcement) FailureDomain() string { return a.failureDomain }
-
-// StartedAtMS returns the start of the incarnation in Unix milliseconds, or zero if it is not known.
-func (a Announcement) StartedAtMS() int64 { return a.startedAtMS }
-
-// Capacity returns the processor time and memory that tasks may use.
-func (a Announcement) Capacity() job.Size { return a.capacity }
-
-// Labels returns the labels that tasks can require.
-func (a Announcement) Labels() []string { return a.labels }
-
-// Draining reports whether the backend server accepts no new tasks because it is about to leave.
-func (a Announcement) Draining() bool { return a.draining }
-
-// Departed reports whether the backend server has left, so that what was saved of it is out of date.
-func (a Announcement) Departed() bool { return a.departed }
-
-// precedesDepartureOf reports whether the announcement comes from the incarnation that has left with the announcement
-// gone, as one that was delayed on its way does.
-func (a Announcement) precedesDepartureOf(gone Announcement) bool {
-	if a.instance != gone.instance || a.startedAtMS != gone.startedAtMS {
-		return false
-	}
-
-	// Without the time of the start, a lower sequence number may be that of a new incarnation with the same id.
-	return a.startedAtMS != 0 || a.sequence >= gone.sequence
-}
-
-// NewAnnouncement returns an announcement of an incarnation of a backend server.
-func NewAnnouncement(
-	instance, service, failureDomain string, startedAtMS, sequence int64, capacity job.Size, labels []string,
-	draining bool,
-) Announcement {
-	return Announcement{
-		instance: instance, service: service, failureDomain: failureDomain, startedAtMS: startedAtMS, sequence: sequence,
-		capacity: capacity, labels: labels, draining: draining,
-	}
-}
