--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -140,12 +140,12 @@
 		return true
 	case delivery.Declined:
 		t.startCall.rejections++
-		t.logStart(w.log.Info(), "start_rejected", attempt).Stringer("answer", answer.result).Str("detail", answer.detail).
-			Msg("backend server rejected a start")
+		t.describeStart(w.log.Info().Str("event", "start_rejected"), attempt).Stringer("answer", answer.result).
+			Str("detail", answer.detail).Msg("backend server rejected a start")
 	default:
 		w.recordCallError(t.incarnation, err)
-		t.logStart(w.log.Warn(), "start_unanswered", attempt).Err(err).
-			Msg("backend server did not answer a start; it is repeated, and after the last attempt the task is stopped")
+		t.describeStart(w.log.Warn().Str("event", "start_unanswered"), attempt).Err(err).
+			Msg("backend server did not answer a start; it is sent again while that is worth it, then the task is stopped")
 	}
 
 	if t.startAnsweredAt > 0 {
@@ -161,9 +161,9 @@
 	return true
 }
 
-// logStart adds what is known of the start to a log line.
-func (t *task) logStart(line *zerolog.Event, event string, attempt int) *zerolog.Event {
-	return line.Str("event", event).Str("job", t.run.task.job).Uint32("task", t.run.task.index).
+// describeStart adds what is known of the start to a log line.
+func (t *task) describeStart(line *zerolog.Event, attempt int) *zerolog.Event {
+	return line.Str("job", t.run.task.job).Uint32("task", t.run.task.index).
 		Int64("run", t.run.number).Int("try", attempt).Stringer("state", t.startCall.call.State()).
 		Int("unanswered", t.startCall.call.Unanswered()).Dur("since_launch", uptime.Now()-t.launchedAt)
 }
@@ -190,7 +190,7 @@
 	}
 
 	t.startCall.call.Record(delivery.NotDelivered)
-	t.logStart(w.log.Info(), "start_not_sent", attempt).Bool("lease", p.leaseEnd > 0).
+	t.describeStart(w.log.Info().Str("event", "start_not_sent"), attempt).Bool("lease", p.leaseEnd > 0).
 		Msg("a start is not sent: its session has expired, or the backend server answers no renewal, so that no lease can be given")
 	w.giveUpStart(t, false)
 }
