Try every known entry before one that was unreachable a second time

What operators would see: a sidecar that knows many entries that are gone, and few that live, reaches no living one for long, or never. Cause: a replacement that was dialled in vain left the set after 5 s, was forgotten, and was chosen again before those that had not been tried. Change: an entry that was given up without a session is no replacement for 30 s, unless it is listed anew.

--- a/sidecar/repeatable/link.go
+++ b/sidecar/repeatable/link.go
@@ -31,6 +31,8 @@
 	cancel context.CancelFunc
 	// session is nil while there is none.
 	session *session.Session
+	// hadSession is true once there was a session.
+	hadSession bool
 	// withoutSessionSince is when the last session ended, or when the link was created; it is meaningful while there is no
 	// session.
 	withoutSessionSince time.Time
@@ -76,6 +78,7 @@
 	defer k.links.mu.Unlock()
 
 	k.session = s
+	k.hadSession = k.hadSession || s != nil
 	k.withoutSessionSince = time.Now()
 
 	k.links.notify()
--- a/sidecar/repeatable/links.go
+++ b/sidecar/repeatable/links.go
@@ -22,6 +22,9 @@
 	stableReviewInterval = time.Second
 	// replaceDelay is how long an entry of the set may be without a session before another one takes its place.
 	replaceDelay = 400 * time.Millisecond
+	// unreachableMemory is how long an entry that was given up without a session is not chosen as a replacement, so that all
+	// others have their turn first.
+	unreachableMemory = 30 * time.Second
 	// surplusDelay is how long a session is kept after its entry left the set.
 	surplusDelay = 5 * time.Second
 	// seedDelay is how long a sidecar waits for a listed entry before it dials the seeds, which are few.
@@ -44,6 +47,8 @@
 	listed, seeds map[string]sessionset.Entry
 	// links has the entries to which sessions are kept, by address.
 	links map[string]*link
+	// unreachable has when links ended that never had a session, by the address of their entry.
+	unreachable map[string]time.Time
 	// size is the wanted number of sessions.
 	size int
 }
@@ -56,6 +61,7 @@
 		node: n, worker: w, self: self, incarnation: incarnation, log: log, started: time.Now(),
 		changed: make(chan struct{}, 1),
 		listed:  map[string]sessionset.Entry{}, seeds: map[string]sessionset.Entry{}, links: map[string]*link{},
+		unreachable: map[string]time.Time{},
 	}
 }
 
@@ -71,6 +77,7 @@
 
 	if known[e.Address()] != e {
 		known[e.Address()] = e
+		delete(l.unreachable, e.Address())
 
 		l.notify()
 	}
@@ -82,6 +89,7 @@
 	defer l.mu.Unlock()
 
 	delete(l.listed, address)
+	delete(l.unreachable, address)
 	l.notify()
 }
 
@@ -188,8 +196,13 @@
 	preferred := sessionset.Choose(l.self, known, l.size)
 	reachable := slices.DeleteFunc(slices.Clone(known), func(e sessionset.Entry) bool {
 		k := l.links[e.Address()]
+		if k == nil {
+			at, failed := l.unreachable[e.Address()]
 
-		return k != nil && k.session == nil && time.Since(k.withoutSessionSince) >= replaceDelay
+			return failed && time.Since(at) < unreachableMemory
+		}
+
+		return k.session == nil && time.Since(k.withoutSessionSince) >= replaceDelay
 	})
 
 	for _, e := range sessionset.Choose(l.self, reachable, l.size) {
@@ -216,6 +229,10 @@
 	delete(l.links, k.entry.Address())
 	k.cancel()
 
+	if !k.hadSession {
+		l.unreachable[k.entry.Address()] = time.Now()
+	}
+
 	l.log.Info().Str("event", "entry_dropped").Str("address", k.entry.Address()).Int("set", l.size).
 		Msg("entry left the set of sessions")
 }
