--- a/sidecar/repeatable/hedge.go
+++ b/sidecar/repeatable/hedge.go
@@ -24,7 +24,7 @@
 type hedge struct {
 	incarnation *incarnation
 	call        hedgedCall
-	// settled is closed when a try has settled the call; it has room for each of them.
+	// settled receives a value when a try has settled the call.
 	settled chan struct{}
 }
 
