--- a/standin/relay/udp.go
+++ b/standin/relay/udp.go
@@ -163,8 +163,9 @@
 		_, _ = s.listenConn.WriteTo(c.data, s.client)
 		s.relay.down.Add(1)
 	default:
-		_, _ = s.target.Write(c.data)
+		// The answer may arrive before Write returns.
 		s.requestPending.Store(true)
+		_, _ = s.target.Write(c.data)
 		s.relay.up.Add(1)
 	}
 }
