Count an orphaned run in the capacity of its backend server

The pool knew of launched tasks only.

Orphaned runs now occupy capacity from the list that first shows them until a newer list shows them gone, or until their incarnation ends. A run of a task that the sidecar has launched is as large as the task. The size of any other one is not known, so it occupies everything: a sound backend server confirms its stop with the next list, within 50 ms, and one that does not is out of order. What is reserved or launched and has not started is released, so that it can start elsewhere.

A list may arrive after a newer one and show a run whose end is handled already. Such a list is told by the backend server's clock and by the time at which it was requested, and neither occupies capacity nor causes stops, as it did before.

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// unreadyWatchWait is how long a call waits for the end of the runs that an earlier sidecar has left.
+	// unreadyWatchWait is how long a call waits for the end of orphaned runs, as those that an earlier sidecar has left.
 	unreadyWatchWait = 50 * time.Millisecond
 	// lossyWatchWait is how long a call waits for the end of a run while answers are lost, since the end is known only with
 	// the next call if its answer is lost.
@@ -53,6 +53,8 @@
 	startRates quarantine.StartRates
 	// unreadable has the rows of the newest list of runs that can't be read; it changes under the worker's mutex.
 	unreadable unreadableRows
+	// orphans has the runs in the newest list that belong to no task; it changes under the worker's mutex.
+	orphans orphans
 	// ctx ends with the incarnation.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -183,7 +185,7 @@
 	switch {
 	case first:
 		return 0
-	case !i.ready:
+	case !i.ready || len(i.orphans.runs) > 0:
 		return unreadyWatchWait
 	case len(i.worker.tasks) == 0:
 		return lease.IdleWatchWait
@@ -351,8 +353,9 @@
 	// A run that can't be named in a stop ends with its lease, which is not renewed before the server is ready.
 	unlapsed := i.unreadable.unlapsed(uptime.Now())
 	orphanedRuns := w.reconcileRuns(i, result, sent)
+	w.recordOrphans(i, orphanedRuns, result.clock, sent)
 
-	if !i.ready && orphanedRuns == 0 && unlapsed == 0 {
+	if !i.ready && len(orphanedRuns) == 0 && unlapsed == 0 {
 		i.ready = true
 
 		w.log.Info().Str("event", "backend_ready").Str("instance", i.announcement.instance).
@@ -364,20 +367,18 @@
 }
 
 // reconcileRuns compares the worker's tasks with the runs at the backend server. It reports tasks that do not run there
-// as lost, stops orphaned runs, which belong to none of the tasks, and returns the number of orphaned runs.
-func (w *Worker) reconcileRuns(i *incarnation, result WatchResult, sent time.Duration) int {
+// as lost, and returns the orphaned runs, which belong to none of the tasks.
+func (w *Worker) reconcileRuns(i *incarnation, result WatchResult, sent time.Duration) []Run {
 	present := make(map[Run]bool, len(result.running))
-	orphanedRuns := 0
+
+	var orphanedRuns []Run
 
 	for _, r := range result.running {
 		present[r] = true
 
 		t := w.tasks[r.task]
 		if t == nil || t.run.number != r.number {
-			orphanedRuns++
-
-			o := &orphanedRunStop{i, r}
-			go o.run()
+			orphanedRuns = append(orphanedRuns, r)
 
 			continue
 		}
@@ -401,21 +402,3 @@
 
 	return orphanedRuns
 }
-
-// orphanedRunStop stops a run that an earlier sidecar has left, or that comes from a start that the backend server
-// carried out late.
-type orphanedRunStop struct {
-	incarnation *incarnation
-	target      Run
-}
-
-func (o *orphanedRunStop) run() {
-	ctx, cancel := context.WithTimeout(o.incarnation.ctx, callTimeout)
-	defer cancel()
-
-	err := o.incarnation.worker.backend.Stop(ctx, o.target, o.incarnation.newPermit())
-
-	o.incarnation.worker.log.Info().AnErr("error", err).Str("event", "orphaned_run_stopped").Str("job", o.target.task.job).
-		Uint32("task", o.target.task.index).Int64("run", o.target.number).
-		Msg("sent a stop for an orphaned run, which no entry asked for")
-}
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -248,12 +248,13 @@
 	w.updateCapacity()
 }
 
-// updateCapacity sets the pool to the capacity of the backend server, or to zero while it does not accept tasks, and
-// schedules.
+// updateCapacity sets the pool to the capacity of the backend server, or to zero while it does not accept tasks, less what
+// orphaned runs occupy, and schedules.
 func (w *Worker) updateCapacity() {
-	var capacity job.Size
+	var capacity, occupied job.Size
 	if w.acceptsTasks() {
 		capacity = w.incarnation.announcement.capacity
+		occupied = w.incarnation.orphans.size(w.tasks, capacity)
 	} else {
 		w.pool.Clear()
 		w.rejectLaunched()
@@ -261,9 +262,10 @@
 
 	before := w.pool.Capacity()
 	w.pool.SetCapacity(capacity, reservation.Headroom(capacity.Millicores()))
+	grown := w.pool.SetOccupied(occupied)
 
 	shrunk := capacity.Millicores() < before.Millicores() || capacity.MemoryMB() < before.MemoryMB()
-	if shrunk && w.pool.Exceeded() {
+	if (shrunk || grown) && w.pool.Exceeded() {
 		// What has not started may start at once elsewhere.
 		w.pool.ReleaseReserved()
 		w.rejectLaunched()
--- a/weir/process/reservation/pool.go
+++ b/weir/process/reservation/pool.go
@@ -91,9 +91,12 @@
 // Pool is the capacity of one backend server with its reservations and the queue of requests. The zero value has no
 // capacity. It is not safe for concurrent use.
 type Pool struct {
-	// allocated covers reserved, launched and running tasks. It may exceed the capacity by the overcommit, and by more
-	// after the capacity was lowered. running covers the running tasks only.
+	// allocated covers reserved, launched and running tasks and what is occupied. It may exceed the capacity by the
+	// overcommit, and by more after the capacity was lowered or more of it was occupied. running covers the running tasks
+	// and what is occupied.
 	capacity, allocated, running job.Size
+	// occupied is the capacity that is used by what no key has launched.
+	occupied job.Size
 	// headroom is the part of the capacity that long tasks leave free, in millicores.
 	headroom int64
 	// overcommit is the CPU in millicores that is expected to become free within a round trip to the entry. It is reserved
@@ -112,6 +115,17 @@
 	p.capacity, p.headroom = capacity, headroom
 }
 
+// SetOccupied sets the capacity that is used by what no key has launched, and reports whether any part of it has grown.
+func (p *Pool) SetOccupied(s job.Size) bool {
+	grown := s.Millicores() > p.occupied.Millicores() || s.MemoryMB() > p.occupied.MemoryMB()
+
+	p.allocated = p.allocated.Minus(p.occupied).Plus(s)
+	p.running = p.running.Minus(p.occupied).Plus(s)
+	p.occupied = s
+
+	return grown
+}
+
 // Capacity returns the capacity without the overcommit.
 func (p *Pool) Capacity() job.Size { return p.capacity }
 
