Send refused jobs again in TestCrashesAreKnownToOtherEntries

A trace of the runs (8 copies at once, 18 of 48 failed): the sidecar reports the crash at the first refused connection, so that the second entry probes the kind; the running task is reported as lost only when its lease has ended, up to 1 s later. In between the entry does not know that the task has its two crashes. The kind may use the zone only, whose server has crashed and is replaced 50 ms later, so the entry refuses the job. docs/design.md allows that: jobs that find the zone closed are refused at once.

The test now does what a caller does after a 503 response: it sends the job again after a pause, until its deadline.

--- a/entry/repeatable/fixture_test.go
+++ b/entry/repeatable/fixture_test.go
@@ -263,6 +263,47 @@
 	return p
 }
 
+// resendPause is the time after which callers send a job again that was not carried out. The delays that entries name
+// would take most of callerTimeout.
+const resendPause = 50 * time.Millisecond
+
+// persistentCaller sends a job again while it is refused or interrupted, as callers do until their deadline.
+type persistentCaller struct {
+	*pendingJob
+	deadline time.Time
+}
+
+// run sends the job until it has an outcome with which callers are content, or until the deadline.
+func (c *persistentCaller) run() {
+	for {
+		o := c.entry.Submit(c.ctx, c.job)
+
+		switch o.(type) {
+		case job.Refused, job.Interrupted:
+		default:
+			c.result <- o
+
+			return
+		}
+
+		if !time.Now().Before(c.deadline) || c.ctx.Err() != nil {
+			c.result <- o
+
+			return
+		}
+
+		<-time.After(resendPause)
+	}
+}
+
+// submitPersistently submits a job that is sent again while it is refused or interrupted.
+func (f *fixture) submitPersistently(ctx context.Context, e *entry, j job.Job) *pendingJob {
+	c := &persistentCaller{&pendingJob{make(chan job.Outcome, 1), e, j, ctx}, time.Now().Add(j.Timeout())}
+	go c.run()
+
+	return c.pendingJob
+}
+
 func (p *pendingJob) wait(t *testing.T) job.Outcome {
 	t.Helper()
 
