Do not renew the lease of a task whose session has expired

After a pause of the sidecar, its calls to the backend server may come before its check of the sessions. An answer that arrived in the pause counts as fresh, so the lease of a task was renewed by 618 ms although its entry had been lost for longer than the time of a session. If the stop that follows gets no answer, the task runs on until then, beyond the time after which the entry places it again or its caller sends the job again: an entry lost at 0, a pause from 0.49 s to 1.05 s and a lease until 1.67 s.

A permit now gives no later lease while the session of a started task has expired, whether the session was ended or not. Its time is read before that check, so that a pause in between shortens the lease.

--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -39,8 +39,8 @@
 	reports chan *wire.Room
 	links   *repeatable.Links
 	node    *quic.Node
-	// stopKeepAlives is closed to stop the keep-alives of the entry.
-	stopKeepAlives chan struct{}
+	// stopKeepAlives is closed to stop the keep-alives of the entry, keepAlivesStopped once none is sent any more.
+	stopKeepAlives, keepAlivesStopped chan struct{}
 }
 
 func newFixture(t *testing.T, b *leasedbackend.Server) *fixture {
@@ -112,7 +112,7 @@
 	fx.entry.Send(wire.Frame_builder{
 		Attached: wire.Attached_builder{Entry: "entry", IdleKeepAlives: true}.Build(),
 	}.Build())
-	fx.stopKeepAlives = make(chan struct{})
+	fx.stopKeepAlives, fx.keepAlivesStopped = make(chan struct{}), make(chan struct{})
 
 	// Each session has its own frames: those of one that has ended are no answers to the next one.
 	fx.frames = make(chan *wire.Frame, 1024)
@@ -120,7 +120,7 @@
 
 	go receiver.run()
 
-	sender := &keepAliveSender{fx.entry, fx.stopKeepAlives}
+	sender := &keepAliveSender{fx.entry, fx.stopKeepAlives, fx.keepAlivesStopped}
 	go sender.run()
 }
 
@@ -155,11 +155,14 @@
 
 // keepAliveSender keeps the session of the test entry alive until stopKeepAlives is closed.
 type keepAliveSender struct {
-	session        *session.Session
-	stopKeepAlives chan struct{}
+	session *session.Session
+	// stopped is closed once no keep-alive is sent any more.
+	stopKeepAlives, stopped chan struct{}
 }
 
 func (s *keepAliveSender) run() {
+	defer close(s.stopped)
+
 	t := time.NewTicker(session.KeepAliveInterval)
 	defer t.Stop()
 
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -88,7 +88,9 @@
 // newPermit returns a permit for a call, which renews the lease unless the backend server is unresponsive or a run there
 // has to end in time although its stop may not be carried out.
 func (i *incarnation) newPermit() Permit {
-	ready, abandoned := i.openRuns()
+	// The time comes first: if this process is paused after the sessions were checked, the lease ends meanwhile.
+	now := uptime.Now()
+	ready, abandoned := i.openRuns(now)
 
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -100,19 +102,19 @@
 		return NewPermit(i.instance, i.token, i.leaseEnd)
 	}
 
-	leaseEnd := i.lease.Renew(uptime.Now())
+	leaseEnd := i.lease.Renew(now)
 	i.leaseEnd = max(i.leaseEnd, leaseEnd)
 
 	return NewPermit(i.instance, i.token, leaseEnd)
 }
 
-// openRuns reports whether no run of an earlier sidecar is left, and whether the stop of an abandoned task has not been
-// answered.
-func (i *incarnation) openRuns() (ready, abandoned bool) {
+// openRuns reports whether no run of an earlier sidecar is left, and whether the stop of a task that is abandoned at the
+// time now has not been answered.
+func (i *incarnation) openRuns(now time.Duration) (ready, abandoned bool) {
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready, i.worker.awaitsStop(i)
+	return i.ready, i.worker.awaitsStop(i, now)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
--- a/sidecar/repeatable/links_test.go
+++ b/sidecar/repeatable/links_test.go
@@ -83,7 +83,7 @@
 	a.entry.sessions[t] = true
 	a.entry.mu.Unlock()
 
-	k := &keepAliveSender{t, make(chan struct{})}
+	k := &keepAliveSender{t, make(chan struct{}), make(chan struct{})}
 	go k.run()
 
 	t.Run(a.entry.ctx, func(f *wire.Frame) {
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -191,10 +191,12 @@
 	w.stop(t)
 }
 
-// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered. The caller holds mu.
-func (w *Worker) awaitsStop(i *incarnation) bool {
+// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered. A task whose session has
+// expired counts although the session has not been ended yet: after a pause of this process, calls may come before the next
+// check of the sessions. The caller holds mu.
+func (w *Worker) awaitsStop(i *incarnation, now time.Duration) bool {
 	for _, t := range w.tasks {
-		if t.incarnation == i && t.abandoned && t.stopAnsweredAt == 0 {
+		if t.incarnation == i && t.startedAt > 0 && t.stopAnsweredAt == 0 && (t.abandoned || w.hasExpired(t, now)) {
 			return true
 		}
 	}
@@ -202,6 +204,13 @@
 	return false
 }
 
+// hasExpired reports whether the session of a task has expired.
+func (w *Worker) hasExpired(t *task, now time.Duration) bool {
+	s := w.sessions[t.key.Session()]
+
+	return s == nil || s.Expired(now)
+}
+
 // stopCall is the stop of a task. It is sent until the backend server confirms it.
 type stopCall struct{ task *task }
 
--- a/weir/process/lease/lease.go
+++ b/weir/process/lease/lease.go
@@ -72,8 +72,8 @@
 	return l.clockReading + time.Duration(float64(now-l.clockReadAt)*(1-MaxClockDrift))
 }
 
-// Renew returns the end of the lease on the backend server's clock, for a call that is sent now. It returns zero, which
-// renews nothing, if the backend server is unresponsive: it shall stop its tasks when the lease ends.
+// Renew returns the end of the lease on the backend server's clock, for a call that is sent at the time now or later. It
+// returns zero, which renews nothing, if the backend server is unresponsive: it shall stop its tasks when the lease ends.
 func (l *Lease) Renew(now time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -82,7 +82,8 @@
 		return 0
 	}
 
-	l.end = now + time.Duration(float64(Duration)*(1+MaxClockDrift))
+	// Calls may be sent in another order than their times were read.
+	l.end = max(l.end, now+time.Duration(float64(Duration)*(1+MaxClockDrift)))
 
 	return l.minClock(now) + Duration
 }
