Keep the short times of a session while a task is being stopped

A session in which all tasks were being stopped counted as one without work, so the sidecar found out after 2.5 s in place of 500 ms that its entry was lost. A task that is being stopped because it is overdue or its start got no answer still runs until a stop is carried out, and its lease was renewed meanwhile. The entry counts its session as one with work until the task has ended, and places the task again 1150 ms after the loss; a caller sends the job again after 1300 ms. So two runs of one task were possible at one time while stops were not carried out.

Only tasks whose entry has ended the job or is lost do not count any more. For those the lease is not renewed.

--- a/sidecar/repeatable/entry_loss_test.go
+++ b/sidecar/repeatable/entry_loss_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,10 +16,13 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/lease"
 )
 
-// leaseRecorder is a backend server that carries out no stop. It records the latest lease that it was given.
+// leaseRecorder is a backend server that carries out no stop. It records the latest lease that it was given, and counts
+// the stops.
 type leaseRecorder struct {
 	unstoppableBackend
 
+	stops atomic.Int64
+
 	mu       sync.Mutex
 	leaseEnd time.Duration
 }
@@ -43,6 +47,12 @@
 	return b.Server.Watch(ctx, lastEnd, wait, p)
 }
 
+func (b *leaseRecorder) Stop(ctx context.Context, r repeatable.Run, p repeatable.Permit) error {
+	b.stops.Add(1)
+
+	return b.unstoppableBackend.Stop(ctx, r, p)
+}
+
 func (b *leaseRecorder) record(p repeatable.Permit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -98,3 +108,19 @@
 	fx.await("the lease ends", fx.hasRunning(0))
 	is.True(b.latestLease() <= lost+session.Timeout+lease.Duration)
 }
+
+// Guards against a task that runs on while another entry runs it again: it is being stopped without success, so that the
+// sidecar takes the session with its entry for one without work and finds out late that the entry is lost.
+func TestLeaseEndsThoughOnlyStoppingTasksAreLeft(t *testing.T) {
+	is := is.New(t)
+	b := newLeaseRecorder()
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 1)
+	fx.await("the task is overdue", func() bool { return b.stops.Load() > 0 })
+
+	lost := fx.silence()
+	fx.await("the lease ends", fx.hasRunning(0))
+	is.True(b.latestLease() <= lost+session.Timeout+lease.Duration)
+}
--- a/sidecar/repeatable/sessions.go
+++ b/sidecar/repeatable/sessions.go
@@ -13,8 +13,8 @@
 	w.pool.AddSessions(inUse)
 
 	for _, t := range w.tasks {
-		// What is being stopped already runs for nobody.
-		if !t.stopping {
+		// A task that is being stopped may run on. Its entry waits for the end unless it has ended the job.
+		if !t.abandoned {
 			inUse[t.key.Session()] = true
 		}
 	}
