Pause before a call is sent again that has failed at once

A start whose tries fail at once, since the backend server answers with a status that says nothing of the start or breaks the connection, was sent again without a pause until 0.5 s or the expected run time of the task were over.

A try that fails now counts like one that is not answered: the next one is sent after 12 ms if the budget of repeats has one left, else 200 ms after the one before. A rejection whose cause was removed is still repeated at once.

--- a/sidecar/repeatable/hedge.go
+++ b/sidecar/repeatable/hedge.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/answertime"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
@@ -11,11 +12,23 @@
 // reached its time limit. More of them would load a backend server that does not answer because it is slow.
 const repeatsPerAnswer = 3
 
+// tryResult is what a try means for its call.
+type tryResult uint8
+
+const (
+	// tryUnanswered means that the call is sent again after a pause, since the backend server may be overloaded.
+	tryUnanswered tryResult = iota
+	// tryDeclined means that the cause of a rejection was removed, and that the call is sent again at once.
+	tryDeclined
+	// trySettled means that the call needs no further try.
+	trySettled
+)
+
 // hedgedCall is a call to the backend server that is tried again while the tries before may still be answered. A try that
 // is answered late settles the call too, and keeps its connection.
 type hedgedCall interface {
-	// try sends one try, handles its answer and reports whether the call is settled.
-	try(attempt int) bool
+	// try sends one try and handles its answer.
+	try(attempt int) tryResult
 	// repeats reports whether to send another try. The last one has failed, or has no answer yet.
 	repeats() bool
 }
@@ -36,7 +49,7 @@
 // is settled.
 func (h *hedge) run() bool {
 	for attempt := 0; ; attempt++ {
-		y := &hedgedTry{h, attempt, make(chan struct{})}
+		y := &hedgedTry{hedge: h, attempt: attempt, sentAt: uptime.Now(), handled: make(chan struct{})}
 		go y.run()
 
 		if h.await(y) {
@@ -51,24 +64,34 @@
 
 // await waits until the call is settled, or until another try may be sent, and reports whether the call is settled.
 func (h *hedge) await(y *hedgedTry) bool {
-	limit := time.NewTimer(h.incarnation.answers.Current())
-	defer limit.Stop()
+	next := time.NewTimer(h.incarnation.answers.Current())
+	defer next.Stop()
+
+	handled, isLast := y.handled, false
 
 	for {
 		select {
 		case <-h.settled:
 			return true
-		case <-y.handled:
-			select {
-			case <-h.settled:
-				return true
-			default:
-				return false
+		case <-handled:
+			if y.result != tryUnanswered || h.incarnation.ctx.Err() != nil {
+				return y.result == trySettled
 			}
-		case <-limit.C:
-			if h.incarnation.repeatBudget.AllowRetry(time.Now()) {
+
+			// Nothing more is to be awaited of this try, but calls that fail at once must not follow each other at once.
+			handled = nil
+
+			if !isLast {
+				next.Reset(max(0, y.sentAt+answertime.MinLimit-uptime.Now()))
+			}
+		case <-next.C:
+			if isLast || h.incarnation.repeatBudget.AllowRetry(time.Now()) {
 				return false
 			}
+
+			isLast = true
+
+			next.Reset(max(0, y.sentAt+callTimeout-uptime.Now()))
 		}
 	}
 }
@@ -77,14 +100,17 @@
 type hedgedTry struct {
 	hedge   *hedge
 	attempt int
-	// handled is closed when the answer has been handled, or its absence.
+	sentAt  time.Duration
+	// handled is closed when the answer has been handled, or its absence, and result is set.
 	handled chan struct{}
+	result  tryResult
 }
 
 func (y *hedgedTry) run() {
 	defer close(y.handled)
 
-	if !y.hedge.call.try(y.attempt) {
+	y.result = y.hedge.call.try(y.attempt)
+	if y.result != trySettled {
 		return
 	}
 
--- a/sidecar/repeatable/hedge_test.go
+++ b/sidecar/repeatable/hedge_test.go
@@ -161,6 +161,35 @@
 	is.True(b.tries.Load() <= maxTries)
 }
 
+// Guards against a backend server whose calls fail at once, with a status that says nothing or a broken connection, and that is
+// called again without a pause for as long as its tasks are expected to run.
+func TestQuickFailuresDoNotFloodTheServer(t *testing.T) {
+	const (
+		tasks = 4
+		// maxTries is the unused budget of repeats with what it gains in 2 s, and for each task the tries at the distance of
+		// the longest limit in 2 s and what the answer to its stop adds to the budget.
+		maxTries = 20 + 4 + tasks*(11+3)
+	)
+
+	is := is.New(t)
+	b := &lossyBackend{Server: leasedbackend.New("i-1")}
+	b.start = func(
+		context.Context, int64, func() (repeatable.StartAnswer, error),
+	) (repeatable.StartAnswer, error) {
+		return repeatable.StartAnswer{}, errNoAnswer
+	}
+	fx := newLossyFixture(t, b)
+
+	fx.start(wire.Launch_builder{Job: measuredJobs + 1, Name: "lossy", Input: "1ms", ExpectedMs: 2000}, tasks)
+
+	for range tasks {
+		is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	}
+
+	t.Log("tries:", b.tries.Load())
+	is.True(b.tries.Load() <= maxTries)
+}
+
 // Guards against tries of a start that go on although the list of runs shows that the task runs.
 func TestListedRunNeedsNoFurtherTry(t *testing.T) {
 	// triesInTransit is how many tries may be sent while the list is on its way.
--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -36,12 +36,12 @@
 }
 
 // try sends the start once. It is settled once the task has started, has ended or is given up.
-func (c *startCall) try(attempt int) bool {
+func (c *startCall) try(attempt int) tryResult {
 	t := c.task
 
 	r, ok := t.worker.beginStartTry(t, attempt)
 	if !ok {
-		return true
+		return trySettled
 	}
 
 	// The permit comes first: if this process is paused after the session was checked, its lease ends meanwhile.
@@ -49,7 +49,7 @@
 	if p.leaseEnd == 0 || !t.worker.hasLiveSession(t) {
 		t.worker.handleStartNotSent(t, attempt, p)
 
-		return true
+		return trySettled
 	}
 
 	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
@@ -117,15 +117,15 @@
 	}
 }
 
-// handleStartAnswer handles the answer to a try of the start of the run r, and reports whether the start is settled.
-func (w *Worker) handleStartAnswer(t *task, r Run, answer StartAnswer, err error, attempt int) bool {
+// handleStartAnswer handles the answer to a try of the start of the run r, and returns what it means for the start.
+func (w *Worker) handleStartAnswer(t *task, r Run, answer StartAnswer, err error, attempt int) tryResult {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	w.metrics.recordStart(answer.result, err)
 
 	if w.tasks[t.run.task] != t {
-		return true
+		return trySettled
 	}
 
 	reply := startReply(answer, err)
@@ -137,7 +137,7 @@
 			t.startAnsweredAt = uptime.Now()
 		}
 
-		return true
+		return trySettled
 	case delivery.Declined:
 		t.startCall.rejections++
 		t.describeStart(w.log.Info().Str("event", "start_rejected"), attempt).Stringer("answer", answer.result).
@@ -149,16 +149,20 @@
 	}
 
 	if t.startAnsweredAt > 0 {
-		return true
+		return trySettled
 	}
 
 	if !t.stopping && t.prepareRepeat(r, reply, answer.result) {
-		return false
+		if reply == delivery.NoReply {
+			return tryUnanswered
+		}
+
+		return tryDeclined
 	}
 
 	w.giveUpStart(t, reply == delivery.Declined && answer.result == Unhealthy)
 
-	return true
+	return trySettled
 }
 
 // describeStart adds what is known of the start to a log line.
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -2,12 +2,10 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
-	"github.com/skylarkweir/skylarkweir/weir/process/answertime"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -202,57 +200,6 @@
 	return false
 }
 
-// stopCall is the stop of a task. It is sent until the backend server confirms it.
-type stopCall struct{ task *task }
-
-func (c *stopCall) run() { newHedge(c.task.incarnation, c).run() }
-
-func (c *stopCall) try(int) bool {
-	t := c.task
-
-	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
-	defer cancel()
-
-	sent := uptime.Now()
-	err := t.worker.backend.Stop(ctx, t.run, t.incarnation.newPermit())
-	t.incarnation.recordAnswerTime(sent, err)
-
-	return t.worker.handleStopAnswer(t, err)
-}
-
-// repeats pauses before the next try if the last one has failed at once.
-func (c *stopCall) repeats() bool {
-	select {
-	case <-time.After(answertime.MinLimit):
-		return true
-	case <-c.task.incarnation.ctx.Done():
-		return false
-	}
-}
-
-// handleStopAnswer handles the answer to a stop and reports whether no further stop has to be sent.
-func (w *Worker) handleStopAnswer(t *task, err error) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	if w.tasks[t.run.task] != t {
-		return true
-	}
-
-	if err != nil {
-		w.log.Warn().Err(err).Str("event", "stop_unanswered").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
-			Msg("backend server did not answer a stop; sending it again")
-
-		return false
-	}
-
-	if t.stopAnsweredAt == 0 {
-		t.stopAnsweredAt = uptime.Now()
-	}
-
-	return true
-}
-
 // finish ends a task that is certain not to run any longer, and reports its result.
 func (w *Worker) finish(t *task, outcome Outcome) {
 	// A run that ended by itself keeps its outcome, although a stop was sent.
