Keep a task that a restarted backend server may still start

Callers saw a task run twice at one time (TWICE) if its backend server restarted under the id that it had and carried out a start that was meant for the process before: the sidecar reported all tasks of that process as lost at once, and the entry placed this one again while it ran.

The cause: the end of a process was taken for the fate of calls that were still on their way. The new process has another clock, so the lease in the start does not reject it, and its fencing token is the highest one until the first call of the new incarnation.

Now a task is lost with its process only if no later process can run it: each try of its start has a reply (delivery.Call.Settled: a confirmed try settles no other), and, if a process with the same id is known to have started, the last confirmation came before a list that the old process has answered, since an answer to a start does not tell which process gave it. Any other task is held and keeps its capacity. A process with another id answers 421 to calls for the old one, so held tasks are lost at once then. The same holds after a departure and after connections are refused until the lease ends. Reports of crashes go out at once, also for held tasks that are known to have started.

--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -97,18 +97,31 @@
 	}
 }
 
-// loseTasks ends all tasks as lost. If the backend server has crashed, all entries are told which tasks had started.
-func (w *Worker) loseTasks(i *incarnation) {
+// loseTasks ends the tasks as lost that no process can run any more. If the backend server has crashed, all entries are told
+// which tasks had started.
+func (w *Worker) loseTasks(i *incarnation, end processEnd) {
 	var crashed []*wire.CrashedTask
 
 	for _, t := range w.tasks {
+		if t.isHeld() {
+			if end == replaced {
+				w.finish(t, Lost)
+			}
+
+			continue
+		}
+
 		if t.hasCrashed() {
 			crashed = append(crashed, wire.CrashedTask_builder{
 				Job: t.run.task.job, Index: t.run.task.index, Suspected: t.key == i.suspect,
 			}.Build())
 		}
 
-		w.finish(t, Lost)
+		if t.mayRunAfter(end) {
+			t.hold()
+		} else {
+			w.finish(t, Lost)
+		}
 	}
 
 	if len(crashed) == 0 {
@@ -191,12 +204,12 @@
 	i.crashed = true
 }
 
-// startedTasks returns the tasks that have started, the newest first.
+// startedTasks returns the tasks that have started at the current process, the newest first.
 func (w *Worker) startedTasks() []*task {
 	started := make([]*task, 0, len(w.tasks))
 
 	for _, t := range w.tasks {
-		if t.startedAt > 0 {
+		if t.startedAt > 0 && !t.isHeld() {
 			started = append(started, t)
 		}
 	}
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -39,6 +39,8 @@
 	ready bool
 	// lastEnd is the highest number of an ended run that the worker has handled.
 	lastEnd uint64
+	// listedAt is when the newest call was sent that this process has answered with a list of its runs, zero before.
+	listedAt time.Duration
 	// lastLoss is when a call without an answer reached its time limit last.
 	lastLoss time.Duration
 	// failingSince is when the first call failed after the last answer, zero while calls are answered. notReached is true
@@ -276,7 +278,7 @@
 
 	if w.incarnation == i {
 		w.markCrashed(i)
-		w.endIncarnation("another instance answered")
+		w.endIncarnation("another instance answered", replaced)
 	}
 }
 
@@ -299,16 +301,20 @@
 	if i.ready || len(w.tasks) > 0 {
 		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.announcement.instance).
 			Int("tasks", len(w.tasks)).
-			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost")
+			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost, unless a start may still be carried out")
 	}
 
 	i.ready = false
 
+	end := unresponsive
+
 	if i.notReached {
 		w.markCrashed(i)
+
+		end = ended
 	}
 
-	w.loseTasks(i)
+	w.loseTasks(i, end)
 	w.updateCapacity()
 
 	return first
@@ -333,11 +339,13 @@
 
 	if result.startedAtMS != 0 && i.announcement.startedAtMS != 0 && result.startedAtMS != i.announcement.startedAtMS {
 		w.markCrashed(i)
-		w.endIncarnation("the backend server was restarted with the same instance id")
+		w.endIncarnation("the backend server was restarted with the same instance id", restarted)
 
 		return
 	}
 
+	i.listedAt = max(i.listedAt, sent)
+
 	for _, e := range result.ended {
 		i.lastEnd = max(i.lastEnd, e.number)
 
@@ -373,7 +381,7 @@
 		present[r] = true
 
 		t := w.tasks[r.task]
-		if t == nil || t.run.number != r.number {
+		if t == nil || t.run.number != r.number || t.isHeld() {
 			orphanedRuns++
 
 			o := &orphanedRunStop{i, r}
@@ -390,9 +398,13 @@
 	}
 
 	for _, t := range w.tasks {
+		if t.isHeld() && present[t.run] {
+			t.heldSince = uptime.Now()
+		}
+
 		// A call that was sent before the answer to the start or stop may have returned a list from before the task
 		// ran.
-		isListCurrent := (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
+		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
 			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent)
 		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -133,8 +133,10 @@
 
 	switch reply {
 	case delivery.Confirmed:
-		if t.startAnsweredAt == 0 {
-			t.startAnsweredAt = uptime.Now()
+		t.confirmedAt = uptime.Now()
+
+		if t.startAnsweredAt == 0 && !t.isHeld() {
+			t.startAnsweredAt = t.confirmedAt
 		}
 
 		return true
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -49,6 +49,8 @@
 	launchedAt time.Duration
 	// startAnsweredAt is when the answer to the start was received, zero before.
 	startAnsweredAt time.Duration
+	// confirmedAt is when a try of the start was last answered as started, zero before.
+	confirmedAt time.Duration
 	// startCall is the start of the task.
 	startCall startCall
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
@@ -59,6 +61,9 @@
 	abandoned bool
 	// stopOutcome is the outcome that is reported for a stopped task that did not complete.
 	stopOutcome Outcome
+	// heldSince is when the process ended that the task was sent to, or when a later one last listed its run, zero before: it
+	// may still be started by a later process.
+	heldSince time.Duration
 	// onEnd is called when it is certain that the task does not run.
 	onEnd []func()
 }
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -37,7 +37,9 @@
 	mu sync.Mutex
 	// incarnation is nil until the backend server has announced itself, and after it has left.
 	incarnation *incarnation
-	pool        reservation.Pool
+	// lastInstance is the id of the newest incarnation, which may have ended.
+	lastInstance string
+	pool         reservation.Pool
 	// sessions and tasks change under mu only.
 	sessions map[uint64]*entrySession
 	tasks    map[Task]*task
@@ -123,6 +125,7 @@
 		}
 	}
 
+	w.expireHeld(now)
 	w.schedule(now)
 
 	return checkInterval
@@ -196,14 +199,25 @@
 	}
 }
 
-// beginIncarnation begins a new incarnation of the backend server. The tasks of the previous one no longer run.
+// beginIncarnation begins a new incarnation of the backend server. Of the tasks of the previous one, only those may run whose
+// start was carried out late, under the same id.
 func (w *Worker) beginIncarnation(ctx context.Context, a Announcement) {
 	if w.incarnation != nil {
 		w.markCrashed(w.incarnation)
 	}
 
-	w.endIncarnation("the backend server announced a new incarnation")
+	end := replaced
+	if w.lastInstance == a.instance {
+		end = restarted
+	}
+
+	w.endIncarnation("the backend server announced a new incarnation", end)
+
+	if end == replaced {
+		w.loseHeld()
+	}
 
+	w.lastInstance = a.instance
 	w.incarnation = newIncarnation(ctx, w, a)
 	w.stats = ejection.Statistics{}
 	w.slowness = 0
@@ -227,23 +241,23 @@
 	w.gone = w.incarnation.announcement
 	w.gone.departed = true
 	w.saveAnnouncement(w.gone)
-	w.endIncarnation("the backend server left")
+	w.endIncarnation("the backend server left", ended)
 }
 
-// endIncarnation ends the current incarnation of the backend server, if there is one, and reports its tasks as lost.
-func (w *Worker) endIncarnation(reason string) {
+// endIncarnation ends the current incarnation of the backend server, if there is one, and gives up its tasks.
+func (w *Worker) endIncarnation(reason string, end processEnd) {
 	if w.incarnation == nil {
 		return
 	}
 
 	w.log.Info().Str("event", "backend_gone").Str("instance", w.incarnation.announcement.instance).Str("reason", reason).
-		Int("tasks", len(w.tasks)).Msg("incarnation of the backend server ended; its tasks are reported as lost")
+		Int("tasks", len(w.tasks)).Msg("incarnation of the backend server ended; its tasks are reported as lost, unless a start may still be carried out")
 	w.incarnation.cancel()
 
-	ended := w.incarnation
+	last := w.incarnation
 	w.incarnation = nil
 	w.pool.Clear()
-	w.loseTasks(ended)
+	w.loseTasks(last, end)
 
 	w.updateCapacity()
 }
--- a/weir/process/delivery/call.go
+++ b/weir/process/delivery/call.go
@@ -115,5 +115,8 @@
 // Claim returns what may be told of the work that the call asks for.
 func (c *Call) Claim() Claim { return claims[c.State()] }
 
+// Settled reports whether each try has got a reply, so that none of them can be carried out later.
+func (c *Call) Settled() bool { return c.inFlight == 0 && c.unanswered == 0 }
+
 // Unanswered returns the number of tries that got no reply.
 func (c *Call) Unanswered() int { return c.unanswered }
--- a/weir/process/delivery/call_test.go
+++ b/weir/process/delivery/call_test.go
@@ -43,3 +43,22 @@
 	is.Equal(c.Claim(), delivery.NeverRan)
 	is.Equal(c.Unanswered(), 0)
 }
+
+// Guards against a call that counts as settled while a try of it may still be carried out: a confirmed try settles no other.
+func TestConfirmedTrySettlesNoOther(t *testing.T) {
+	is := is.New(t)
+
+	var c delivery.Call
+
+	c.Send()
+	c.Send()
+	c.Record(delivery.Confirmed)
+	is.True(!c.Settled())
+
+	answered := c
+	answered.Record(delivery.Declined)
+	is.True(answered.Settled())
+
+	c.Record(delivery.NoReply)
+	is.True(!c.Settled())
+}
