Raise the fencing token with each process of the backend server

A start that was meant for an earlier process could be carried out by a later one with the same id although the sidecar had called that one: the fencing token of the new incarnation was the wall clock, which is lower than the token before if that had been raised after a rejection. And after refused connections, the first call that reached the next process had the token of the late start, so that it fenced nothing until the process had announced itself.

Now a new incarnation begins above all tokens of the ones before, and the token is raised when a call is refused.

Failed before (started, not fenced): TestLateStartWithRaisedTokenIsFencedAfterRestart, TestFirstCallAfterRefusedOnesFencesLateStarts.

--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -33,6 +33,8 @@
 	if !i.notReached && errors.Is(err, ErrNotReached) {
 		i.notReached = true
 		i.lease.Suspend()
+		// The next process may be called before it has announced itself.
+		i.fenceStarts()
 		w.logUnreachable(i, err)
 		w.updateCapacity()
 		w.reportToAll(uptime.Now())
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -76,7 +76,7 @@
 
 	i := &incarnation{
 		worker: w, instance: a.instance, announcement: a, ctx: ctx, cancel: cancel,
-		token: time.Now().UnixMilli(), tokenStep: initialTokenStepMS,
+		token: max(time.Now().UnixMilli(), w.lastToken), tokenStep: initialTokenStepMS,
 		repeatBudget: retrybudget.New(repeatsPerAnswer),
 	}
 
@@ -126,6 +126,16 @@
 	i.tokenStep *= 2
 }
 
+// fenceStarts raises the fencing token, so that the next call fences the starts that were sent before, and returns it.
+func (i *incarnation) fenceStarts() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	i.token++
+
+	return i.token
+}
+
 func (i *incarnation) run() {
 	r := &leaseRenewer{i}
 	go r.run()
--- a/sidecar/repeatable/late_call_test.go
+++ b/sidecar/repeatable/late_call_test.go
@@ -112,27 +112,31 @@
 	return b.Server.Watch(ctx, lastEnd, wait, p)
 }
 
-// startAndRestart starts a task at a backend server that restarts, and announces the new process.
-func startAndRestart(t *testing.T, carriesOut bool) (*fixture, *restartingBackend) {
-	t.Helper()
-
-	b := &restartingBackend{
+func newRestartingBackend(carriesOut bool) *restartingBackend {
+	return &restartingBackend{
 		unstoppableBackend: unstoppableBackend{leasedbackend.New("i-1")}, carriesOut: carriesOut,
 		restarted: make(chan struct{}),
 	}
+}
+
+// startAndRestart starts a task at a backend server that restarts.
+func startAndRestart(t *testing.T, b *restartingBackend) *fixture {
+	t.Helper()
+
 	fx := newFixtureCalling(t, b.Server, b)
 	fx.announce(1, false)
 	fx.awaitOpen(true)
 	fx.startJob(1, "job", leasedbackend.Hang, 1)
 
-	return fx, b
+	return fx
 }
 
 // Guards against a task that is placed again while it runs: a restarted backend server with the same instance id has
 // carried out a start that was meant for the process before.
 func TestRunAtRestartedBackendIsNotReportedAsLost(t *testing.T) {
 	is := is.New(t)
-	fx, b := startAndRestart(t, true)
+	b := newRestartingBackend(true)
+	fx := startAndRestart(t, b)
 	<-b.restarted
 	fx.announce(1, false)
 
@@ -144,7 +148,24 @@
 // out late: the new process has another clock, so that the lease does not reject it.
 func TestLateStartIsFencedAfterRestart(t *testing.T) {
 	is := is.New(t)
-	fx, b := startAndRestart(t, false)
+	b := newRestartingBackend(false)
+	fx := startAndRestart(t, b)
+	<-b.restarted
+	fx.announce(1, false)
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	fx.awaitOpen(true)
+
+	answer, err := b.Server.Start(t.Context(), b.run, leasedbackend.Hang, b.permit)
+	is.NoErr(err)
+	is.Equal(answer.Result(), repeatable.Fenced)
+}
+
+// Guards against the same if the fencing token had been raised before the restart.
+func TestLateStartWithRaisedTokenIsFencedAfterRestart(t *testing.T) {
+	is := is.New(t)
+	b := newRestartingBackend(false)
+	b.RaiseToken(time.Now().Add(time.Second).UnixMilli())
+	fx := startAndRestart(t, b)
 	<-b.restarted
 	fx.announce(1, false)
 	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
--- a/sidecar/repeatable/late_try_test.go
+++ b/sidecar/repeatable/late_try_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	secondTry chan struct{}
 	// listed is closed while lists are delivered.
 	listed chan struct{}
+	// lists is the number of lists that were answered.
+	lists atomic.Int64
 }
 
 func newLateTryBackend() *lateTryBackend {
@@ -70,7 +73,12 @@
 
 	select {
 	case <-listed:
-		return b.Server.Watch(ctx, lastEnd, wait, p)
+		result, err := b.Server.Watch(ctx, lastEnd, wait, p)
+		if err == nil {
+			b.lists.Add(1)
+		}
+
+		return result, err
 	case <-ctx.Done():
 		return repeatable.WatchResult{}, ctx.Err()
 	}
@@ -177,6 +185,22 @@
 	is.Equal(len(fx.backend.Running()), 0)
 }
 
+// Guards against a late start that the next process carries out before it has announced itself, after it was called.
+func TestFirstCallAfterRefusedOnesFencesLateStarts(t *testing.T) {
+	is := is.New(t)
+	fx, b := startWithLateTry(t)
+	b.Crash()
+	fx.awaitOpen(false) // a call was refused
+
+	lists := b.lists.Load()
+	b.Restart("i-1")
+	fx.await("a list of the next process", func() bool { return b.lists.Load() > lists })
+
+	answer, err := b.Server.Start(t.Context(), b.run, leasedbackend.Hang, b.permit)
+	is.NoErr(err)
+	is.Equal(answer.Result(), repeatable.Fenced)
+}
+
 // Guards against a task that waits for a late start although a process with another id rejects it.
 func TestTaskIsLostAtOnceWithAnotherInstance(t *testing.T) {
 	is := is.New(t)
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -39,7 +39,9 @@
 	incarnation *incarnation
 	// lastInstance is the id of the newest incarnation, which may have ended.
 	lastInstance string
-	pool         reservation.Pool
+	// lastToken is higher than the fencing tokens of the starts at incarnations that have ended.
+	lastToken int64
+	pool      reservation.Pool
 	// sessions and tasks change under mu only.
 	sessions map[uint64]*entrySession
 	tasks    map[Task]*task
@@ -255,6 +257,7 @@
 	w.incarnation.cancel()
 
 	last := w.incarnation
+	w.lastToken = max(w.lastToken, last.fenceStarts())
 	w.incarnation = nil
 	w.pool.Clear()
 	w.loseTasks(last, end)
