--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -39,6 +39,8 @@
 	ready bool
 	// lastEnd is the highest number of an ended run that the worker has handled.
 	lastEnd uint64
+	// listedAt is when the newest call was sent that this process has answered with a list of its runs, zero before.
+	listedAt time.Duration
 	// lastLoss is when a call without an answer reached its time limit last.
 	lastLoss time.Duration
 	// failingSince is when the first call failed after the last answer, zero while calls are answered. notReached is true
@@ -76,7 +78,7 @@
 
 	i := &incarnation{
 		worker: w, instance: a.instance, announcement: a, ctx: ctx, cancel: cancel,
-		token: time.Now().UnixMilli(), tokenStep: initialTokenStepMS,
+		token: max(time.Now().UnixMilli(), w.lastToken), tokenStep: initialTokenStepMS,
 		repeatBudget: retrybudget.New(repeatsPerAnswer),
 	}
 
@@ -128,6 +130,16 @@
 	i.tokenStep *= 2
 }
 
+// fenceStarts raises the fencing token, so that the next call fences the starts that were sent before, and returns it.
+func (i *incarnation) fenceStarts() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	i.token++
+
+	return i.token
+}
+
 func (i *incarnation) run() {
 	r := &leaseRenewer{i}
 	go r.run()
@@ -280,7 +292,7 @@
 
 	if w.incarnation == i {
 		w.markCrashed(i)
-		w.endIncarnation("another instance answered")
+		w.endIncarnation("another instance answered", replaced)
 	}
 }
 
@@ -303,16 +315,20 @@
 	if i.ready || len(w.tasks) > 0 {
 		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.announcement.instance).
 			Int("tasks", len(w.tasks)).
-			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost")
+			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost, unless a start may still be carried out")
 	}
 
 	i.ready = false
 
+	end := unresponsive
+
 	if i.notReached {
 		w.markCrashed(i)
+
+		end = ended
 	}
 
-	w.loseTasks(i)
+	w.loseTasks(i, end)
 	w.updateCapacity()
 
 	return first
@@ -337,11 +353,13 @@
 
 	if result.startedAtMS != 0 && i.announcement.startedAtMS != 0 && result.startedAtMS != i.announcement.startedAtMS {
 		w.markCrashed(i)
-		w.endIncarnation("the backend server was restarted with the same instance id")
+		w.endIncarnation("the backend server was restarted with the same instance id", restarted)
 
 		return
 	}
 
+	i.listedAt = max(i.listedAt, sent)
+
 	for _, e := range result.ended {
 		i.lastEnd = max(i.lastEnd, e.number)
 
@@ -379,7 +397,7 @@
 		present[r] = true
 
 		t := w.tasks[r.task]
-		if t == nil || t.run.number != r.number {
+		if t == nil || t.run.number != r.number || t.isHeld() {
 			orphanedRuns = append(orphanedRuns, r)
 
 			continue
@@ -393,9 +411,13 @@
 	}
 
 	for _, t := range w.tasks {
+		if t.isHeld() && present[t.run] {
+			t.heldSince = uptime.Now()
+		}
+
 		// A call that was sent before the answer to the start or stop may have returned a list from before the task
 		// ran.
-		isListCurrent := (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
+		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
 			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent)
 		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
