Make TestCancellationsAreBatched independent of its speed

Its 2000 submissions had a deadline of 10 s while nothing completes. When they took more than 500 ms, the queue estimated its drain rate and refused them, as it should: 24 of 24 runs failed at a load of 24 to 30. They now have a deadline of a week. The first close message took 20 ms for each submission, so a test that was not scheduled in time saw a third message; now it lasts until all submissions are cancelled.

Seen: 48 of 48 runs pass at that load, and 20 of 20 that were paused for 0.7 s; with one submission to a close message (trial) the test fails.

--- a/entry/home/failure_test.go
+++ b/entry/home/failure_test.go
@@ -142,16 +142,19 @@
 	cancels := make([]func(), 0, 2000)
 
 	for range 2000 {
-		h, err := f.table.Submit(f.submission(1, options{}))
+		// Nothing completes, so the queue drains the more slowly the longer the submissions take.
+		h, err := f.table.Submit(f.submission(1, options{deadline: 7 * 24 * time.Hour}))
 		is.NoErr(err)
 		cancels = append(cancels, h.Cancel)
 	}
 
 	waitUntil(is, func() bool { return len(f.sentStarts()) == workerCapacity })
 
+	allCancelled := make(chan struct{})
+
 	f.mu.Lock()
 	f.close = func(string, string) ([]*wire.TaskId, error) {
-		time.Sleep(20 * time.Millisecond)
+		<-allCancelled
 
 		return nil, nil
 	}
@@ -162,6 +165,8 @@
 		c()
 	}
 
+	close(allCancelled)
+
 	is.NoErr(f.table.Drain(t.Context()))
 	f.mu.Lock()
 	defer f.mu.Unlock()
