End an active job when the news comes that it crashes backend servers

An entry that was told of crashes under a task judged the job only when it arrived. A caller whose entry died after the second crash sends the job to another entry before the lease of the second run has ended, so the news comes while the job is active there: it was placed again or waited until it was refused. Now the news ends it as failed by the same bounds.

TestNewsOfCrashesEndsAnActiveJob fails without the change: the job is refused after 10 s.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -25,6 +25,9 @@
 // reasonNoCapacity is the reason for the end of a job that is logged as refused instead.
 const reasonNoCapacity = "no capacity"
 
+// reasonDeadly is the reason for the end of a job with a task that is deadly.
+const reasonDeadly = "a task crashes the backend servers that start it"
+
 // placement is the state of one task of a job and the sidecar where it is placed.
 type placement struct {
 	// sidecar is the number of the sidecar, zero while the task is not placed.
@@ -365,7 +368,7 @@
 	case p.failures >= a.job.Policy().AttemptLimit():
 		a.end(job.Failed{}, "a task failed too often")
 	case p.crashes.isDeadly():
-		a.end(job.Failed{}, "a task crashes the backend servers that start it")
+		a.end(job.Failed{}, reasonDeadly)
 	case p.crashes.lostTooOften():
 		a.end(a.incompleteOutcome("a task was lost too often", 0), "a task was lost too often")
 	case a.allDone():
--- a/entry/repeatable/crash.go
+++ b/entry/repeatable/crash.go
@@ -127,3 +127,15 @@
 		}
 	}
 }
+
+// recordCrashedTasks records the tasks that a sidecar reports as lost by a crash. It ends their jobs that are deadly by
+// then: a job that was sent to another entry first arrives here before the lease of its last run has ended there.
+func (d *Dispatcher) recordCrashedTasks(m *wire.CrashedTasks, now time.Duration) {
+	d.crashes.record(m, now)
+
+	for _, t := range m.GetTasks() {
+		if a := d.activeJobsByID[t.GetJob()]; a != nil && d.crashes.isDeadly(a.job) {
+			a.end(job.Failed{}, reasonDeadly)
+		}
+	}
+}
--- a/entry/repeatable/crash_test.go
+++ b/entry/repeatable/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -92,6 +93,31 @@
 	is.True(f.crashes() <= crashLimit+1) // one more if the news came too late
 }
 
+// Guards against a job that is placed again, or waits until its deadline, although the news that its task has crashed two
+// backend servers arrives: it was sent to this entry before the lease of the second one had ended.
+func TestNewsOfCrashesEndsAnActiveJob(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 0, 0)
+	e := f.entries[0]
+	r := f.attachRaw(e, 1)
+	r.report(8)
+	f.await("the backend server is known", func() bool { return e.OpenServers(service) == 1 })
+
+	p := f.submit(t.Context(), e, newJob("deadly", leasedbackend.Crash, 1))
+
+	r.next() // the reservation, which is not granted
+
+	news := wire.Frame_builder{CrashedTasks: wire.CrashedTasks_builder{
+		Tasks: []*wire.CrashedTask{wire.CrashedTask_builder{Job: "deadly", Suspected: true}.Build()},
+	}.Build()}.Build()
+
+	for range crashLimit {
+		r.send(news)
+	}
+
+	is.Equal(p.wait(t), job.Failed{})
+}
+
 // Guards against a job that is shown as failed because its backend server crashed twice, each time after a newer task of
 // another job had started, which is the likelier cause.
 func TestJobBesideADeadlyTaskIsNotGivenUp(t *testing.T) {
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -264,7 +264,7 @@
 	case wire.Frame_BackendCrash_case:
 		d.handleBackendCrash(s, f.GetBackendCrash(), uptime.Now())
 	case wire.Frame_CrashedTasks_case:
-		d.crashes.record(f.GetCrashedTasks(), uptime.Now())
+		d.recordCrashedTasks(f.GetCrashedTasks(), uptime.Now())
 	case wire.Frame_Ended_case:
 		m := f.GetEnded()
 		s.report.SetFreeCpu(m.GetFreeCpu())
