End the jobs of a paused entry before a frame starts a task of them

An entry that was paused for longer than 450 ms ends its jobs at the next clock check, since callers may have sent them to another entry. A frame could be handled before that check: sessions without work last 2.5 s, so after a pause of 1.3 to 2.4 s a job that waited for capacity could request a reservation at an idle sidecar and start a task there, while the other entry runs the same task.

Each frame about jobs, and each new job, now checks the clock first. A job that arrives after the pause is no longer ended by the late check.

--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -62,6 +62,8 @@
 	// new; they are judged together, in the order in which they happened.
 	crashes      crashHistory
 	earlyCrashes []reportedCrash
+	// clockCheckedAt is the time of the last clock check, zero before the first one.
+	clockCheckedAt time.Duration
 	// sidecarEstimate is the estimated number of sidecars in the deployment, as of the last tick.
 	sidecarEstimate int
 	shuttingDown    bool
@@ -116,6 +118,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
+	d.handlePause(now)
+
 	if a := d.activeJobsByID[j.ID()]; a != nil {
 		a.callers++
 
@@ -390,18 +394,13 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 
-	last := uptime.Now()
+	d.checkClock(uptime.Now())
 
 	for {
 		select {
 		case <-t.C:
 			now := uptime.Now()
-			if now-last > tickInterval+pauseThreshold {
-				d.handlePause(now - last)
-			}
-
-			last = now
-
+			d.checkClock(now)
 			d.keepSessions(now)
 		case <-ctx.Done():
 			return
@@ -409,12 +408,26 @@
 	}
 }
 
-// handlePause ends all jobs after this process was paused: the sidecars have stopped their tasks, and their callers may
-// have resubmitted them to another entry.
-func (d *Dispatcher) handlePause(gap time.Duration) {
+// checkClock checks whether this process was paused since the last call.
+func (d *Dispatcher) checkClock(now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
+	d.handlePause(now)
+	d.clockCheckedAt = now
+}
+
+// handlePause ends all jobs if this process was paused since the last clock check: the sidecars have stopped their tasks, and
+// the callers may have resubmitted them to another entry. After a pause, frames and jobs may be handled before the clock
+// check that is due, so each of them calls it too. The caller holds mu.
+func (d *Dispatcher) handlePause(now time.Duration) {
+	gap := now - d.clockCheckedAt
+	if d.clockCheckedAt == 0 || gap <= tickInterval+pauseThreshold {
+		return
+	}
+
+	d.clockCheckedAt = now
+
 	d.log.Warn().Str("event", "process_paused").Dur("gap", gap).Int("jobs", len(d.activeJobs)).
 		Msg("process was paused; ending all of its jobs, which callers may have resubmitted to another entry")
 
--- a/entry/repeatable/fixture_test.go
+++ b/entry/repeatable/fixture_test.go
@@ -44,6 +44,8 @@
 	cancel context.CancelFunc
 	// path is where sidecars dial the entry.
 	path string
+	// stopChecks ends the checks of the dispatcher, as in a pause of its process.
+	stopChecks context.CancelFunc
 }
 
 // sidecarNode is a backend server and the sidecar beside it.
@@ -102,8 +104,11 @@
 
 	e.path = e.node.Address().String()
 
+	checks, stop := context.WithCancel(ctx)
+	e.stopChecks = stop
+
 	go e.accept(ctx)
-	go e.Run(ctx)
+	go e.Run(checks)
 
 	f.entries = append(f.entries, e)
 
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -243,6 +243,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
+	d.handlePause(uptime.Now())
+
 	switch f.WhichBody() {
 	case wire.Frame_Room_case:
 		if s.report.GetOpen() && !f.GetRoom().GetOpen() {
