Report tasks at a leaving backend server as lost once they have ended

A backend server goes on for up to some seconds after it has said that it leaves, if it gets no answer. Its message may also be read late, by a sidecar that was paused.

The tasks are now stopped, the lease is not renewed, and each task is reported when its run has ended. A connection that is refused after the message settles all of them at once, so nothing is slower where the process ends as it said.

--- a/sidecar/repeatable/departure_test.go
+++ b/sidecar/repeatable/departure_test.go
@@ -95,3 +95,35 @@
 	is.True(w.Announce(t.Context(), repeatable.NewAnnouncement( // another sidecar has not seen it leave
 		"i-1", "service", "domain", fx.backend.StartedAtMS(), 4, repeatable.Announcement{}.Capacity(), nil, false)))
 }
+
+// Guards against a task that is placed again while it runs: its backend server goes on after it has said that it leaves.
+func TestRunAtLeavingBackendIsNotReportedAsLost(t *testing.T) {
+	is := is.New(t)
+	b := &unstoppableBackend{leasedbackend.New("i-1")}
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 1)
+	fx.await("the task runs", fx.hasRunning(1))
+
+	fx.worker.Depart("i-1")
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	is.Equal(len(fx.backend.Running()), 0)
+}
+
+// Guards against the end of a backend server that has left and that counts as a crash under its tasks.
+func TestEndOfBackendThatLeftIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 1)
+	fx.await("the task runs", fx.hasRunning(1))
+
+	fx.backend.Crash()
+	fx.worker.Depart("i-1")
+
+	f := fx.nextFrame()
+	is.Equal(f.GetEnded().GetResult(), wire.Result_RESULT_LOST)
+	is.True(!f.GetEnded().GetCrashed()) // its process has ended as it said
+}
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -33,10 +33,12 @@
 	worker *Worker
 	// instance is the id of the incarnation and does not change.
 	instance string
-	// announcement, ready and lastEnd change under the worker's mutex.
+	// announcement, ready, departed and lastEnd change under the worker's mutex.
 	announcement Announcement
 	// ready is true once no run of an earlier sidecar is left at the backend server.
 	ready bool
+	// departed is true once the backend server has said that it leaves.
+	departed bool
 	// lastEnd is the highest number of an ended run that the worker has handled.
 	lastEnd uint64
 	// lastLoss is when a call without an answer reached its time limit last.
@@ -116,7 +118,7 @@
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready, i.worker.awaitsStop(i, now)
+	return i.ready, i.departed || i.worker.awaitsStop(i, now)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
@@ -295,8 +297,9 @@
 	}
 
 	first := w.recordCallError(i, err)
+	w.finishDeparture()
 
-	if !i.lease.Expired(uptime.Now()) {
+	if w.incarnation != i || !i.lease.Expired(uptime.Now()) {
 		return first
 	}
 
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -96,6 +96,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	w.finishDeparture()
+
 	now := uptime.Now()
 	inUse := w.sessionsInUse()
 
@@ -215,19 +217,19 @@
 	go w.incarnation.run()
 }
 
-// Depart ends the incarnation of the backend server if it is the instance that leaves.
+// Depart begins the end of the incarnation of the backend server if it is the instance that leaves.
 func (w *Worker) Depart(instance string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.incarnation == nil || w.incarnation.announcement.instance != instance {
+	if w.incarnation == nil || w.incarnation.departed || w.incarnation.announcement.instance != instance {
 		return
 	}
 
 	w.gone = w.incarnation.announcement
 	w.gone.departed = true
 	w.saveAnnouncement(w.gone)
-	w.endIncarnation("the backend server left")
+	w.beginDeparture(w.incarnation)
 }
 
 // endIncarnation ends the current incarnation of the backend server, if there is one, and reports its tasks as lost.
