Count the end of a run once

Answers that overtake each other list an end twice. Where a task had been launched again at the same backend server within 100 ms, it has the run number of its last run until the backend server rejects that, so the end of the last run, listed again, ended the new one: it was reported with the outcome of a run that was over, for instance as failed a second time.

Ends that were handled are now skipped. TestEndCountsOnce failed 2 of 3 without the change (the third had another run number, as 100 ms were over) and passed 6 of 6 with it.

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -345,7 +345,15 @@
 		return
 	}
 
+	// An answer that was overtaken by a later one lists ends again. A task that is launched again at once has the run number
+	// of its last run until the backend server rejects that.
+	handled := i.lastEnd
+
 	for _, e := range result.ended {
+		if e.number != 0 && e.number <= handled {
+			continue
+		}
+
 		i.lastEnd = max(i.lastEnd, e.number)
 
 		if t := w.tasks[e.run.task]; t != nil && t.run.number == e.run.number {
