Check that a start is still wanted just before it is sent

A start checked whether its task waits for it, then got its permit, then checked its session. Between the first and the last, the task can be reported as lost: the last lease has ended and a call fails while the answer to another one lets a new lease be given. The start was then sent for a task that its entry places again. The check after the permit now covers the task too: what is reported as lost before it is not sent, and after it the lease of the permit keeps the task from being reported as lost.

A try that is not sent no longer stops a task that another try has started meanwhile.

--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -46,7 +46,7 @@
 
 	// The permit comes first: if this process is paused after the session was checked, its lease ends meanwhile.
 	p := t.incarnation.newPermit()
-	if p.leaseEnd == 0 || !t.worker.hasLiveSession(t) {
+	if p.leaseEnd == 0 || !t.worker.wantsStart(t) {
 		t.worker.handleStartNotSent(t, attempt, p)
 
 		return trySettled
@@ -172,15 +172,16 @@
 		Int("unanswered", t.startCall.call.Unanswered()).Dur("since_launch", uptime.Now()-t.launchedAt)
 }
 
-// hasLiveSession reports whether the session of a task goes on. After a pause of this process it may have expired without
-// having been ended yet, and the entry may have placed the task again.
-func (w *Worker) hasLiveSession(t *task) bool {
+// wantsStart reports whether a task still waits for its start and its session goes on. After a pause of this process, the
+// session may have expired without having been ended yet, and the entry may have placed the task again. The task may also
+// have been reported as lost since the try began.
+func (w *Worker) wantsStart(t *task) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	s := w.sessions[t.key.Session()]
 
-	return s != nil && s.Alive()
+	return t.awaitsStart() && s != nil && s.Alive()
 }
 
 // handleStartNotSent gives up a start that is not sent, since its session has expired or no lease can be given: the
@@ -189,11 +190,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.tasks[t.run.task] != t {
+	t.startCall.call.Record(delivery.NotDelivered)
+
+	if w.tasks[t.run.task] != t || t.startAnsweredAt > 0 {
 		return
 	}
 
-	t.startCall.call.Record(delivery.NotDelivered)
 	t.describeStart(w.log.Info().Str("event", "start_not_sent"), attempt).Bool("lease", p.leaseEnd > 0).
 		Msg("a start is not sent: its session has expired, or the backend server answers no renewal, so that no lease can be given")
 	w.giveUpStart(t, false)
