Decide in one table what each call to a backend server tells

Only starts used the table of package delivery. Stops kept a time of their own, renewals counted as made even when the backend server had fenced them, and no metric told of stops, renewals or tasks of unknown fate.

A stop keeps its task from counting as stopped until it is confirmed; then no late start begins the run, and a list that was asked for later tells that it is over. A renewal of unknown fate may have extended the lease to the highest end that was sent, and tells nothing of the runs; one that is fenced extends nothing, and no longer puts off the next one.

--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
@@ -39,6 +40,8 @@
 	reports chan *wire.Room
 	links   *repeatable.Links
 	node    *quic.Node
+	// registry has the metrics of the sidecar.
+	registry gometrics.Registry
 	// stopKeepAlives is closed to stop the keep-alives of the entry.
 	stopKeepAlives chan struct{}
 }
@@ -71,8 +74,10 @@
 	fx := &fixture{
 		t: t, backend: b, reports: make(chan *wire.Room, 1),
 		crashes: make(chan *wire.BackendCrash, 16), crashedTasks: make(chan *wire.CrashedTasks, 16), node: &quic.Node{},
+		registry: gometrics.NewRegistry(),
 	}
-	fx.worker = repeatable.NewWorker("sidecar", c, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
+	fx.worker = repeatable.NewWorker("sidecar", c, repeatable.NewRouteDistributor(zerolog.Nop()),
+		repeatable.NewMetrics(fx.registry), zerolog.Nop())
 	is.NoErr(fx.node.Listen("127.0.0.1:0", keys))
 
 	sidecarNode := &quic.Node{}
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -205,6 +205,7 @@
 
 	sent := uptime.Now()
 	result, err := i.worker.backend.Watch(ctx, i.lastHandledEnd(), wait, i.newPermit())
+	i.worker.metrics.recordWatch(result, err)
 
 	switch {
 	case errors.Is(err, ErrOtherInstance):
@@ -217,8 +218,7 @@
 
 		i.pause()
 	default:
-		i.lease.RecordClock(result.clock, uptime.Now())
-		i.lease.RecordAnswer(sent, uptime.Now())
+		i.recordRenewal(result, sent)
 		i.worker.handleWatchResult(i, result, sent)
 
 		if result.hasUnnumberedEnd() {
@@ -410,10 +410,7 @@
 }
 
 func (o *orphanedRunStop) run() {
-	ctx, cancel := context.WithTimeout(o.incarnation.ctx, callTimeout)
-	defer cancel()
-
-	err := o.incarnation.worker.backend.Stop(ctx, o.target, o.incarnation.newPermit())
+	err := o.incarnation.sendStop(o.target)
 
 	o.incarnation.worker.log.Info().AnErr("error", err).Str("event", "orphaned_run_stopped").Str("job", o.target.task.job).
 		Uint32("task", o.target.task.index).Int64("run", o.target.number).
--- a/sidecar/repeatable/metrics.go
+++ b/sidecar/repeatable/metrics.go
@@ -1,6 +1,7 @@
 package repeatable
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
 // Metrics counts tasks and measures their run times, by result.
@@ -32,23 +34,35 @@
 	}).(gometrics.Histogram).Update(run.Microseconds())
 }
 
-// recordStart counts a try of a start by its result.
-func (m *Metrics) recordStart(r StartResult, err error) {
-	if m == nil {
+// recordTry counts a try of a call by its result, which is answered if the try has not failed. A try that this process
+// has broken off is not counted.
+func (m *Metrics) recordTry(name, answered string, err error) {
+	if m == nil || errors.Is(err, context.Canceled) {
 		return
 	}
 
-	result := r.String()
+	result := answered
 
 	switch {
 	case errors.Is(err, ErrNotReached):
 		result = "undelivered"
+	case errors.Is(err, ErrOtherInstance):
+		result = "other_instance"
 	case err != nil:
 		result = "unanswered"
 	}
 
-	name := metrics.Name("start_tries_total", "result", result)
-	m.registry.GetOrRegister(name, gometrics.NewCounter).(gometrics.Counter).Inc(1)
+	m.registry.GetOrRegister(metrics.Name(name, "result", result), gometrics.NewCounter).(gometrics.Counter).Inc(1)
+}
+
+// recordWatch counts a call that renews the lease and lists the runs by its result.
+func (m *Metrics) recordWatch(result WatchResult, err error) {
+	answered := "listed"
+	if result.fenced {
+		answered = "fenced"
+	}
+
+	m.recordTry("watch_tries_total", answered, err)
 }
 
 // registerGauges registers the gauges of the worker, which are read when the metrics are written.
@@ -57,6 +71,8 @@
 		"room_capacity_millicores": func() int64 { return w.pool.Capacity().Millicores() },
 		"room_free_millicores":     func() int64 { return w.pool.Free().Millicores() },
 		"tasks_running":            func() int64 { return int64(len(w.tasks)) },
+		"tasks_fate_unknown":       func() int64 { return int64(len(w.unknownFates())) },
+		"tasks_fate_unknown_ms":    func() int64 { return w.longestUnknownFate(uptime.Now()).Milliseconds() },
 		"entries_connected":        func() int64 { return int64(len(w.sessions)) },
 		"routes_version":           func() int64 { return int64(w.routes.Version()) },
 	} {
--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -105,16 +104,11 @@
 
 // startReply returns what the answer to a try of a start says of that try.
 func startReply(answer StartAnswer, err error) delivery.Reply {
-	switch {
-	case errors.Is(err, ErrNotReached):
-		return delivery.NotDelivered
-	case err != nil:
-		return delivery.NoReply
-	case answer.result == Started:
-		return delivery.Confirmed
-	default:
+	if err == nil && answer.result != Started {
 		return delivery.Declined
 	}
+
+	return callReply(err)
 }
 
 // handleStartAnswer handles the answer to a try of the start of the run r, and returns what it means for the start.
@@ -122,7 +116,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.metrics.recordStart(answer.result, err)
+	w.metrics.recordTry("start_tries_total", answer.result.String(), err)
 
 	if w.tasks[t.run.task] != t {
 		return trySettled
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/delivery"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -49,6 +50,8 @@
 	startAnsweredAt time.Duration
 	// startCall is the start of the task.
 	startCall startCall
+	// stopCall is the stop of the task.
+	stopCall stopCall
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
 	stopping       bool
 	stopAnsweredAt time.Duration
@@ -95,7 +98,8 @@
 			worker: w, incarnation: w.incarnation, key: key, input: m.GetInput(), size: size, stopOutcome: Stopped,
 			expected: time.Duration(m.GetExpectedMs()) * time.Millisecond,
 			priority: int(m.GetPriority()), kind: m.GetKind(), launchedAt: uptime.Now(),
-			run: NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
+			run:      NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
+			stopCall: stopCall{call: delivery.NewCall(delivery.Stop)},
 		}
 
 		if old := w.tasks[t.run.task]; old != nil {
@@ -178,9 +182,10 @@
 	}
 
 	t.stopping = true
+	t.stopCall.task, t.stopCall.sentAt = t, uptime.Now()
+	t.stopCall.call.Send()
 
-	c := &stopCall{t}
-	go c.run()
+	go t.stopCall.run()
 }
 
 // abandon stops a task for whose end nobody waits.
@@ -192,7 +197,7 @@
 // awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered. The caller holds mu.
 func (w *Worker) awaitsStop(i *incarnation) bool {
 	for _, t := range w.tasks {
-		if t.incarnation == i && t.abandoned && t.stopAnsweredAt == 0 {
+		if t.incarnation == i && t.abandoned && t.stopCall.call.Claim() == delivery.MayRun {
 			return true
 		}
 	}
--- a/weir/process/delivery/call.go
+++ b/weir/process/delivery/call.go
@@ -1,5 +1,11 @@
 // Package delivery keeps track of what is known of calls whose answers may be lost.
 //
+// All calls of a sidecar to its backend server use it: starts, stops, renewals with the lists of runs, and the execution of tasks
+// with tickets. The table in this package has what may be told of each kind of call, with the reasons.
+//
+// Starts carry the end of a lease as well, which counts even if the start is declined. So the lease is taken to last until the
+// highest end that was sent with any call, whatever came back.
+//
 // A call is sent in one or more tries. A try without an answer may have been carried out, or may be carried out later, even
 // after newer tries. What the server answers to one try says nothing of the others.
 package delivery
@@ -55,29 +61,9 @@
 	Answered: {NoReply: Answered, NotDelivered: Answered, Declined: Answered, Confirmed: Answered},
 }
 
-// Claim is what may be told of the work that a call asks for.
-type Claim uint8
-
-// The claims.
-const (
-	// MayRun means that the work may run now or later: it has to be stopped, or seen to have ended, before another server
-	// may be given it and before anyone is told that it did not run.
-	MayRun Claim = iota
-	// NeverRan means that nothing of it ran or will run: another server may be given it at once.
-	NeverRan
-)
-
-// claims has what may be told in each state.
-var claims = [stateCount]Claim{
-	Unsent:   NeverRan, // the server has not heard of the work
-	Sent:     MayRun,   // the try may be carried out before its answer arrives
-	Refused:  NeverRan, // the server has said of each try that it did nothing, or did not get it
-	Unknown:  MayRun,   // a try may have been carried out, or may be later
-	Answered: MayRun,   // the work began; only the list of ended runs tells that it is over
-}
-
-// Call is what is known of one call. The zero value is a call that was not sent.
+// Call is what is known of one call. The zero value is a start that was not sent.
 type Call struct {
+	kind Kind
 	// state is what the replies so far say. inFlight is the number of tries whose reply is still to come.
 	state    State
 	inFlight int
@@ -85,6 +71,9 @@
 	unanswered int
 }
 
+// NewCall returns a call of a kind that was not sent.
+func NewCall(k Kind) Call { return Call{kind: k} }
+
 // Send records that a try is sent.
 func (c *Call) Send() {
 	c.inFlight++
@@ -112,8 +101,8 @@
 	return c.state
 }
 
-// Claim returns what may be told of the work that the call asks for.
-func (c *Call) Claim() Claim { return claims[c.State()] }
+// Claim returns what may be told of the work that the call is about.
+func (c *Call) Claim() Claim { return claims[c.kind][c.State()] }
 
 // Unanswered returns the number of tries that got no reply.
 func (c *Call) Unanswered() int { return c.unanswered }
--- a/weir/process/lease/lease.go
+++ b/weir/process/lease/lease.go
@@ -96,6 +96,14 @@
 	l.renewedAt = max(l.renewedAt, sent)
 }
 
+// RecordContact records an answer to a call that did not renew the lease.
+func (l *Lease) RecordContact(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.lastAnswer, l.suspended = now, false
+}
+
 // Suspend is called when calls are no longer delivered. The lease is not renewed until the next answer, so that it ends
 // after the last call that may have been delivered.
 func (l *Lease) Suspend() {
--- a/weir/process/lease/lease_test.go
+++ b/weir/process/lease/lease_test.go
@@ -170,3 +170,21 @@
 	l.RecordAnswer(1300*ms, 1310*ms)
 	is.True(l.Renew(1320*ms) > 0)
 }
+
+// Guards against a call that renewed nothing and that puts off the next renewal.
+func TestContactIsNoRenewal(t *testing.T) {
+	is := is.New(t)
+
+	var l lease.Lease
+
+	now := time.Minute
+	l.RecordAnswer(now, now)
+	is.True(!l.RenewalDue(now))
+
+	now += lease.RenewalInterval
+	l.RecordContact(now)
+	is.True(l.RenewalDue(now))
+
+	l.RecordAnswer(now, now)
+	is.True(!l.RenewalDue(now))
+}
