--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -194,10 +194,13 @@
 	w.stop(t)
 }
 
-// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered. The caller holds mu.
-func (w *Worker) awaitsStop(i *incarnation) bool {
+// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered. A task whose session has
+// expired counts although the session has not been ended yet: after a pause of this process, calls may come before the next
+// check of the sessions. The caller holds mu.
+func (w *Worker) awaitsStop(i *incarnation, now time.Duration) bool {
 	for _, t := range w.tasks {
-		if t.incarnation == i && t.abandoned && t.stopCall.call.Claim() == delivery.MayRun {
+		if t.incarnation == i && t.startedAt > 0 && t.stopCall.call.Claim() == delivery.MayRun &&
+			(t.abandoned || w.hasExpired(t, now)) {
 			return true
 		}
 	}
@@ -205,6 +208,13 @@
 	return false
 }
 
+// hasExpired reports whether the session of a task has expired.
+func (w *Worker) hasExpired(t *task, now time.Duration) bool {
+	s := w.sessions[t.key.Session()]
+
+	return s == nil || s.Expired(now)
+}
+
 // finish ends a task that is certain not to run any longer, and reports its result.
 func (w *Worker) finish(t *task, outcome Outcome) {
 	// A run that ended by itself keeps its outcome, although a stop was sent.
