Hold the slots of each call without an answer

A task with a ticket whose connection to the backend server broke released its slots at once, while one that was cancelled or past its deadline held them for 100 ms. The backend server may go on running the task in all three cases until it notices the end of the connection, so the next task ran beside it, above the capacity.

The call is one of package delivery now: what the client reports follows from what the table says of an execution. Without an answer the task may run, and its slots stay held; with one it has ended; if the request did not leave, it never ran.

TestSlotsOfAnUnansweredCallAreReleasedLater: failed with the old rule for a broken connection, passes now. sidecar/tasks, sidecar/backend and standin/scenario pass with -race.

--- a/sidecar/backend/client.go
+++ b/sidecar/backend/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/delivery"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
@@ -79,6 +80,9 @@
 
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
 
+	execution := delivery.NewCall(delivery.Execution)
+	execution.Send()
+
 	r, err := http.NewRequestWithContext(
 		ctx, http.MethodPost, c.address+"/run/"+url.PathEscape(call.kind), bytes.NewReader(call.input),
 	)
@@ -94,15 +98,20 @@
 
 	response, err := c.http.Do(r)
 	if err != nil {
-		return classifyError(ctx, err, sent.Load())
+		execution.Record(errorReply(sent.Load()))
+
+		return unansweredResult(ctx, err, execution.Claim())
 	}
 	defer response.Body.Close()
 
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxOutput+1))
+	if err != nil {
+		execution.Record(delivery.NoReply)
+
+		return unansweredResult(ctx, err, execution.Claim())
+	}
 
 	switch status := response.StatusCode; {
-	case err != nil:
-		return classifyError(ctx, err, true)
 	case status >= 200 && status < 300 && int64(len(body)) > c.maxOutput:
 		return NewFailed(fault.TaskFailed, fmt.Sprintf("output exceeds the limit of %d bytes", c.maxOutput))
 	case status >= 200 && status < 300:
@@ -146,17 +155,26 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// classifyError distinguishes a call that was never sent from one that may have run.
-func classifyError(ctx context.Context, err error, sent bool) Result {
+// errorReply returns what came back for a call that failed, depending on whether the request was sent.
+func errorReply(sent bool) delivery.Reply {
+	if sent {
+		return delivery.NoReply
+	}
+
+	return delivery.NotDelivered
+}
+
+// unansweredResult returns the result of a call without an answer.
+func unansweredResult(ctx context.Context, err error, c delivery.Claim) Result {
 	switch {
-	case !sent:
+	case c == delivery.NeverRan:
 		return NewNotStarted(err.Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return NewFailed(fault.DeadlineExceeded, "deadline passed while the task was running")
+		return NewUnanswered(fault.DeadlineExceeded, "deadline passed while the task was running")
 	case ctx.Err() != nil:
-		return NewFailed(fault.Cancelled, "cancelled while the task was running")
+		return NewUnanswered(fault.Cancelled, "cancelled while the task was running")
 	default:
-		return NewFailed(fault.BackendFailed, err.Error())
+		return NewUnanswered(fault.BackendFailed, err.Error())
 	}
 }
 
--- a/sidecar/tasks/execution.go
+++ b/sidecar/tasks/execution.go
@@ -16,10 +16,10 @@
 	// recheckAge is the age of the decision to start a task above which the deadline and the lease are checked again
 	// right before the call to the backend server. The process may have been paused after the decision.
 	recheckAge = 50 * time.Millisecond
-	// cancelledSlotHold is how long slots stay held after a task was cancelled or exceeded its deadline. The backend
-	// server notices this by the end of the connection. If the slots were released at once, the next task would run
-	// beside the old one, above the member's allowance.
-	cancelledSlotHold = 100 * time.Millisecond
+	// unansweredSlotHold is how long slots stay held after a call without an answer: the task was cancelled, has exceeded
+	// its deadline, or its connection has broken. The backend server notices this by the end of the connection. If the
+	// slots were released at once, the next task would run beside the old one, above the member's allowance.
+	unansweredSlotHold = 100 * time.Millisecond
 	// outputAverageCount sets the weight of one output in the moving average of output sizes to 1/outputAverageCount.
 	outputAverageCount = 32
 	// bodyOverheadBytes is the memory that each held input or output takes beyond its length.
@@ -144,17 +144,16 @@
 	}
 }
 
-// releaseSlots releases the slots of an ended task, or after cancelledSlotHold if the backend server may still be
+// releaseSlots releases the slots of an ended task, or after unansweredSlotHold if the backend server may still be
 // running it.
 func (t *Table) releaseSlots(run *Run, result backend.Result) {
-	f, failed := result.(backend.Failed)
-	if !failed || f.Kind() != fault.DeadlineExceeded && f.Kind() != fault.Cancelled {
+	if f, failed := result.(backend.Failed); !failed || !f.MayRun() {
 		t.scheduler.Release(run.task)
 
 		return
 	}
 
-	time.AfterFunc(cancelledSlotHold, func() {
+	time.AfterFunc(unansweredSlotHold, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 
--- a/sidecar/tasks/table_test.go
+++ b/sidecar/tasks/table_test.go
@@ -52,7 +52,7 @@
 		select {
 		case <-f.unblock:
 		case <-ctx.Done():
-			return backend.NewFailed(fault.Cancelled, "cancelled")
+			return backend.NewUnanswered(fault.Cancelled, "cancelled")
 		}
 	}
 
@@ -415,3 +415,41 @@
 
 	return m.HeapAlloc
 }
+
+// Guards against a task that runs beside another one, above the capacity, since the connection of the other one has broken
+// while the backend server runs it on.
+func TestSlotsOfAnUnansweredCallAreReleasedLater(t *testing.T) {
+	// hold is how long a backend server takes to notice that nobody waits for a task.
+	const hold = 100 * time.Millisecond
+
+	for name, result := range map[string]backend.Failed{
+		"broken connection": backend.NewUnanswered(fault.BackendFailed, "EOF"),
+		"deadline":          backend.NewUnanswered(fault.DeadlineExceeded, "deadline"),
+		"cancelled":         backend.NewUnanswered(fault.Cancelled, "cancelled"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newFixture(1, 10, tasks.Limits{})
+
+			var failedAt, nextAt time.Time
+
+			fx.backend.respond = func(c backend.Call) backend.Result {
+				if c.Submission() == "next" {
+					nextAt = time.Now()
+
+					return backend.NewCompleted(nil)
+				}
+
+				failedAt = time.Now()
+
+				return result
+			}
+
+			is.True(outcome(fx.start("unanswered", 0, "")) != nil)
+
+			_, ok := outcome(fx.start("next", 0, "")).(tasks.Completed)
+			is.True(ok)
+			is.True(nextAt.Sub(failedAt) >= hold)
+		})
+	}
+}
