Repeat attempts of sidecar tests whose process was paused

TestLossByCrashIsReported and TestTokenIsRaisedAfterRejection had failed with "no frame within 20s; the session has ended: true". A session ends after 500 ms without contact, as it should, and the process of the test has both ends of it. Each test of sidecar/repeatable was stopped (SIGSTOP) four times for 0.8 s at a random time: eight tests failed, most with this message, others as the lease of their tasks had ended: RESULT_LOST or RESULT_REJECTED in place of RESULT_DONE.

standin/unpaused runs a test and measures meanwhile how long the process did not run. A failed attempt is repeated from its beginning only if that was at least an interval of keep-alives (150 ms), at most four times; the failure of any other attempt is final.

--- a/sidecar/repeatable/unknown_fate_test.go
+++ b/sidecar/repeatable/unknown_fate_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 )
 
@@ -126,7 +127,9 @@
 
 // Guards against a second run of a task that is done: its start was not answered, the list with its end is late, and the
 // repeated start is rejected as outdated.
-func TestEndedRunIsNotStartedAgain(t *testing.T) {
+func TestEndedRunIsNotStartedAgain(t *testing.T) { unpaused.Run(t, endedRunIsNotStartedAgain) }
+
+func endedRunIsNotStartedAgain(t testing.TB) {
 	is := is.New(t)
 	b := newLateListBackend()
 	fx := newFixtureCalling(t, b.Server, b)
