Take back the repeated attempts of entry tests whose process was paused

A failed attempt that is made again because its process did not run for 150 ms hides what the package is tested for: a process that acts wrongly after a pause, and two runs of one task are checked in the same tests. A failure is traced or listed, not repeated.

--- a/entry/repeatable/crash_test.go
+++ b/entry/repeatable/crash_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
@@ -65,10 +64,6 @@
 
 // Guards against a task that is started again without a limit although each backend server that starts it crashes.
 func TestTaskThatCrashesServersIsGivenUp(t *testing.T) {
-	unpaused.Run(t, taskThatCrashesServersIsGivenUp)
-}
-
-func taskThatCrashesServersIsGivenUp(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 6, 8)
 	f.restartCrashed()
@@ -78,9 +73,7 @@
 }
 
 // Guards against an entry that begins to count anew when the caller sends a job again after the entry that had it died.
-func TestCrashesAreKnownToOtherEntries(t *testing.T) { unpaused.Run(t, crashesAreKnownToOtherEntries) }
-
-func crashesAreKnownToOtherEntries(t testing.TB) {
+func TestCrashesAreKnownToOtherEntries(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 2, 6, 8)
 	f.restartCrashed()
@@ -102,9 +95,7 @@
 
 // Guards against a job that is placed again, or waits until its deadline, although the news that its task has crashed two
 // backend servers arrives: it was sent to this entry before the lease of the second one had ended.
-func TestNewsOfCrashesEndsAnActiveJob(t *testing.T) { unpaused.Run(t, newsOfCrashesEndsAnActiveJob) }
-
-func newsOfCrashesEndsAnActiveJob(t testing.TB) {
+func TestNewsOfCrashesEndsAnActiveJob(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	e := f.entries[0]
@@ -130,10 +121,6 @@
 // Guards against a job that is shown as failed because its backend server crashed twice, each time after a newer task of
 // another job had started, which is the likelier cause.
 func TestJobBesideADeadlyTaskIsNotGivenUp(t *testing.T) {
-	unpaused.Run(t, jobBesideADeadlyTaskIsNotGivenUp)
-}
-
-func jobBesideADeadlyTaskIsNotGivenUp(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 1, 8)
 	f.restartCrashed()
@@ -156,10 +143,6 @@
 
 // Guards against a kind of job that crashes one backend server after the other, until none is left for other kinds.
 func TestKindThatCrashesServersIsConfined(t *testing.T) {
-	unpaused.Run(t, kindThatCrashesServersIsConfined)
-}
-
-func kindThatCrashesServersIsConfined(t testing.TB) {
 	is := is.New(t)
 
 	const servers, deadlyJobs = 12, 8
@@ -188,9 +171,7 @@
 }
 
 // Guards against a confined kind that is refused for good because the backend servers of the zone stay away.
-func TestZoneIsReplacedIfItStaysAway(t *testing.T) { unpaused.Run(t, zoneIsReplacedIfItStaysAway) }
-
-func zoneIsReplacedIfItStaysAway(t testing.TB) {
+func TestZoneIsReplacedIfItStaysAway(t *testing.T) {
 	is := is.New(t)
 
 	const servers, deadlyJobs = 8, 5
--- a/entry/repeatable/dispatcher_test.go
+++ b/entry/repeatable/dispatcher_test.go
@@ -11,15 +11,12 @@
 
 	sidecar "github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
 )
 
 // Guards against jobs that do not complete, or tasks that start more than once, under a light load from two entries.
-func TestJobsComplete(t *testing.T) { unpaused.Run(t, jobsComplete) }
-
-func jobsComplete(t testing.TB) {
+func TestJobsComplete(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 2, 3, 16)
 
@@ -43,9 +40,7 @@
 }
 
 // Guards against a backend server that runs more tasks than its capacity allows when two entries overload it.
-func TestCapacityIsKept(t *testing.T) { unpaused.Run(t, capacityIsKept) }
-
-func capacityIsKept(t testing.TB) {
+func TestCapacityIsKept(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 2, 2, 4)
 
@@ -65,9 +60,7 @@
 
 // Guards against a job that is reported as refused although one of its tasks has run, and against jobs that wait for
 // capacity until their deadline instead of being refused early.
-func TestRefusedJobsHaveNotRun(t *testing.T) { unpaused.Run(t, refusedJobsHaveNotRun) }
-
-func refusedJobsHaveNotRun(t testing.TB) {
+func TestRefusedJobsHaveNotRun(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 1, 1)
 
@@ -86,9 +79,7 @@
 }
 
 // Guards against tasks that continue to run after their caller has left.
-func TestCallerLeaves(t *testing.T) { unpaused.Run(t, callerLeaves) }
-
-func callerLeaves(t testing.TB) {
+func TestCallerLeaves(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 2, 4)
 
@@ -104,9 +95,7 @@
 }
 
 // Guards against tasks that continue to run after their job was cancelled.
-func TestCancel(t *testing.T) { unpaused.Run(t, cancel) }
-
-func cancel(t testing.TB) {
+func TestCancel(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 2, 4)
 
@@ -121,10 +110,6 @@
 
 // Guards against a task that always fails and is started more often than its job allows attempts.
 func TestFailingJobStopsAfterItsAttempts(t *testing.T) {
-	unpaused.Run(t, failingJobStopsAfterItsAttempts)
-}
-
-func failingJobStopsAfterItsAttempts(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 4, 4)
 
@@ -143,9 +128,7 @@
 
 // Guards against two concurrent runs of one task when an entry is lost and the caller resubmits the job to another one:
 // the sidecars have to stop the tasks of the lost entry before that.
-func TestEntryLost(t *testing.T) { unpaused.Run(t, entryLost) }
-
-func entryLost(t testing.TB) {
+func TestEntryLost(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 2, 3, 4)
 
@@ -167,9 +150,7 @@
 
 // Guards against a job that does not complete because one of its sidecars was lost, and against tasks that are started
 // elsewhere while they may still run at the backend server of the lost sidecar.
-func TestSidecarLost(t *testing.T) { unpaused.Run(t, sidecarLost) }
-
-func sidecarLost(t testing.TB) {
+func TestSidecarLost(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 2, 4)
 
@@ -237,9 +218,7 @@
 }
 
 // Guards against a second run of a job that is submitted again, on another channel, at the entry where it is active.
-func TestActiveJobIsJoined(t *testing.T) { unpaused.Run(t, activeJobIsJoined) }
-
-func activeJobIsJoined(t testing.TB) {
+func TestActiveJobIsJoined(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 1, 4)
 
@@ -253,9 +232,7 @@
 }
 
 // Guards against a job that ends when one of its two callers leaves while the other one still waits.
-func TestOneOfTwoCallersLeaves(t *testing.T) { unpaused.Run(t, oneOfTwoCallersLeaves) }
-
-func oneOfTwoCallersLeaves(t testing.TB) {
+func TestOneOfTwoCallersLeaves(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 1, 4)
 
@@ -273,9 +250,7 @@
 }
 
 // Guards against new tasks at a draining backend server, and against a drain that interrupts its running tasks.
-func TestBackendDrains(t *testing.T) { unpaused.Run(t, backendDrains) }
-
-func backendDrains(t testing.TB) {
+func TestBackendDrains(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 2, 4)
 
@@ -297,10 +272,6 @@
 // Guards against an entry without access to the store that never gets new routes, and against an older version that
 // replaces a newer one because it arrives later.
 func TestRoutesAreDistributedThroughSidecars(t *testing.T) {
-	unpaused.Run(t, routesAreDistributedThroughSidecars)
-}
-
-func routesAreDistributedThroughSidecars(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 2, 1, 4)
 
@@ -320,10 +291,6 @@
 
 // Guards against tasks that stay at a hanging backend server until the caller's deadline.
 func TestTasksMoveAwayFromHangingServer(t *testing.T) {
-	unpaused.Run(t, tasksMoveAwayFromHangingServer)
-}
-
-func tasksMoveAwayFromHangingServer(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 2, 2)
 
@@ -341,10 +308,6 @@
 // Guards against a long task that is stopped as hanging at one backend server after another, because the other tasks
 // of its kind are short.
 func TestLongTaskIsNotStoppedRepeatedly(t *testing.T) {
-	unpaused.Run(t, longTaskIsNotStoppedRepeatedly)
-}
-
-func longTaskIsNotStoppedRepeatedly(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 2, 2)
 
@@ -358,9 +321,7 @@
 
 // Guards against a job that waits until its deadline because its only backend server, which already got requests for
 // reservations, gets no further ones for the tasks that were lost there.
-func TestOnlyServerGetsRetries(t *testing.T) { unpaused.Run(t, onlyServerGetsRetries) }
-
-func onlyServerGetsRetries(t testing.TB) {
+func TestOnlyServerGetsRetries(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 1, 2)
 
@@ -372,9 +333,7 @@
 }
 
 // Guards against the refusal of jobs after a cold start, when callers connect to an entry before its sidecars do.
-func TestColdStartWaitsForServers(t *testing.T) { unpaused.Run(t, coldStartWaitsForServers) }
-
-func coldStartWaitsForServers(t testing.TB) {
+func TestColdStartWaitsForServers(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 4)
 
@@ -387,10 +346,6 @@
 // Guards against the refusal of a job at the end of its maximum wait although capacity becomes free in time for its
 // objective.
 func TestJobWaitsForCapacityWithinObjective(t *testing.T) {
-	unpaused.Run(t, jobWaitsForCapacityWithinObjective)
-}
-
-func jobWaitsForCapacityWithinObjective(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 1, 4)
 
--- a/entry/repeatable/fixture_test.go
+++ b/entry/repeatable/fixture_test.go
@@ -30,7 +30,7 @@
 
 // fixture runs entries and sidecars in one process, connected over loopback.
 type fixture struct {
-	t        testing.TB
+	t        *testing.T
 	keys     quic.Keys
 	entries  []*entry
 	sidecars []*sidecarNode
@@ -62,7 +62,7 @@
 	lastSequence int64
 }
 
-func newFixture(t testing.TB, entries, sidecars int, cores int64) *fixture {
+func newFixture(t *testing.T, entries, sidecars int, cores int64) *fixture {
 	t.Helper()
 
 	keys, err := quic.SharedKeys(t.Name())
@@ -309,7 +309,7 @@
 	return c.pendingJob
 }
 
-func (p *pendingJob) wait(t testing.TB) job.Outcome {
+func (p *pendingJob) wait(t *testing.T) job.Outcome {
 	t.Helper()
 
 	select {
--- a/entry/repeatable/joinedjob_test.go
+++ b/entry/repeatable/joinedjob_test.go
@@ -6,15 +6,12 @@
 
 	"github.com/matryer/is"
 
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
 // Guards against a caller that is told that its job never runs, while the job goes on for another caller and starts.
-func TestJobThatGoesOnIsNotRefused(t *testing.T) { unpaused.Run(t, jobThatGoesOnIsNotRefused) }
-
-func jobThatGoesOnIsNotRefused(t testing.TB) {
+func TestJobThatGoesOnIsNotRefused(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	e := f.entries[0]
--- a/entry/repeatable/lateframes_test.go
+++ b/entry/repeatable/lateframes_test.go
@@ -8,16 +8,13 @@
 
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/standin/relay"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
 // Guards against running tasks that are given up, or started again elsewhere, because frames between an entry and a
 // sidecar were late for less than the time after which a session ends.
-func TestLateFramesEndNoTask(t *testing.T) { unpaused.Run(t, lateFramesEndNoTask) }
-
-func lateFramesEndNoTask(t testing.TB) {
+func TestLateFramesEndNoTask(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	e := f.entries[0]
--- a/entry/repeatable/rawsidecar_test.go
+++ b/entry/repeatable/rawsidecar_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/hostileframes"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
@@ -19,7 +18,7 @@
 
 // rawSidecar is a session with an entry whose frames the test writes itself.
 type rawSidecar struct {
-	t      testing.TB
+	t      *testing.T
 	node   *quic.Node
 	stream *quic.Stream
 	// frames holds the frames of the entry, except keep-alives.
@@ -94,10 +93,6 @@
 
 // Guards against surplus reservations that stay at a sidecar until their time limit: more were granted than the job needs.
 func TestSurplusReservationsAreReleased(t *testing.T) {
-	unpaused.Run(t, surplusReservationsAreReleased)
-}
-
-func surplusReservationsAreReleased(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	e := f.entries[0]
@@ -123,10 +118,6 @@
 // Guards against an entry that keeps the session of a sidecar process that has ended until its timeout: the next process
 // of the same sidecar has attached.
 func TestNextIncarnationEndsTheSessionBefore(t *testing.T) {
-	unpaused.Run(t, nextIncarnationEndsTheSessionBefore)
-}
-
-func nextIncarnationEndsTheSessionBefore(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	first := f.attachRaw(f.entries[0], 1)
@@ -157,11 +148,7 @@
 }
 
 // Guards against an entry that ends, hangs or no longer serves because of one frame with unexpected values.
-func TestHostileFrames(t *testing.T) { unpaused.Run(t, hostileFrames) }
-
-func hostileFrames(t testing.TB) {
-	t.Helper()
-
+func TestHostileFrames(t *testing.T) {
 	const (
 		seed   = 20261204
 		frames = 4000
--- a/entry/repeatable/routes_test.go
+++ b/entry/repeatable/routes_test.go
@@ -5,16 +5,11 @@
 
 	"github.com/matryer/is"
 
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 )
 
 // Guards against an entry that waits for another report before it fetches the newer routes that a sidecar has reported.
 func TestRoutesAreFetchedAfterOneReport(t *testing.T) {
-	unpaused.Run(t, routesAreFetchedAfterOneReport)
-}
-
-func routesAreFetchedAfterOneReport(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	r := f.attachRaw(f.entries[0], 1)
--- a/entry/repeatable/shutdown_test.go
+++ b/entry/repeatable/shutdown_test.go
@@ -10,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/entry/repeatable"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
@@ -34,10 +33,6 @@
 // Guards against the refusal of short jobs that an entry which is shutting down could still serve, and against jobs that
 // it would have to interrupt.
 func TestShortJobsAreServedDuringShutdown(t *testing.T) {
-	unpaused.Run(t, shortJobsAreServedDuringShutdown)
-}
-
-func shortJobsAreServedDuringShutdown(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 1, 8)
 	e := f.entries[0]
--- a/entry/repeatable/unansweredstop_test.go
+++ b/entry/repeatable/unansweredstop_test.go
@@ -9,17 +9,12 @@
 	sidecar "github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/standin/relay"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
 // Guards against two concurrent runs of a task whose sidecar was lost, because its stop got no answer and counted as done:
 // the sidecar went on renewing the lease of the backend server.
 func TestUnansweredStopDoesNotCountAsStopped(t *testing.T) {
-	unpaused.Run(t, unansweredStopDoesNotCountAsStopped)
-}
-
-func unansweredStopDoesNotCountAsStopped(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	e := f.entries[0]
@@ -55,12 +50,6 @@
 // Guards against a task that runs on after its caller has left, because the stop got no answer and the lease of the
 // backend server is renewed for ever.
 func TestTaskEndsWithTheLeaseIfItsStopIsNotAnswered(t *testing.T) {
-	unpaused.Run(t, taskEndsWithTheLeaseIfItsStopIsNotAnswered)
-}
-
-func taskEndsWithTheLeaseIfItsStopIsNotAnswered(t testing.TB) {
-	t.Helper()
-
 	f := newFixture(t, 1, 1, 4)
 
 	ctx, leave := context.WithCancel(t.Context())
