--- a/sidecar/repeatable/crash_test.go
+++ b/sidecar/repeatable/crash_test.go
@@ -7,17 +7,12 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 )
 
 // Guards against a backend server that is offered to entries until the lease of its tasks ends although nothing listens
 // there, and against giving up its tasks before that.
 func TestUnreachableBackendIsClosedAtOnce(t *testing.T) {
-	unpaused.Run(t, unreachableBackendIsClosedAtOnce)
-}
-
-func unreachableBackendIsClosedAtOnce(t testing.TB) {
 	is := is.New(t)
 	fx := newFixture(t, leasedbackend.New("i-1"))
 	fx.announce(1, false)
@@ -60,9 +55,7 @@
 }
 
 // Guards against a result that does not tell a crash of the backend server from other losses.
-func TestLossByCrashIsReported(t *testing.T) { unpaused.Run(t, lossByCrashIsReported) }
-
-func lossByCrashIsReported(t testing.TB) {
+func TestLossByCrashIsReported(t *testing.T) {
 	is := is.New(t)
 	fx := newFixture(t, leasedbackend.New("i-1"))
 	fx.announce(1, false)
@@ -133,9 +126,7 @@
 }
 
 // Guards against blaming tasks for the planned end of a backend server.
-func TestEndOfLeavingBackendIsNoCrash(t *testing.T) { unpaused.Run(t, endOfLeavingBackendIsNoCrash) }
-
-func endOfLeavingBackendIsNoCrash(t testing.TB) {
+func TestEndOfLeavingBackendIsNoCrash(t *testing.T) {
 	is := is.New(t)
 	fx := newFixture(t, leasedbackend.New("i-1"))
 	fx.announce(1, false)
--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -27,7 +27,7 @@
 
 // fixture is a sidecar with its backend server and one entry that the test emulates.
 type fixture struct {
-	t       testing.TB
+	t       *testing.T
 	backend *leasedbackend.Server
 	worker  *repeatable.Worker
 	entry   *session.Session
@@ -46,14 +46,14 @@
 	stopKeepAlives, keepAlivesStopped chan struct{}
 }
 
-func newFixture(t testing.TB, b *leasedbackend.Server) *fixture {
+func newFixture(t *testing.T, b *leasedbackend.Server) *fixture {
 	t.Helper()
 
 	return newFixtureCalling(t, b, b)
 }
 
 // newFixtureCalling returns a fixture whose sidecar calls its backend server b through c.
-func newFixtureCalling(t testing.TB, b *leasedbackend.Server, c repeatable.Backend) *fixture {
+func newFixtureCalling(t *testing.T, b *leasedbackend.Server, c repeatable.Backend) *fixture {
 	t.Helper()
 
 	fx := newFixtureWithoutChecks(t, b, c)
@@ -64,7 +64,7 @@
 }
 
 // newFixtureWithoutChecks returns a fixture whose sidecar checks nothing at intervals, as one that was paused has not yet.
-func newFixtureWithoutChecks(t testing.TB, b *leasedbackend.Server, c repeatable.Backend) *fixture {
+func newFixtureWithoutChecks(t *testing.T, b *leasedbackend.Server, c repeatable.Backend) *fixture {
 	t.Helper()
 
 	is := is.New(t)
@@ -216,16 +216,16 @@
 	select {
 	case f := <-fx.frames:
 		return f
-	case <-fx.entry.Done():
 	case <-time.After(waitTimeout):
-		fx.t.Fatalf("no frame within %s", waitTimeout)
-	}
+		ended := false
 
-	select {
-	case f := <-fx.frames:
-		return f
-	default:
-		fx.t.Fatalf("no frame before the session ended")
+		select {
+		case <-fx.entry.Done():
+			ended = true
+		default:
+		}
+
+		fx.t.Fatalf("no frame within %s; the session has ended: %v", waitTimeout, ended)
 
 		return nil
 	}
--- a/sidecar/repeatable/hedge_test.go
+++ b/sidecar/repeatable/hedge_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 )
 
@@ -59,7 +58,7 @@
 }
 
 // newLossyFixture returns a fixture whose sidecar knows how long answers take.
-func newLossyFixture(t testing.TB, b *lossyBackend) *fixture {
+func newLossyFixture(t *testing.T, b *lossyBackend) *fixture {
 	t.Helper()
 
 	fx := newFixtureCalling(t, b.Server, b)
@@ -135,11 +134,7 @@
 }
 
 // Guards against a backend server that answers nothing, for instance since it is frozen, and is called again and again.
-func TestUnansweringServerIsNotFlooded(t *testing.T) { unpaused.Run(t, unansweringServerIsNotFlooded) }
-
-func unansweringServerIsNotFlooded(t testing.TB) {
-	t.Helper()
-
+func TestUnansweringServerIsNotFlooded(t *testing.T) {
 	const (
 		tasks = 4
 		// maxTries is the unused budget of repeats, and for each task the tries that reach their time limit.
@@ -196,11 +191,7 @@
 }
 
 // Guards against tries of a start that go on although the list of runs shows that the task runs.
-func TestListedRunNeedsNoFurtherTry(t *testing.T) { unpaused.Run(t, listedRunNeedsNoFurtherTry) }
-
-func listedRunNeedsNoFurtherTry(t testing.TB) {
-	t.Helper()
-
+func TestListedRunNeedsNoFurtherTry(t *testing.T) {
 	// triesInTransit is how many tries may be sent while the list is on its way.
 	const triesInTransit = 2
 
--- a/sidecar/repeatable/unknown_fate_test.go
+++ b/sidecar/repeatable/unknown_fate_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 )
 
@@ -127,9 +126,7 @@
 
 // Guards against a second run of a task that is done: its start was not answered, the list with its end is late, and the
 // repeated start is rejected as outdated.
-func TestEndedRunIsNotStartedAgain(t *testing.T) { unpaused.Run(t, endedRunIsNotStartedAgain) }
-
-func endedRunIsNotStartedAgain(t testing.TB) {
+func TestEndedRunIsNotStartedAgain(t *testing.T) {
 	is := is.New(t)
 	b := newLateListBackend()
 	fx := newFixtureCalling(t, b.Server, b)
--- a/sidecar/repeatable/worker_test.go
+++ b/sidecar/repeatable/worker_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
@@ -31,9 +30,7 @@
 
 // Guards against a sidecar that cannot start tasks because its predecessor, whose clock was ahead, has left a higher
 // fencing token at the backend server.
-func TestTokenIsRaisedAfterRejection(t *testing.T) { unpaused.Run(t, tokenIsRaisedAfterRejection) }
-
-func tokenIsRaisedAfterRejection(t testing.TB) {
+func TestTokenIsRaisedAfterRejection(t *testing.T) {
 	is := is.New(t)
 	b := leasedbackend.New("i-1")
 	b.RaiseToken(time.Now().Add(time.Minute).UnixMilli())
@@ -113,10 +110,6 @@
 
 // Guards against renewing the lease forever when the backend server carries out calls but does not answer them.
 func TestUnansweringBackendLosesItsLease(t *testing.T) {
-	unpaused.Run(t, unansweringBackendLosesItsLease)
-}
-
-func unansweringBackendLosesItsLease(t testing.TB) {
 	is := is.New(t)
 	fx := newFixture(t, leasedbackend.New("i-1"))
 	fx.announce(1, false)
@@ -205,9 +198,7 @@
 
 // Guards against a restored announcement that replaces a newer one, and against accepting tasks for a restored
 // incarnation that has ended.
-func TestRestoredAnnouncement(t *testing.T) { unpaused.Run(t, restoredAnnouncement) }
-
-func restoredAnnouncement(t testing.TB) {
+func TestRestoredAnnouncement(t *testing.T) {
 	is := is.New(t)
 	fx := newFixture(t, leasedbackend.New("i-2"))
 
