Restrict no kind at a service without a zone

A kind that crashed the backend servers of a service with one or two of them was refused for good: there is no zone to which it could be confined, so every server was forbidden to it, and its confinement ended only after a time in which the zone was usable.

Such a service has no zone since it would be a large part of it. Its kinds are not restricted now, and time without a crash counts for them while any of its servers accepts tasks. The deadly jobs themselves are given up after two crashes as before.

--- a/entry/repeatable/crash_test.go
+++ b/entry/repeatable/crash_test.go
@@ -138,6 +138,29 @@
 	is.Equal(f.submit(t.Context(), f.entries[0], kindOf("other", "5ms", "other")).wait(t), job.Completed{})
 }
 
+// Guards against a kind that is refused for good after it has crashed the backend servers of a service that is too small for
+// a zone.
+func TestKindIsServedAtServiceWithoutZone(t *testing.T) {
+	const servers = 2
+
+	f := newFixture(t, 1, servers, 8)
+	f.restartCrashed()
+
+	n := 0
+	submitNext := func(input string) job.Outcome {
+		n++
+
+		return f.submit(t.Context(), f.entries[0], newJob(fmt.Sprintf("job-%d", n), input, 1)).wait(t)
+	}
+
+	f.await("the kind has crashed each server twice", func() bool {
+		submitNext(leasedbackend.Crash)
+
+		return f.crashes() >= 2*servers
+	})
+	f.await("the kind is served", func() bool { return submitNext("5ms") == job.Completed{} })
+}
+
 // Guards against a confined kind that is refused for good because the backend servers of the zone stay away.
 func TestZoneIsReplacedIfItStaysAway(t *testing.T) {
 	is := is.New(t)
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -58,6 +58,8 @@
 	routeFetcher                     routeFetcher
 	// quarantine has the kinds that are restricted because they seem to crash backend servers.
 	quarantine quarantine.Tracker
+	// zoneless has the services that have no zone, and so no restricted kinds, while the quarantine is in use.
+	zoneless map[string]bool
 	// crashes has the crashes under tasks of all entries. earlyCrashes has those that were reported while this entry was
 	// new; they are judged together, in the order in which they happened.
 	crashes      crashHistory
--- a/entry/repeatable/quarantine.go
+++ b/entry/repeatable/quarantine.go
@@ -11,8 +11,13 @@
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
-// access returns how a job may use the backend server of a sidecar.
+// access returns how a job may use the backend server of a sidecar. Without a zone there is nothing to which a kind could be
+// confined, so it may use every server.
 func (d *Dispatcher) access(j job.Job, s *sidecar) quarantine.Access {
+	if d.zoneless[j.Policy().Service()] {
+		return quarantine.Allowed
+	}
+
 	return d.quarantine.Access(j.Policy().Service(), j.Policy().Kind(), s.inZone)
 }
 
@@ -123,6 +128,7 @@
 // updateZones chooses the zone of each service among the connected sidecars.
 func (d *Dispatcher) updateZones(now time.Duration) {
 	d.setZones(now, zoneMemory, func(string) bool { return true })
+	d.updateZoneless()
 
 	open := map[string]bool{}
 
@@ -137,6 +143,21 @@
 	})
 }
 
+// updateZoneless finds the services without a zone, as they have too few backend servers.
+func (d *Dispatcher) updateZoneless() {
+	d.zoneless = map[string]bool{}
+
+	for _, s := range d.sidecars {
+		d.zoneless[s.service] = true
+	}
+
+	for _, s := range d.sidecars {
+		if s.inZone {
+			d.zoneless[s.service] = false
+		}
+	}
+}
+
 // setZones sets the zone of each service that is to be changed, among the sidecars that have been closed for less than a
 // time.
 func (d *Dispatcher) setZones(now, memory time.Duration, changes func(service string) bool) {
@@ -160,10 +181,10 @@
 	}
 }
 
-// isZoneUsable reports whether a backend server in the zone of a service accepts tasks.
+// isZoneUsable reports whether a backend server in the zone of a service accepts tasks, or any one if there is no zone.
 func (d *Dispatcher) isZoneUsable(service string) bool {
 	for _, s := range d.sidecars {
-		if s.inZone && s.service == service && s.report.GetOpen() {
+		if (s.inZone || d.zoneless[service]) && s.service == service && s.report.GetOpen() {
 			return true
 		}
 	}
