Restart crashed backend servers in TestKindThatCrashesServersIsConfined

The test failed in 7 of 64 runs with -race, four at once at a load of 10 to 17, and its verdict depended on how busy the machine was. All 7 traces show the same: one of the first four tasks was 14.9 to 29 ms old when its crash was seen, in place of 10 to 12 ms, so that the evidence after the fourth crash was 7.7 to 7.95, below the 8.0 of a confinement, and the kind was confined with the fifth crash. As no server of this test ever came back, the job of that crash waited for a new zone, which replaces one that stays away after 10 s, as long as the callers of the test wait; its second run crashed the sixth server, half of them. That replacement is meant, and TestZoneIsReplacedIfItStaysAway guards it.

The servers now come back after 1 s, as in the other tests of crashes, so that the zone is there. The bound is the same, and more deadly jobs run, which were refused for want of a zone before.

--- a/entry/repeatable/crash_test.go
+++ b/entry/repeatable/crash_test.go
@@ -116,6 +116,8 @@
 	const servers, deadlyJobs = 12, 8
 
 	f := newFixture(t, 1, servers, 8)
+	f.restartCrashed()
+
 	kindOf := func(id, input, kind string) job.Job {
 		policy := job.NewPolicy(kind, service, 1, 3, 1.6, strictTarget)
 
