Count the starts of a kind since the backend server accepts tasks

The traces of TestKindThatCrashesServersIsConfined show a kind that starts a job every 0.7 s on twelve servers as one of 9.9 starts per second: its first job at a server that had been idle was counted over 100 ms, since the time began with that start. The evidence of a crash 10 ms after it was 2.3, where 4.6 is due at one start per second, so the kind was confined with the fourth crash or the fifth.

The time begins when the server begins to accept tasks. TestRateOfSingleStartIsLow fails if Begin has no effect before the first start.

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -357,6 +357,7 @@
 
 	if !i.ready && len(orphanedRuns) == 0 && unlapsed == 0 {
 		i.ready = true
+		i.startRates.Begin(uptime.Now())
 
 		w.log.Info().Str("event", "backend_ready").Str("instance", i.announcement.instance).
 			Msg("backend server accepts tasks")
--- a/standin/emulator/crash.go
+++ b/standin/emulator/crash.go
@@ -181,6 +181,7 @@
 func (sm *simulation) restart(n int) {
 	s := sm.servers[n]
 	s.accepting, s.startRates = true, quarantine.StartRates{}
+	s.startRates.Begin(sm.now)
 	s.pool.SetCapacity(s.capacity, reservation.Headroom(s.capacity.Millicores()))
 	sm.sendReport(n)
 	sm.processQueue(n)
--- a/weir/process/quarantine/quarantine_test.go
+++ b/weir/process/quarantine/quarantine_test.go
@@ -213,6 +213,18 @@
 	is.True(rates.Rate(deadly, 10*time.Second) < 0.1)
 }
 
+// Guards against a kind that is confined late at servers without much work: its only job there counts as one of ten in a
+// second.
+func TestRateOfSingleStartIsLow(t *testing.T) {
+	is := is.New(t)
+
+	var rates quarantine.StartRates
+
+	rates.Begin(time.Second)
+	rates.Record(deadly, "job", 4*time.Second)
+	is.True(rates.Rate(deadly, 4*time.Second+10*ms) <= 1)
+}
+
 // Guards against a zone that differs much between two processes, or that takes a large part of the servers.
 func TestZoneIsSmallAndStable(t *testing.T) {
 	is := is.New(t)
--- a/weir/process/quarantine/startrates.go
+++ b/weir/process/quarantine/startrates.go
@@ -8,14 +8,14 @@
 const (
 	// rateTime is the time constant of the moving average of start rates.
 	rateTime = time.Second
-	// minObserved is the least time over which starts are counted after the first one.
+	// minObserved is the least time over which starts are counted.
 	minObserved = 100 * time.Millisecond
 )
 
 // StartRates measures how often jobs of each kind start at a backend server. The zero value has no starts. It is not safe
 // for concurrent use.
 type StartRates struct {
-	// since is when the first job started.
+	// since is the time since which starts are counted, zero before Begin and the first one.
 	since time.Duration
 	kinds map[string]startRate
 }
@@ -27,10 +27,20 @@
 	lastStart time.Duration
 }
 
+// Begin begins to count starts when the server begins to accept tasks. Counted from the first start on, a kind that starts
+// seldom would seem to start often at that moment.
+func (r *StartRates) Begin(now time.Duration) {
+	if r.since == 0 {
+		r.since = now
+	}
+}
+
 // Record records the start of a task of a job. Further tasks of the same job don't count.
 func (r *StartRates) Record(kind, job string, now time.Duration) {
+	r.Begin(now)
+
 	if r.kinds == nil {
-		r.kinds, r.since = map[string]startRate{}, now
+		r.kinds = map[string]startRate{}
 	}
 
 	k := r.kinds[kind]
