--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -243,6 +243,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
+	d.handlePause(uptime.Now())
+
 	switch f.WhichBody() {
 	case wire.Frame_Room_case:
 		if s.report.GetOpen() && !f.GetRoom().GetOpen() {
@@ -264,7 +266,7 @@
 	case wire.Frame_BackendCrash_case:
 		d.handleBackendCrash(s, f.GetBackendCrash(), uptime.Now())
 	case wire.Frame_CrashedTasks_case:
-		d.crashes.record(f.GetCrashedTasks(), uptime.Now())
+		d.recordCrashedTasks(f.GetCrashedTasks(), uptime.Now())
 	case wire.Frame_Ended_case:
 		m := f.GetEnded()
 		s.report.SetFreeCpu(m.GetFreeCpu())
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -33,12 +33,16 @@
 	worker *Worker
 	// instance is the id of the incarnation and does not change.
 	instance string
-	// announcement, ready and lastEnd change under the worker's mutex.
+	// announcement, ready, departed and lastEnd change under the worker's mutex.
 	announcement Announcement
 	// ready is true once no run of an earlier sidecar is left at the backend server.
 	ready bool
+	// departed is true once the backend server has said that it leaves.
+	departed bool
 	// lastEnd is the highest number of an ended run that the worker has handled.
 	lastEnd uint64
+	// listedAt is when the newest call was sent that this process has answered with a list of its runs, zero before.
+	listedAt time.Duration
 	// lastLoss is when a call without an answer reached its time limit last.
 	lastLoss time.Duration
 	// failingSince is when the first call failed after the last answer, zero while calls are answered. notReached is true
@@ -76,7 +80,7 @@
 
 	i := &incarnation{
 		worker: w, instance: a.instance, announcement: a, ctx: ctx, cancel: cancel,
-		token: time.Now().UnixMilli(), tokenStep: initialTokenStepMS,
+		token: max(time.Now().UnixMilli(), w.lastToken), tokenStep: initialTokenStepMS,
 		repeatBudget: retrybudget.New(repeatsPerAnswer),
 	}
 
@@ -90,7 +94,9 @@
 // newPermit returns a permit for a call, which renews the lease unless the backend server is unresponsive or a run there
 // has to end in time although its stop may not be carried out.
 func (i *incarnation) newPermit() Permit {
-	ready, abandoned := i.openRuns()
+	// The time comes first: if this process is paused after the sessions were checked, the lease ends meanwhile.
+	now := uptime.Now()
+	ready, abandoned := i.openRuns(now)
 
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -102,19 +108,19 @@
 		return NewPermit(i.instance, i.token, i.leaseEnd)
 	}
 
-	leaseEnd := i.lease.Renew(uptime.Now())
+	leaseEnd := i.lease.Renew(now)
 	i.leaseEnd = max(i.leaseEnd, leaseEnd)
 
 	return NewPermit(i.instance, i.token, leaseEnd)
 }
 
-// openRuns reports whether no run of an earlier sidecar is left, and whether the stop of an abandoned task has not been
-// answered.
-func (i *incarnation) openRuns() (ready, abandoned bool) {
+// openRuns reports whether no run of an earlier sidecar is left, and whether the stop of a task that is abandoned at the
+// time now has not been answered.
+func (i *incarnation) openRuns(now time.Duration) (ready, abandoned bool) {
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready, i.worker.awaitsStop(i)
+	return i.ready, i.departed || i.worker.awaitsStop(i, now)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
@@ -126,6 +132,16 @@
 	i.tokenStep *= 2
 }
 
+// fenceStarts raises the fencing token, so that the next call fences the starts that were sent before, and returns it.
+func (i *incarnation) fenceStarts() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	i.token++
+
+	return i.token
+}
+
 func (i *incarnation) run() {
 	r := &leaseRenewer{i}
 	go r.run()
@@ -278,7 +294,7 @@
 
 	if w.incarnation == i {
 		w.markCrashed(i)
-		w.endIncarnation("another instance answered")
+		w.endIncarnation("another instance answered", replaced)
 	}
 }
 
@@ -293,24 +309,29 @@
 	}
 
 	first := w.recordCallError(i, err)
+	w.finishDeparture()
 
-	if !i.lease.Expired(uptime.Now()) {
+	if w.incarnation != i || !i.lease.Expired(uptime.Now()) {
 		return first
 	}
 
 	if i.ready || len(w.tasks) > 0 {
 		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.announcement.instance).
 			Int("tasks", len(w.tasks)).
-			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost")
+			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost, unless a start may still be carried out")
 	}
 
 	i.ready = false
 
+	end := unresponsive
+
 	if i.notReached {
 		w.markCrashed(i)
+
+		end = ended
 	}
 
-	w.loseTasks(i)
+	w.loseTasks(i, end)
 	w.updateCapacity()
 
 	return first
@@ -335,12 +356,22 @@
 
 	if result.startedAtMS != 0 && i.announcement.startedAtMS != 0 && result.startedAtMS != i.announcement.startedAtMS {
 		w.markCrashed(i)
-		w.endIncarnation("the backend server was restarted with the same instance id")
+		w.endIncarnation("the backend server was restarted with the same instance id", restarted)
 
 		return
 	}
 
+	i.listedAt = max(i.listedAt, sent)
+
+	// An answer that was overtaken by a later one lists ends again. A task that is launched again at once has the run number
+	// of its last run until the backend server rejects that.
+	handled := i.lastEnd
+
 	for _, e := range result.ended {
+		if e.number != 0 && e.number <= handled {
+			continue
+		}
+
 		i.lastEnd = max(i.lastEnd, e.number)
 
 		if t := w.tasks[e.run.task]; t != nil && t.run.number == e.run.number {
@@ -378,7 +409,7 @@
 		present[r] = true
 
 		t := w.tasks[r.task]
-		if t == nil || t.run.number != r.number {
+		if t == nil || t.run.number != r.number || t.isHeld() {
 			orphanedRuns = append(orphanedRuns, r)
 
 			continue
@@ -392,9 +423,13 @@
 	}
 
 	for _, t := range w.tasks {
+		if t.isHeld() && present[t.run] {
+			t.heldSince = uptime.Now()
+		}
+
 		// A call that was sent before the answer to the start or stop may have returned a list from before the task
 		// ran.
-		isListCurrent := (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
+		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
 			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent)
 		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
