--- a/sidecar/repeatable/orphans.go
+++ b/sidecar/repeatable/orphans.go
@@ -31,8 +31,8 @@
 }
 
 // size returns the capacity that the orphaned runs occupy at a backend server with a capacity. A run of a task that was
-// launched here is as large as the task, and one of a held task is counted with it. The size of any other one is not known, so it occupies everything: its stop is
-// confirmed within milliseconds unless the backend server is out of order.
+// launched here is as large as the task, and one of a held task is counted with it. The size of any other one is not known,
+// so it occupies everything: its stop is confirmed within milliseconds unless the backend server is out of order.
 func (o *orphans) size(tasks map[Task]*task, capacity job.Size) job.Size {
 	var sum job.Size
 
