Do not renew the lease while an orphaned run is listed

A run that belongs to no task of the sidecar is stopped, once for each list that shows it, while the lease of all runs there was renewed. If the stops were not carried out, it went on for good, although its task may run elsewhere since.

The lease now ends while such a run is listed, like with an abandoned task whose stop is not answered. Its capacity is occupied meanwhile in any case.

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -112,13 +112,14 @@
 	return NewPermit(i.instance, i.token, leaseEnd)
 }
 
-// openRuns reports whether no run of an earlier sidecar is left, and whether the stop of a task that is abandoned at the
-// time now has not been answered.
+// openRuns reports whether no run of an earlier sidecar is left, and whether there is a run that has to end in time although
+// its stop may not be carried out: the backend server leaves, a run is orphaned, or the stop of a task that is abandoned at
+// the time now has not been answered.
 func (i *incarnation) openRuns(now time.Duration) (ready, abandoned bool) {
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready, i.departed || i.worker.awaitsStop(i, now)
+	return i.ready, i.departed || len(i.orphans.runs) > 0 || i.worker.awaitsStop(i, now)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
--- a/sidecar/repeatable/orphan_test.go
+++ b/sidecar/repeatable/orphan_test.go
@@ -154,3 +154,15 @@
 	fx.await("the next task runs", fx.hasRunning(1))
 	is.Equal(b.stops.Load(), int64(0))
 }
+
+// Guards against an orphaned run that goes on while another entry runs the task: its stops are not carried out, and the sidecar
+// renews its lease.
+func TestOrphanedRunIsNotKeptAlive(t *testing.T) {
+	b := &unstoppableBackend{leasedbackend.New("i-1")}
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+
+	b.StartOrphaned(repeatable.NewRun(repeatable.NewTask("late", 0), 7))
+	fx.await("the lease of the run ends", fx.hasRunning(0))
+}
