--- a/sidecar/repeatable/departure.go
+++ b/sidecar/repeatable/departure.go
@@ -22,6 +22,6 @@
 // finishDeparture ends the incarnation if it has left and runs nothing any more.
 func (w *Worker) finishDeparture() {
 	if i := w.incarnation; i != nil && i.departed && (len(w.tasks) == 0 || i.notReached) {
-		w.endIncarnation("the backend server left")
+		w.endIncarnation("the backend server left", ended)
 	}
 }
