Record leases of the tests of a lost entry while the task runs

TestLeaseIsNotRenewedForExpiredSession and TestLeaseEndsThoughOnlyStoppingTasksAreLeft read the latest lease after the run had ended.

--- a/sidecar/repeatable/entry_loss_test.go
+++ b/sidecar/repeatable/entry_loss_test.go
@@ -16,8 +16,8 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/lease"
 )
 
-// leaseRecorder is a backend server that carries out no stop. It records the latest lease that it was given, and counts
-// the stops.
+// leaseRecorder is a backend server that carries out no stop. It records the latest lease that it was given while
+// something ran, and counts the stops.
 type leaseRecorder struct {
 	unstoppableBackend
 
@@ -54,6 +54,11 @@
 }
 
 func (b *leaseRecorder) record(p repeatable.Permit) {
+	// Once the run has ended, there is no need for the lease to end.
+	if len(b.Running()) == 0 {
+		return
+	}
+
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
