Ignore a late notice of departure of an earlier process

A notice of departure that arrives after the backend server has started again under its id took the new process out of use: its tasks were reported as lost while they went on.

Now the start decides where both are known. Otherwise the notice counts only for a process that has announced that it drains, which each one does before a planned end. A notice that is ignored wrongly costs little: the process ends, calls are refused, and its tasks are lost with their lease.

Tests that end a process call Depart with the start that they announced.

--- a/sidecar/repeatable/announcement.go
+++ b/sidecar/repeatable/announcement.go
@@ -69,6 +69,19 @@
 	return a.startedAtMS != 0 || a.sequence >= gone.sequence
 }
 
+// isOfLeaving reports whether the announcement comes from the incarnation that says that it leaves. Without the time of its
+// start, that may be an earlier one with the same id whose notice is late: one that leaves has announced that it drains.
+func (a Announcement) isOfLeaving(instance string, startedAtMS int64) bool {
+	switch {
+	case a.instance != instance:
+		return false
+	case a.startedAtMS != 0 && startedAtMS != 0:
+		return a.startedAtMS == startedAtMS
+	default:
+		return a.draining
+	}
+}
+
 // NewAnnouncement returns an announcement of an incarnation of a backend server.
 func NewAnnouncement(
 	instance, service, failureDomain string, startedAtMS, sequence int64, capacity job.Size, labels []string,
--- a/sidecar/repeatable/departure_test.go
+++ b/sidecar/repeatable/departure_test.go
@@ -76,7 +76,7 @@
 	fx.worker.SaveWith(saved.save)
 	fx.announce(1, false)
 	fx.awaitOpen(true)
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 	is.True(saved.last().Departed())
 }
 
@@ -86,7 +86,7 @@
 	fx := newFixture(t, leasedbackend.New("i-1"))
 	fx.announce(3, false)
 	fx.awaitOpen(true)
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 	fx.awaitOpen(false)
 
 	is.True(!fx.announce(4, false))
--- a/sidecar/repeatable/late_try_test.go
+++ b/sidecar/repeatable/late_try_test.go
@@ -158,7 +158,7 @@
 func TestLateTryAfterDepartureIsNotForgotten(t *testing.T) {
 	is := is.New(t)
 	fx, b := startWithLateTry(t)
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 	b.restart("i-1")
 	fx.awaitNoResult(100 * time.Millisecond)
 	b.carryOutLate(t)
@@ -205,7 +205,7 @@
 func TestTaskIsLostAtOnceWithAnotherInstance(t *testing.T) {
 	is := is.New(t)
 	fx, b := startWithLateTry(t)
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 	fx.awaitNoResult(100 * time.Millisecond)
 	b.restart("i-2")
 	fx.announce(1, false)
@@ -217,6 +217,6 @@
 func TestTaskOfAbsentBackendIsReported(t *testing.T) {
 	is := is.New(t)
 	fx, _ := startWithLateTry(t)
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
 }
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -231,12 +231,13 @@
 	go w.incarnation.run()
 }
 
-// Depart ends the incarnation of the backend server if it is the instance that leaves.
-func (w *Worker) Depart(instance string) {
+// Depart ends the incarnation of the backend server if it is the one that leaves. The time of its start is in Unix
+// milliseconds, zero if it is not known.
+func (w *Worker) Depart(instance string, startedAtMS int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.incarnation == nil || w.incarnation.announcement.instance != instance {
+	if w.incarnation == nil || !w.incarnation.announcement.isOfLeaving(instance, startedAtMS) {
 		return
 	}
 
