Let a task go whose stops are never answered

A task whose stop was answered with errors for ever kept its capacity and was never reported: a run that went on was kept alive by the lease of the others, and one whose start had got no answer either was not looked for in the list of runs.

Now the lease is let go once a stop had no answer for 1 s, as it was for tasks whose entry is lost, so that the backend server ends the run. A list that is made after the last lease that was sent has ended settles the task: no start can be carried out any more then.

TestUnansweredStartEndsWithItsLease and TestRunThatIsNotStoppedEndsWithItsLease failed before (no result within 20 s).

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -126,6 +126,14 @@
 	i.tokenStep *= 2
 }
 
+// lastLeaseEnd returns the highest end of a lease that was sent, on the backend server's clock.
+func (i *incarnation) lastLeaseEnd() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	return i.leaseEnd
+}
+
 // fenceStarts raises the fencing token, so that the next call fences the starts that were sent before, and returns it.
 func (i *incarnation) fenceStarts() int64 {
 	i.mu.Lock()
@@ -415,7 +423,7 @@
 		// A call that was sent before the answer to the start or stop may have returned a list from before the task
 		// ran.
 		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
-			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent)
+			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent) || t.hasLapsedAt(result.clock)
 		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
 		}
--- a/sidecar/repeatable/late_call_test.go
+++ b/sidecar/repeatable/late_call_test.go
@@ -221,3 +221,38 @@
 	fx.await("the task ends", func() bool { return fx.worker.Running() == 0 })
 	is.Equal(b.lateStarts.Load(), int64(0))
 }
+
+// startlessBackend carries out and answers neither starts nor stops.
+type startlessBackend struct{ unstoppableBackend }
+
+func (b *startlessBackend) Start(
+	context.Context, repeatable.Run, string, repeatable.Permit,
+) (repeatable.StartAnswer, error) {
+	return repeatable.StartAnswer{}, errStartLost
+}
+
+// Guards against a task that is kept for ever, with its capacity, since no start and no stop of it is answered.
+func TestUnansweredStartEndsWithItsLease(t *testing.T) {
+	is := is.New(t)
+	b := &startlessBackend{unstoppableBackend{leasedbackend.New("i-1")}}
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 1)
+
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+}
+
+// Guards against a run that goes on for ever since its stops are answered with errors: its lease has to end.
+func TestRunThatIsNotStoppedEndsWithItsLease(t *testing.T) {
+	is := is.New(t)
+	b := &unstoppableBackend{leasedbackend.New("i-1")}
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 1) // is stopped when it is overdue
+
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	is.Equal(len(fx.backend.Running()), 0)
+	fx.awaitOpen(true)
+}
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -16,6 +16,9 @@
 const (
 	// callTimeout limits a call to the backend server, which runs on the same instance.
 	callTimeout = 200 * time.Millisecond
+	// maxStopTime is how long a stop may go without an answer before the lease is let go, which ends all runs at the backend
+	// server. Each stop is sent many times within it.
+	maxStopTime = time.Second
 	// overdueFactor and overdueAllowance limit the run time of a task: overdueFactor times the expected run time, plus
 	// overdueAllowance.
 	overdueFactor    = 4
@@ -53,9 +56,10 @@
 	confirmedAt time.Duration
 	// startCall is the start of the task.
 	startCall startCall
-	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
-	stopping       bool
-	stopAnsweredAt time.Duration
+	// stopping is true once a stop was requested, at stopRequestedAt; stopAnsweredAt is when its answer was received, zero
+	// before.
+	stopping                        bool
+	stopRequestedAt, stopAnsweredAt time.Duration
 	// abandoned is true once nobody waits for the end of the task: its entry was lost or has ended the job. The job may be
 	// started elsewhere after a time in which the task has to end, whether its stop is answered or not.
 	abandoned bool
@@ -184,7 +188,7 @@
 		return
 	}
 
-	t.stopping = true
+	t.stopping, t.stopRequestedAt = true, uptime.Now()
 
 	c := &stopCall{t}
 	go c.run()
@@ -196,10 +200,12 @@
 	w.stop(t)
 }
 
-// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered. The caller holds mu.
+// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered, or that of any task for
+// long. The caller holds mu.
 func (w *Worker) awaitsStop(i *incarnation) bool {
 	for _, t := range w.tasks {
-		if t.incarnation == i && t.abandoned && t.stopAnsweredAt == 0 {
+		if t.incarnation == i && t.stopping && t.stopAnsweredAt == 0 &&
+			(t.abandoned || uptime.Now()-t.stopRequestedAt > maxStopTime) {
 			return true
 		}
 	}
@@ -207,6 +213,12 @@
 	return false
 }
 
+// hasLapsedAt reports whether no start of the task can be carried out any more at a time on the backend server's clock: it
+// has passed the lease of all calls that were sent.
+func (t *task) hasLapsedAt(clock time.Duration) bool {
+	return t.stopping && t.startedAt > 0 && clock > t.incarnation.lastLeaseEnd()
+}
+
 // stopCall is the stop of a task. It is sent until the backend server confirms it.
 type stopCall struct{ task *task }
 
