--- a/sidecar/repeatable/departure_test.go
+++ b/sidecar/repeatable/departure_test.go
@@ -76,7 +76,7 @@
 	fx.worker.SaveWith(saved.save)
 	fx.announce(1, false)
 	fx.awaitOpen(true)
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 	is.True(saved.last().Departed())
 }
 
@@ -86,7 +86,7 @@
 	fx := newFixture(t, leasedbackend.New("i-1"))
 	fx.announce(3, false)
 	fx.awaitOpen(true)
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 	fx.awaitOpen(false)
 
 	is.True(!fx.announce(4, false))
@@ -106,7 +106,7 @@
 	fx.startJob(1, "job", leasedbackend.Hang, 1)
 	fx.await("the task runs", fx.hasRunning(1))
 
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
 	is.Equal(len(fx.backend.Running()), 0)
 }
@@ -121,7 +121,7 @@
 	fx.await("the task runs", fx.hasRunning(1))
 
 	fx.backend.Crash()
-	fx.worker.Depart("i-1")
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
 
 	f := fx.nextFrame()
 	is.Equal(f.GetEnded().GetResult(), wire.Result_RESULT_LOST)
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -15,6 +15,9 @@
 const (
 	// callTimeout limits a call to the backend server, which runs on the same instance.
 	callTimeout = 200 * time.Millisecond
+	// maxStopTime is how long a stop may go without an answer before the lease is let go, which ends all runs at the backend
+	// server. Each stop is sent many times within it.
+	maxStopTime = time.Second
 	// overdueFactor and overdueAllowance limit the run time of a task: overdueFactor times the expected run time, plus
 	// overdueAllowance.
 	overdueFactor    = 4
@@ -199,13 +202,13 @@
 	w.stop(t)
 }
 
-// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered. A task whose session has
-// expired counts although the session has not been ended yet: after a pause of this process, calls may come before the next
-// check of the sessions. The caller holds mu.
+// awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered, or that of any task for
+// long. A task whose session has expired counts as abandoned although the session has not been ended yet: after a pause of
+// this process, calls may come before the next check of the sessions. The caller holds mu.
 func (w *Worker) awaitsStop(i *incarnation, now time.Duration) bool {
 	for _, t := range w.tasks {
 		if t.incarnation == i && t.startedAt > 0 && t.stopCall.call.Claim() == delivery.MayRun &&
-			(t.abandoned || w.hasExpired(t, now)) {
+			(t.abandoned || t.isStopOverdue(now) || w.hasExpired(t, now)) {
 			return true
 		}
 	}
@@ -213,6 +216,17 @@
 	return false
 }
 
+// isStopOverdue reports whether the task is being stopped for so long that its lease is to end.
+func (t *task) isStopOverdue(now time.Duration) bool {
+	return t.stopping && now-t.stopCall.sentAt > maxStopTime
+}
+
+// hasLapsedAt reports whether no start of the task can be carried out any more at a time on the backend server's clock: it
+// has passed the lease of all calls that were sent.
+func (t *task) hasLapsedAt(clock time.Duration) bool {
+	return t.stopping && t.startedAt > 0 && clock > t.incarnation.lastLeaseEnd()
+}
+
 // hasExpired reports whether the session of a task has expired.
 func (w *Worker) hasExpired(t *task, now time.Duration) bool {
 	s := w.sessions[t.key.Session()]
