Do not take a task for lost while ends are not listed

A backend server lists 500 ends at a time that are not acknowledged. With more of them, a task whose end came after these was neither in the list of runs nor in that of ends, so that it was reported as lost and placed again, though it was done.

--- a/sidecar/repeatable/backend.go
+++ b/sidecar/repeatable/backend.go
@@ -191,6 +191,8 @@
 	running     []Run
 	ended       []EndedRun
 	fenced      bool
+	// hasMoreEnds is true if there may be ended runs that are not listed.
+	hasMoreEnds bool
 	// unreadableRuns and unreadableEnds are the rows of the two lists that can't be read.
 	unreadableRuns []UnreadableRun
 	unreadableEnds []UnreadableEnd
@@ -209,6 +211,16 @@
 	return r
 }
 
+// WithMoreEnds returns the result of a backend server that has listed only the first ends that are not acknowledged.
+func (r WatchResult) WithMoreEnds() WatchResult {
+	r.hasMoreEnds = true
+
+	return r
+}
+
+// HasMoreEnds reports whether there may be ended runs that are not listed.
+func (r WatchResult) HasMoreEnds() bool { return r.hasMoreEnds }
+
 // UnreadableRuns returns the rows of the list of runs that name no run.
 func (r WatchResult) UnreadableRuns() []UnreadableRun { return r.unreadableRuns }
 
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -424,7 +424,7 @@
 		// ran.
 		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
 			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent) || t.hasLapsedAt(result.clock)
-		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
+		if isListCurrent && !result.hasMoreEnds && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
 		}
 	}
--- a/sidecar/repeatable/unreadable_test.go
+++ b/sidecar/repeatable/unreadable_test.go
@@ -22,6 +22,16 @@
 	garble atomic.Pointer[func(repeatable.WatchResult) repeatable.WatchResult]
 	// lists counts the results, acknowledged is the highest number that was acknowledged.
 	lists, acknowledged atomic.Uint64
+	// gate, if it is set, is closed when lists are delivered again.
+	gate atomic.Pointer[chan struct{}]
+}
+
+// holdLists holds the calls for lists back until the returned function is called.
+func (b *garblingBackend) holdLists() (deliver func()) {
+	gate := make(chan struct{})
+	b.gate.Store(&gate)
+
+	return func() { close(gate) }
 }
 
 func (b *garblingBackend) Watch(
@@ -29,7 +39,12 @@
 ) (repeatable.WatchResult, error) {
 	b.acknowledged.Store(max(b.acknowledged.Load(), lastEnd))
 
+	if gate := b.gate.Load(); gate != nil {
+		<-*gate
+	}
+
 	result, err := b.Server.Watch(ctx, lastEnd, wait, p)
+
 	if garble := b.garble.Load(); garble != nil && err == nil {
 		result = (*garble)(result)
 	}
@@ -172,3 +187,31 @@
 	fx.startJob(2, "other", "1ms", 1)
 	is.Equal(fx.nextResult(), wire.Result_RESULT_DONE)
 }
+
+// Guards against a task that is done and is reported as lost, so that it is started again: its end is not in the list, since
+// only the first ends that are not acknowledged are listed at a time.
+func TestEndBeyondTheListIsNotLost(t *testing.T) {
+	is := is.New(t)
+	b := &garblingBackend{Server: leasedbackend.New("i-1")}
+	b.setGarble(func(r repeatable.WatchResult) repeatable.WatchResult {
+		if len(r.Ended()) <= 1 {
+			return r
+		}
+
+		return repeatable.NewWatchResult(r.Clock(), r.StartedAtMS(), r.Running(), r.Ended()[:1]).WithMoreEnds()
+	})
+
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+
+	deliver := b.holdLists()
+	fx.startJob(1, "job", "1ms", 3)
+	fx.await("the runs have ended", func() bool { return fx.backend.StartCount(repeatable.NewTask("job", 2)) == 1 })
+	fx.await("the runs have ended", fx.hasRunning(0))
+	deliver()
+
+	for range 3 {
+		is.Equal(fx.nextResult(), wire.Result_RESULT_DONE)
+	}
+}
