--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -316,9 +316,9 @@
 		return first
 	}
 
-	if i.ready || len(w.tasks) > 0 {
+	if n := len(w.tasks) - w.held(); i.ready || n > 0 {
 		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.announcement.instance).
-			Int("tasks", len(w.tasks)).
+			Int("tasks", n).
 			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost, unless a start may still be carried out")
 	}
 
--- a/sidecar/repeatable/unsettled.go
+++ b/sidecar/repeatable/unsettled.go
@@ -55,6 +55,19 @@
 			"reported as lost once that process does not list it")
 }
 
+// held returns the number of held tasks.
+func (w *Worker) held() int {
+	n := 0
+
+	for _, t := range w.tasks {
+		if t.isHeld() {
+			n++
+		}
+	}
+
+	return n
+}
+
 // loseHeld reports the held tasks as lost after a process with another id has taken the place of theirs.
 func (w *Worker) loseHeld() {
 	for _, t := range w.tasks {
