--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -324,9 +324,9 @@
 		return first
 	}
 
-	if i.ready || len(w.tasks) > 0 {
+	if n := len(w.tasks) - w.held(); i.ready || n > 0 {
 		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.announcement.instance).
-			Int("tasks", len(w.tasks)).
+			Int("tasks", n).
 			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost, unless a start may still be carried out")
 	}
 
@@ -440,7 +440,7 @@
 		// ran.
 		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
 			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent) || t.hasLapsedAt(result.clock)
-		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
+		if isListCurrent && !result.hasMoreEnds && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
 		}
 	}
