--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -224,6 +224,7 @@
 
 	sent := uptime.Now()
 	result, err := i.worker.backend.Watch(ctx, i.lastHandledEnd(), wait, i.newPermit())
+	i.worker.metrics.recordWatch(result, err)
 
 	switch {
 	case errors.Is(err, ErrOtherInstance):
@@ -236,8 +237,7 @@
 
 		i.pause()
 	default:
-		i.lease.RecordClock(result.clock, uptime.Now())
-		i.lease.RecordAnswer(sent, uptime.Now())
+		i.recordRenewal(result, sent)
 		i.worker.handleWatchResult(i, result, sent)
 
 		if result.hasUnnumberedEnd() {
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/delivery"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -51,6 +52,8 @@
 	confirmedAt time.Duration
 	// startCall is the start of the task.
 	startCall startCall
+	// stopCall is the stop of the task.
+	stopCall stopCall
 	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
 	stopping       bool
 	stopAnsweredAt time.Duration
@@ -100,7 +103,8 @@
 			worker: w, incarnation: w.incarnation, key: key, input: m.GetInput(), size: size, stopOutcome: Stopped,
 			expected: time.Duration(m.GetExpectedMs()) * time.Millisecond,
 			priority: int(m.GetPriority()), kind: m.GetKind(), launchedAt: uptime.Now(),
-			run: NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
+			run:      NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
+			stopCall: stopCall{call: delivery.NewCall(delivery.Stop)},
 		}
 
 		if old := w.tasks[t.run.task]; old != nil {
@@ -183,9 +187,10 @@
 	}
 
 	t.stopping = true
+	t.stopCall.task, t.stopCall.sentAt = t, uptime.Now()
+	t.stopCall.call.Send()
 
-	c := &stopCall{t}
-	go c.run()
+	go t.stopCall.run()
 }
 
 // abandon stops a task for whose end nobody waits.
@@ -199,7 +204,8 @@
 // check of the sessions. The caller holds mu.
 func (w *Worker) awaitsStop(i *incarnation, now time.Duration) bool {
 	for _, t := range w.tasks {
-		if t.incarnation == i && t.startedAt > 0 && t.stopAnsweredAt == 0 && (t.abandoned || w.hasExpired(t, now)) {
+		if t.incarnation == i && t.startedAt > 0 && t.stopCall.call.Claim() == delivery.MayRun &&
+			(t.abandoned || w.hasExpired(t, now)) {
 			return true
 		}
 	}
