Do not settle a held task by a list from before it was held

A task whose process has ended, while a try of its start may still be carried out, is held until the next process lists its runs. Any list counted as one of that process, also one that the process before had answered and that is read late, after a pause of the sidecar. The task was then reported as lost, and a late start at the next process ran it beside its second run.

A list now settles a held task only if it was requested after the hold began.

--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -429,7 +429,7 @@
 
 		// A call that was sent before the answer to the start or stop may have returned a list from before the task
 		// ran.
-		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
+		isListCurrent := (t.isHeld() && t.heldSince < sent) || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
 			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent)
 		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
--- a/sidecar/repeatable/late_try_test.go
+++ b/sidecar/repeatable/late_try_test.go
@@ -220,3 +220,57 @@
 	fx.worker.Depart("i-1")
 	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
 }
+
+// heldListBackend answers one call for a list only when the test lets it, with the list of the time at which it was sent.
+type heldListBackend struct {
+	*lateTryBackend
+
+	// holdsNext is true if the next list is to be held back, isHeld is closed once it is.
+	holdsNext        atomic.Bool
+	isHeld, released chan struct{}
+}
+
+func (b *heldListBackend) Watch(
+	ctx context.Context, lastEnd uint64, wait time.Duration, p repeatable.Permit,
+) (repeatable.WatchResult, error) {
+	if !b.holdsNext.CompareAndSwap(true, false) {
+		return b.lateTryBackend.Watch(ctx, lastEnd, wait, p)
+	}
+
+	result, err := b.lateTryBackend.Watch(ctx, lastEnd, 0, p)
+
+	close(b.isHeld)
+	<-b.released
+
+	return result, err
+}
+
+// Guards against a task that is placed again while it runs: a list from before its start, which is read late after a pause of
+// the sidecar, is taken for one of the next process of the backend server.
+func TestListFromBeforeTheHoldSettlesNothing(t *testing.T) {
+	is := is.New(t)
+	b := &heldListBackend{
+		lateTryBackend: newLateTryBackend(), isHeld: make(chan struct{}), released: make(chan struct{}),
+	}
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+
+	b.holdsNext.Store(true)
+	<-b.isHeld
+	fx.startJob(1, "job", leasedbackend.Hang, 1)
+	fx.await("the task runs", fx.hasRunning(1))
+
+	b.Crash()
+	fx.awaitOpen(false)
+	fx.awaitNoResult(time.Second)
+	close(b.released)
+	fx.awaitNoResult(100 * time.Millisecond)
+	b.restart("i-1")
+	b.carryOutLate(t)
+	fx.announce(1, false)
+	b.deliverLists()
+
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	is.Equal(len(fx.backend.Running()), 0)
+}
