--- a/sidecar/repeatable/unsettled.go
+++ b/sidecar/repeatable/unsettled.go
@@ -68,6 +68,19 @@
 	return n
 }
 
+// isSettledByList reports whether a list of runs that doesn't show the task says that it does not run and never will. The list
+// was requested at the time sent and has a reading of the backend server's clock. A list that was requested before the answer
+// to the start or stop may be from before the task ran, and one that was requested before the task was held may come from the
+// process that has ended.
+func (t *task) isSettledByList(sent, clock time.Duration) bool {
+	if t.isHeld() {
+		return t.heldSince < sent
+	}
+
+	return (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) || (t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent) ||
+		t.hasLapsedAt(clock)
+}
+
 // loseHeld reports the held tasks as lost after a process with another id has taken the place of theirs.
 func (w *Worker) loseHeld() {
 	for _, t := range w.tasks {
