--- a/weir/process/lease/start_test.go
+++ b/weir/process/lease/start_test.go
@@ -46,6 +46,11 @@
 	findPlanted(t, outdatedRaisesNumber)
 }
 
+// Guards against a model that does not find the fault of a restart that settles the starts which are still on their way.
+func TestStartModelFindsRestartThatSettlesStarts(t *testing.T) {
+	findPlanted(t, restartSettles)
+}
+
 func findPlanted(t *testing.T, fault plantedFault) {
 	t.Helper()
 
