--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -33,10 +33,12 @@
 	worker *Worker
 	// instance is the id of the incarnation and does not change.
 	instance string
-	// announcement, ready and lastEnd change under the worker's mutex.
+	// announcement, ready, departed and lastEnd change under the worker's mutex.
 	announcement Announcement
 	// ready is true once no run of an earlier sidecar is left at the backend server.
 	ready bool
+	// departed is true once the backend server has said that it leaves.
+	departed bool
 	// lastEnd is the highest number of an ended run that the worker has handled.
 	lastEnd uint64
 	// listedAt is when the newest call was sent that this process has answered with a list of its runs, zero before.
@@ -118,7 +120,7 @@
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready, i.worker.awaitsStop(i, now)
+	return i.ready, i.departed || i.worker.awaitsStop(i, now)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
@@ -221,6 +223,7 @@
 
 	sent := uptime.Now()
 	result, err := i.worker.backend.Watch(ctx, i.lastHandledEnd(), wait, i.newPermit())
+	i.worker.metrics.recordWatch(result, err)
 
 	switch {
 	case errors.Is(err, ErrOtherInstance):
@@ -233,8 +236,7 @@
 
 		i.pause()
 	default:
-		i.lease.RecordClock(result.clock, uptime.Now())
-		i.lease.RecordAnswer(sent, uptime.Now())
+		i.recordRenewal(result, sent)
 		i.worker.handleWatchResult(i, result, sent)
 
 		if result.hasUnnumberedEnd() {
@@ -307,8 +309,9 @@
 	}
 
 	first := w.recordCallError(i, err)
+	w.finishDeparture()
 
-	if !i.lease.Expired(uptime.Now()) {
+	if w.incarnation != i || !i.lease.Expired(uptime.Now()) {
 		return first
 	}
 
@@ -360,7 +363,15 @@
 
 	i.listedAt = max(i.listedAt, sent)
 
+	// An answer that was overtaken by a later one lists ends again. A task that is launched again at once has the run number
+	// of its last run until the backend server rejects that.
+	handled := i.lastEnd
+
 	for _, e := range result.ended {
+		if e.number != 0 && e.number <= handled {
+			continue
+		}
+
 		i.lastEnd = max(i.lastEnd, e.number)
 
 		if t := w.tasks[e.run.task]; t != nil && t.run.number == e.run.number {
--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,7 +45,7 @@
 
 	// The permit comes first: if this process is paused after the session was checked, its lease ends meanwhile.
 	p := t.incarnation.newPermit()
-	if p.leaseEnd == 0 || !t.worker.hasLiveSession(t) {
+	if p.leaseEnd == 0 || !t.worker.wantsStart(t) {
 		t.worker.handleStartNotSent(t, attempt, p)
 
 		return trySettled
@@ -105,16 +104,11 @@
 
 // startReply returns what the answer to a try of a start says of that try.
 func startReply(answer StartAnswer, err error) delivery.Reply {
-	switch {
-	case errors.Is(err, ErrNotReached):
-		return delivery.NotDelivered
-	case err != nil:
-		return delivery.NoReply
-	case answer.result == Started:
-		return delivery.Confirmed
-	default:
+	if err == nil && answer.result != Started {
 		return delivery.Declined
 	}
+
+	return callReply(err)
 }
 
 // handleStartAnswer handles the answer to a try of the start of the run r, and returns what it means for the start.
@@ -122,7 +116,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.metrics.recordStart(answer.result, err)
+	w.metrics.recordTry("start_tries_total", answer.result.String(), err)
 
 	if w.tasks[t.run.task] != t {
 		return trySettled
@@ -174,15 +168,16 @@
 		Int("unanswered", t.startCall.call.Unanswered()).Dur("since_launch", uptime.Now()-t.launchedAt)
 }
 
-// hasLiveSession reports whether the session of a task goes on. After a pause of this process it may have expired without
-// having been ended yet, and the entry may have placed the task again.
-func (w *Worker) hasLiveSession(t *task) bool {
+// wantsStart reports whether a task still waits for its start and its session goes on. After a pause of this process, the
+// session may have expired without having been ended yet, and the entry may have placed the task again. The task may also
+// have been reported as lost since the try began.
+func (w *Worker) wantsStart(t *task) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	s := w.sessions[t.key.Session()]
 
-	return s != nil && s.Alive()
+	return t.awaitsStart() && s != nil && s.Alive()
 }
 
 // handleStartNotSent gives up a start that is not sent, since its session has expired or no lease can be given: the
@@ -191,11 +186,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.tasks[t.run.task] != t {
+	t.startCall.call.Record(delivery.NotDelivered)
+
+	if w.tasks[t.run.task] != t || t.startAnsweredAt > 0 {
 		return
 	}
 
-	t.startCall.call.Record(delivery.NotDelivered)
 	t.describeStart(w.log.Info().Str("event", "start_not_sent"), attempt).Bool("lease", p.leaseEnd > 0).
 		Msg("a start is not sent: its session has expired, or the backend server answers no renewal, so that no lease can be given")
 	w.giveUpStart(t, false)
