--- a/entry/repeatable/crash_test.go
+++ b/entry/repeatable/crash_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
-	"github.com/skylarkweir/skylarkweir/standin/unpaused"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
@@ -65,10 +64,6 @@
 
 // Guards against a task that is started again without a limit although each backend server that starts it crashes.
 func TestTaskThatCrashesServersIsGivenUp(t *testing.T) {
-	unpaused.Run(t, taskThatCrashesServersIsGivenUp)
-}
-
-func taskThatCrashesServersIsGivenUp(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 6, 8)
 	f.restartCrashed()
@@ -78,9 +73,7 @@
 }
 
 // Guards against an entry that begins to count anew when the caller sends a job again after the entry that had it died.
-func TestCrashesAreKnownToOtherEntries(t *testing.T) { unpaused.Run(t, crashesAreKnownToOtherEntries) }
-
-func crashesAreKnownToOtherEntries(t testing.TB) {
+func TestCrashesAreKnownToOtherEntries(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 2, 6, 8)
 	f.restartCrashed()
@@ -102,9 +95,7 @@
 
 // Guards against a job that is placed again, or waits until its deadline, although the news that its task has crashed two
 // backend servers arrives: it was sent to this entry before the lease of the second one had ended.
-func TestNewsOfCrashesEndsAnActiveJob(t *testing.T) { unpaused.Run(t, newsOfCrashesEndsAnActiveJob) }
-
-func newsOfCrashesEndsAnActiveJob(t testing.TB) {
+func TestNewsOfCrashesEndsAnActiveJob(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1, 0, 0)
 	e := f.entries[0]
@@ -130,10 +121,6 @@
 // Guards against a job that is shown as failed because its backend server crashed twice, each time after a newer task of
 // another job had started, which is the likelier cause.
 func TestJobBesideADeadlyTaskIsNotGivenUp(t *testing.T) {
-	unpaused.Run(t, jobBesideADeadlyTaskIsNotGivenUp)
-}
-
-func jobBesideADeadlyTaskIsNotGivenUp(t testing.TB) {
 	is := is.New(t)
 	f := newFixture(t, 1, 1, 8)
 	f.restartCrashed()
@@ -156,15 +143,13 @@
 
 // Guards against a kind of job that crashes one backend server after the other, until none is left for other kinds.
 func TestKindThatCrashesServersIsConfined(t *testing.T) {
-	unpaused.Run(t, kindThatCrashesServersIsConfined)
-}
-
-func kindThatCrashesServersIsConfined(t testing.TB) {
 	is := is.New(t)
 
 	const servers, deadlyJobs = 12, 8
 
 	f := newFixture(t, 1, servers, 8)
+	f.restartCrashed()
+
 	kindOf := func(id, input, kind string) job.Job {
 		policy := job.NewPolicy(kind, service, 1, 3, 1.6, strictTarget)
 
@@ -187,10 +172,31 @@
 	is.Equal(f.submit(t.Context(), f.entries[0], kindOf("other", "5ms", "other")).wait(t), job.Completed{})
 }
 
-// Guards against a confined kind that is refused for good because the backend servers of the zone stay away.
-func TestZoneIsReplacedIfItStaysAway(t *testing.T) { unpaused.Run(t, zoneIsReplacedIfItStaysAway) }
+// Guards against a kind that is refused for good after it has crashed the backend servers of a service that is too small for
+// a zone.
+func TestKindIsServedAtServiceWithoutZone(t *testing.T) {
+	const servers = 2
+
+	f := newFixture(t, 1, servers, 8)
+	f.restartCrashed()
+
+	n := 0
+	submitNext := func(input string) job.Outcome {
+		n++
+
+		return f.submit(t.Context(), f.entries[0], newJob(fmt.Sprintf("job-%d", n), input, 1)).wait(t)
+	}
+
+	f.await("the kind has crashed each server twice", func() bool {
+		submitNext(leasedbackend.Crash)
+
+		return f.crashes() >= 2*servers
+	})
+	f.await("the kind is served", func() bool { return submitNext("5ms") == job.Completed{} })
+}
 
-func zoneIsReplacedIfItStaysAway(t testing.TB) {
+// Guards against a confined kind that is refused for good because the backend servers of the zone stay away.
+func TestZoneIsReplacedIfItStaysAway(t *testing.T) {
 	is := is.New(t)
 
 	const servers, deadlyJobs = 8, 5
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -114,13 +114,14 @@
 	return NewPermit(i.instance, i.token, leaseEnd)
 }
 
-// openRuns reports whether no run of an earlier sidecar is left, and whether the stop of a task that is abandoned at the
-// time now has not been answered.
+// openRuns reports whether no run of an earlier sidecar is left, and whether there is a run that has to end in time although
+// its stop may not be carried out: the backend server leaves, a run is orphaned, or the stop of a task that is abandoned at
+// the time now has not been answered.
 func (i *incarnation) openRuns(now time.Duration) (ready, abandoned bool) {
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready, i.departed || i.worker.awaitsStop(i, now)
+	return i.ready, i.departed || len(i.orphans.runs) > 0 || i.worker.awaitsStop(i, now)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
@@ -132,6 +133,14 @@
 	i.tokenStep *= 2
 }
 
+// lastLeaseEnd returns the highest end of a lease that was sent, on the backend server's clock.
+func (i *incarnation) lastLeaseEnd() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	return i.leaseEnd
+}
+
 // fenceStarts raises the fencing token, so that the next call fences the starts that were sent before, and returns it.
 func (i *incarnation) fenceStarts() int64 {
 	i.mu.Lock()
@@ -315,9 +324,9 @@
 		return first
 	}
 
-	if i.ready || len(w.tasks) > 0 {
+	if n := len(w.tasks) - w.held(); i.ready || n > 0 {
 		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.announcement.instance).
-			Int("tasks", len(w.tasks)).
+			Int("tasks", n).
 			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost, unless a start may still be carried out")
 	}
 
@@ -388,6 +397,7 @@
 
 	if !i.ready && len(orphanedRuns) == 0 && unlapsed == 0 {
 		i.ready = true
+		i.startRates.Begin(uptime.Now())
 
 		w.log.Info().Str("event", "backend_ready").Str("instance", i.announcement.instance).
 			Msg("backend server accepts tasks")
@@ -429,8 +439,8 @@
 		// A call that was sent before the answer to the start or stop may have returned a list from before the task
 		// ran.
 		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
-			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent)
-		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
+			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent) || t.hasLapsedAt(result.clock)
+		if isListCurrent && !result.hasMoreEnds && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
 		}
 	}
