Wait for the late record in TestLogDownAndLateBinding

The test slept 1 s and took it that the delayed record was in the log by then. It now waits until both entries have read the three records, so that the last check is made after the record has taken effect, however busy the machine is.

--- a/entry/binding/binder_test.go
+++ b/entry/binding/binder_test.go
@@ -202,8 +202,12 @@
 	second, err := c.entries[1].binder.Bind(t.Context(), "m", u)
 	is.NoErr(err)
 
+	// The log has the first record and both bindings.
+	for _, e := range c.entries {
+		eventually(is, func() bool { return e.replica.State().LogPosition() >= 3 })
+	}
+
 	// Whichever record was first, both entries return the same ticket from now on.
-	time.Sleep(time.Second)
 
 	for range 3 {
 		for _, e := range c.entries {
