--- a/entry/repeatable/fixture_test.go
+++ b/entry/repeatable/fixture_test.go
@@ -44,6 +44,8 @@
 	cancel context.CancelFunc
 	// path is where sidecars dial the entry.
 	path string
+	// stopChecks ends the checks of the dispatcher, as in a pause of its process.
+	stopChecks context.CancelFunc
 }
 
 // sidecarNode is a backend server and the sidecar beside it.
@@ -102,8 +104,11 @@
 
 	e.path = e.node.Address().String()
 
+	checks, stop := context.WithCancel(ctx)
+	e.stopChecks = stop
+
 	go e.accept(ctx)
-	go e.Run(ctx)
+	go e.Run(checks)
 
 	f.entries = append(f.entries, e)
 
@@ -263,6 +268,47 @@
 	return p
 }
 
+// resendPause is the time after which callers send a job again that was not carried out. The delays that entries name
+// would take most of callerTimeout.
+const resendPause = 50 * time.Millisecond
+
+// persistentCaller sends a job again while it is refused or interrupted, as callers do until their deadline.
+type persistentCaller struct {
+	*pendingJob
+	deadline time.Time
+}
+
+// run sends the job until it has an outcome with which callers are content, or until the deadline.
+func (c *persistentCaller) run() {
+	for {
+		o := c.entry.Submit(c.ctx, c.job)
+
+		switch o.(type) {
+		case job.Refused, job.Interrupted:
+		default:
+			c.result <- o
+
+			return
+		}
+
+		if !time.Now().Before(c.deadline) || c.ctx.Err() != nil {
+			c.result <- o
+
+			return
+		}
+
+		<-time.After(resendPause)
+	}
+}
+
+// submitPersistently submits a job that is sent again while it is refused or interrupted.
+func (f *fixture) submitPersistently(ctx context.Context, e *entry, j job.Job) *pendingJob {
+	c := &persistentCaller{&pendingJob{make(chan job.Outcome, 1), e, j, ctx}, time.Now().Add(j.Timeout())}
+	go c.run()
+
+	return c.pendingJob
+}
+
 func (p *pendingJob) wait(t *testing.T) job.Outcome {
 	t.Helper()
 
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -2,12 +2,11 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
-	"github.com/skylarkweir/skylarkweir/weir/process/answertime"
+	"github.com/skylarkweir/skylarkweir/weir/process/delivery"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -56,10 +55,11 @@
 	confirmedAt time.Duration
 	// startCall is the start of the task.
 	startCall startCall
-	// stopping is true once a stop was requested, at stopRequestedAt; stopAnsweredAt is when its answer was received, zero
-	// before.
-	stopping                        bool
-	stopRequestedAt, stopAnsweredAt time.Duration
+	// stopCall is the stop of the task.
+	stopCall stopCall
+	// stopping is true once a stop was requested; stopAnsweredAt is when its answer was received, zero before.
+	stopping       bool
+	stopAnsweredAt time.Duration
 	// abandoned is true once nobody waits for the end of the task: its entry was lost or has ended the job. The job may be
 	// started elsewhere after a time in which the task has to end, whether its stop is answered or not.
 	abandoned bool
@@ -106,7 +106,8 @@
 			worker: w, incarnation: w.incarnation, key: key, input: m.GetInput(), size: size, stopOutcome: Stopped,
 			expected: time.Duration(m.GetExpectedMs()) * time.Millisecond,
 			priority: int(m.GetPriority()), kind: m.GetKind(), launchedAt: uptime.Now(),
-			run: NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
+			run:      NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
+			stopCall: stopCall{call: delivery.NewCall(delivery.Stop)},
 		}
 
 		if old := w.tasks[t.run.task]; old != nil {
@@ -188,10 +189,11 @@
 		return
 	}
 
-	t.stopping, t.stopRequestedAt = true, uptime.Now()
+	t.stopping = true
+	t.stopCall.task, t.stopCall.sentAt = t, uptime.Now()
+	t.stopCall.call.Send()
 
-	c := &stopCall{t}
-	go c.run()
+	go t.stopCall.run()
 }
 
 // abandon stops a task for whose end nobody waits.
@@ -201,11 +203,12 @@
 }
 
 // awaitsStop reports whether the stop of an abandoned task at an incarnation has not been answered, or that of any task for
-// long. The caller holds mu.
-func (w *Worker) awaitsStop(i *incarnation) bool {
+// long. A task whose session has expired counts as abandoned although the session has not been ended yet: after a pause of
+// this process, calls may come before the next check of the sessions. The caller holds mu.
+func (w *Worker) awaitsStop(i *incarnation, now time.Duration) bool {
 	for _, t := range w.tasks {
-		if t.incarnation == i && t.stopping && t.stopAnsweredAt == 0 &&
-			(t.abandoned || uptime.Now()-t.stopRequestedAt > maxStopTime) {
+		if t.incarnation == i && t.startedAt > 0 && t.stopCall.call.Claim() == delivery.MayRun &&
+			(t.abandoned || t.isStopOverdue(now) || w.hasExpired(t, now)) {
 			return true
 		}
 	}
@@ -213,61 +216,22 @@
 	return false
 }
 
+// isStopOverdue reports whether the task is being stopped for so long that its lease is to end.
+func (t *task) isStopOverdue(now time.Duration) bool {
+	return t.stopping && now-t.stopCall.sentAt > maxStopTime
+}
+
 // hasLapsedAt reports whether no start of the task can be carried out any more at a time on the backend server's clock: it
 // has passed the lease of all calls that were sent.
 func (t *task) hasLapsedAt(clock time.Duration) bool {
 	return t.stopping && t.startedAt > 0 && clock > t.incarnation.lastLeaseEnd()
 }
 
-// stopCall is the stop of a task. It is sent until the backend server confirms it.
-type stopCall struct{ task *task }
-
-func (c *stopCall) run() { newHedge(c.task.incarnation, c).run() }
-
-func (c *stopCall) try(int) bool {
-	t := c.task
-
-	ctx, cancel := context.WithTimeout(t.incarnation.ctx, callTimeout)
-	defer cancel()
-
-	sent := uptime.Now()
-	err := t.worker.backend.Stop(ctx, t.run, t.incarnation.newPermit())
-	t.incarnation.recordAnswerTime(sent, err)
-
-	return t.worker.handleStopAnswer(t, err)
-}
-
-// repeats pauses before the next try if the last one has failed at once.
-func (c *stopCall) repeats() bool {
-	select {
-	case <-time.After(answertime.MinLimit):
-		return true
-	case <-c.task.incarnation.ctx.Done():
-		return false
-	}
-}
-
-// handleStopAnswer handles the answer to a stop and reports whether no further stop has to be sent.
-func (w *Worker) handleStopAnswer(t *task, err error) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	if w.tasks[t.run.task] != t {
-		return true
-	}
-
-	if err != nil {
-		w.log.Warn().Err(err).Str("event", "stop_unanswered").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
-			Msg("backend server did not answer a stop; sending it again")
-
-		return false
-	}
-
-	if t.stopAnsweredAt == 0 {
-		t.stopAnsweredAt = uptime.Now()
-	}
+// hasExpired reports whether the session of a task has expired.
+func (w *Worker) hasExpired(t *task, now time.Duration) bool {
+	s := w.sessions[t.key.Session()]
 
-	return true
+	return s == nil || s.Expired(now)
 }
 
 // finish ends a task that is certain not to run any longer, and reports its result.
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -100,6 +100,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	w.finishDeparture()
+
 	now := uptime.Now()
 	inUse := w.sessionsInUse()
 
@@ -231,20 +233,20 @@
 	go w.incarnation.run()
 }
 
-// Depart ends the incarnation of the backend server if it is the one that leaves. The time of its start is in Unix
-// milliseconds, zero if it is not known.
+// Depart begins the end of the incarnation of the backend server if it is the one that leaves. The time of its start is in
+// Unix milliseconds, zero if it is not known.
 func (w *Worker) Depart(instance string, startedAtMS int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.incarnation == nil || !w.incarnation.announcement.isOfLeaving(instance, startedAtMS) {
+	if w.incarnation == nil || w.incarnation.departed || !w.incarnation.announcement.isOfLeaving(instance, startedAtMS) {
 		return
 	}
 
 	w.gone = w.incarnation.announcement
 	w.gone.departed = true
 	w.saveAnnouncement(w.gone)
-	w.endIncarnation("the backend server left", ended)
+	w.beginDeparture(w.incarnation)
 }
 
 // endIncarnation ends the current incarnation of the backend server, if there is one, and gives up its tasks.
@@ -266,12 +268,13 @@
 	w.updateCapacity()
 }
 
-// updateCapacity sets the pool to the capacity of the backend server, or to zero while it does not accept tasks, and
-// schedules.
+// updateCapacity sets the pool to the capacity of the backend server, or to zero while it does not accept tasks, less what
+// orphaned runs occupy, and schedules.
 func (w *Worker) updateCapacity() {
-	var capacity job.Size
+	var capacity, occupied job.Size
 	if w.acceptsTasks() {
 		capacity = w.incarnation.announcement.capacity
+		occupied = w.incarnation.orphans.size(w.tasks, capacity)
 	} else {
 		w.pool.Clear()
 		w.rejectLaunched()
@@ -279,9 +282,10 @@
 
 	before := w.pool.Capacity()
 	w.pool.SetCapacity(capacity, reservation.Headroom(capacity.Millicores()))
+	grown := w.pool.SetOccupied(occupied)
 
 	shrunk := capacity.Millicores() < before.Millicores() || capacity.MemoryMB() < before.MemoryMB()
-	if shrunk && w.pool.Exceeded() {
+	if (shrunk || grown) && w.pool.Exceeded() {
 		// What has not started may start at once elsewhere.
 		w.pool.ReleaseReserved()
 		w.rejectLaunched()
--- a/weir/process/lease/lease.go
+++ b/weir/process/lease/lease.go
@@ -72,8 +72,8 @@
 	return l.clockReading + time.Duration(float64(now-l.clockReadAt)*(1-MaxClockDrift))
 }
 
-// Renew returns the end of the lease on the backend server's clock, for a call that is sent now. It returns zero, which
-// renews nothing, if the backend server is unresponsive: it shall stop its tasks when the lease ends.
+// Renew returns the end of the lease on the backend server's clock, for a call that is sent at the time now or later. It
+// returns zero, which renews nothing, if the backend server is unresponsive: it shall stop its tasks when the lease ends.
 func (l *Lease) Renew(now time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -82,7 +82,8 @@
 		return 0
 	}
 
-	l.end = now + time.Duration(float64(Duration)*(1+MaxClockDrift))
+	// Calls may be sent in another order than their times were read.
+	l.end = max(l.end, now+time.Duration(float64(Duration)*(1+MaxClockDrift)))
 
 	return l.minClock(now) + Duration
 }
@@ -96,6 +97,14 @@
 	l.renewedAt = max(l.renewedAt, sent)
 }
 
+// RecordContact records an answer to a call that did not renew the lease.
+func (l *Lease) RecordContact(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.lastAnswer, l.suspended = now, false
+}
+
 // Suspend is called when calls are no longer delivered. The lease is not renewed until the next answer, so that it ends
 // after the last call that may have been delivered.
 func (l *Lease) Suspend() {
