Let lost answers occupy more connections to a leased backend server

The client of leased backend servers opened 8 connections at most. A call whose answer is lost occupies one until its time limit, so with 8 of them every other call waited: the answers looked slow, and the limit of a try rose to 200 ms.

TestLostAnswersDoNotHoldBackOtherCalls: failed with 8 connections ("a start waits for the answers to others"), passes now.

--- a/sidecar/leasedbackend/client.go
+++ b/sidecar/leasedbackend/client.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// maxConnections limits the connections to the backend server.
-	maxConnections = 8
+	// maxConnections limits the connections to the backend server. A call whose answer is lost occupies one until its time
+	// limit.
+	maxConnections = 32
 	// idleTimeout is below the keep-alive time of common HTTP servers, so that the client closes idle connections
 	// first.
 	idleTimeout = 20 * time.Second
--- a/sidecar/leasedbackend/client_test.go
+++ b/sidecar/leasedbackend/client_test.go
@@ -1,10 +1,13 @@
 package leasedbackend_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -46,3 +49,43 @@
 		})
 	}
 }
+
+// Guards against calls that wait behind those whose answers are lost, up to the time limit of these.
+func TestLostAnswersDoNotHoldBackOtherCalls(t *testing.T) {
+	const lostAnswers = 16
+
+	is := is.New(t)
+	run := repeatable.NewRun(repeatable.NewTask("job", 0), 17)
+	permit := repeatable.NewPermit("a7", 1, 0)
+	arrived := make(chan struct{}, lostAnswers)
+
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+
+		if r.URL.Path == leasedbackend.StartPath {
+			arrived <- struct{}{}
+
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.Close)
+
+	c := leasedbackend.NewClient(s.URL)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+
+	for range lostAnswers {
+		go func() { _, _ = c.Start(ctx, run, "", permit) }()
+	}
+
+	for range lostAnswers {
+		select {
+		case <-arrived:
+		case <-ctx.Done():
+			t.Fatal("a start waits for the answers to others")
+		}
+	}
+
+	is.NoErr(c.Stop(ctx, run, permit))
+}
