--- a/entry/repeatable/crash_test.go
+++ b/entry/repeatable/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -92,6 +93,31 @@
 	is.True(f.crashes() <= crashLimit+1) // one more if the news came too late
 }
 
+// Guards against a job that is placed again, or waits until its deadline, although the news that its task has crashed two
+// backend servers arrives: it was sent to this entry before the lease of the second one had ended.
+func TestNewsOfCrashesEndsAnActiveJob(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 0, 0)
+	e := f.entries[0]
+	r := f.attachRaw(e, 1)
+	r.report(8)
+	f.await("the backend server is known", func() bool { return e.OpenServers(service) == 1 })
+
+	p := f.submit(t.Context(), e, newJob("deadly", leasedbackend.Crash, 1))
+
+	r.next() // the reservation, which is not granted
+
+	news := wire.Frame_builder{CrashedTasks: wire.CrashedTasks_builder{
+		Tasks: []*wire.CrashedTask{wire.CrashedTask_builder{Job: "deadly", Suspected: true}.Build()},
+	}.Build()}.Build()
+
+	for range crashLimit {
+		r.send(news)
+	}
+
+	is.Equal(p.wait(t), job.Failed{})
+}
+
 // Guards against a job that is shown as failed because its backend server crashed twice, each time after a newer task of
 // another job had started, which is the likelier cause.
 func TestJobBesideADeadlyTaskIsNotGivenUp(t *testing.T) {
@@ -122,6 +148,8 @@
 	const servers, deadlyJobs = 12, 8
 
 	f := newFixture(t, 1, servers, 8)
+	f.restartCrashed()
+
 	kindOf := func(id, input, kind string) job.Job {
 		policy := job.NewPolicy(kind, service, 1, 3, 1.6, strictTarget)
 
@@ -144,6 +172,29 @@
 	is.Equal(f.submit(t.Context(), f.entries[0], kindOf("other", "5ms", "other")).wait(t), job.Completed{})
 }
 
+// Guards against a kind that is refused for good after it has crashed the backend servers of a service that is too small for
+// a zone.
+func TestKindIsServedAtServiceWithoutZone(t *testing.T) {
+	const servers = 2
+
+	f := newFixture(t, 1, servers, 8)
+	f.restartCrashed()
+
+	n := 0
+	submitNext := func(input string) job.Outcome {
+		n++
+
+		return f.submit(t.Context(), f.entries[0], newJob(fmt.Sprintf("job-%d", n), input, 1)).wait(t)
+	}
+
+	f.await("the kind has crashed each server twice", func() bool {
+		submitNext(leasedbackend.Crash)
+
+		return f.crashes() >= 2*servers
+	})
+	f.await("the kind is served", func() bool { return submitNext("5ms") == job.Completed{} })
+}
+
 // Guards against a confined kind that is refused for good because the backend servers of the zone stay away.
 func TestZoneIsReplacedIfItStaysAway(t *testing.T) {
 	is := is.New(t)
--- a/sidecar/repeatable/late_call_test.go
+++ b/sidecar/repeatable/late_call_test.go
@@ -112,27 +112,31 @@
 	return b.Server.Watch(ctx, lastEnd, wait, p)
 }
 
-// startAndRestart starts a task at a backend server that restarts, and announces the new process.
-func startAndRestart(t *testing.T, carriesOut bool) (*fixture, *restartingBackend) {
-	t.Helper()
-
-	b := &restartingBackend{
+func newRestartingBackend(carriesOut bool) *restartingBackend {
+	return &restartingBackend{
 		unstoppableBackend: unstoppableBackend{leasedbackend.New("i-1")}, carriesOut: carriesOut,
 		restarted: make(chan struct{}),
 	}
+}
+
+// startAndRestart starts a task at a backend server that restarts.
+func startAndRestart(t *testing.T, b *restartingBackend) *fixture {
+	t.Helper()
+
 	fx := newFixtureCalling(t, b.Server, b)
 	fx.announce(1, false)
 	fx.awaitOpen(true)
 	fx.startJob(1, "job", leasedbackend.Hang, 1)
 
-	return fx, b
+	return fx
 }
 
 // Guards against a task that is placed again while it runs: a restarted backend server with the same instance id has
 // carried out a start that was meant for the process before.
 func TestRunAtRestartedBackendIsNotReportedAsLost(t *testing.T) {
 	is := is.New(t)
-	fx, b := startAndRestart(t, true)
+	b := newRestartingBackend(true)
+	fx := startAndRestart(t, b)
 	<-b.restarted
 	fx.announce(1, false)
 
@@ -144,7 +148,24 @@
 // out late: the new process has another clock, so that the lease does not reject it.
 func TestLateStartIsFencedAfterRestart(t *testing.T) {
 	is := is.New(t)
-	fx, b := startAndRestart(t, false)
+	b := newRestartingBackend(false)
+	fx := startAndRestart(t, b)
+	<-b.restarted
+	fx.announce(1, false)
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	fx.awaitOpen(true)
+
+	answer, err := b.Server.Start(t.Context(), b.run, leasedbackend.Hang, b.permit)
+	is.NoErr(err)
+	is.Equal(answer.Result(), repeatable.Fenced)
+}
+
+// Guards against the same if the fencing token had been raised before the restart.
+func TestLateStartWithRaisedTokenIsFencedAfterRestart(t *testing.T) {
+	is := is.New(t)
+	b := newRestartingBackend(false)
+	b.RaiseToken(time.Now().Add(time.Second).UnixMilli())
+	fx := startAndRestart(t, b)
 	<-b.restarted
 	fx.announce(1, false)
 	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
@@ -200,3 +221,38 @@
 	fx.await("the task ends", func() bool { return fx.worker.Running() == 0 })
 	is.Equal(b.lateStarts.Load(), int64(0))
 }
+
+// startlessBackend carries out and answers neither starts nor stops.
+type startlessBackend struct{ unstoppableBackend }
+
+func (b *startlessBackend) Start(
+	context.Context, repeatable.Run, string, repeatable.Permit,
+) (repeatable.StartAnswer, error) {
+	return repeatable.StartAnswer{}, errStartLost
+}
+
+// Guards against a task that is kept for ever, with its capacity, since no start and no stop of it is answered.
+func TestUnansweredStartEndsWithItsLease(t *testing.T) {
+	is := is.New(t)
+	b := &startlessBackend{unstoppableBackend{leasedbackend.New("i-1")}}
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 1)
+
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+}
+
+// Guards against a run that goes on for ever since its stops are answered with errors: its lease has to end.
+func TestRunThatIsNotStoppedEndsWithItsLease(t *testing.T) {
+	is := is.New(t)
+	b := &unstoppableBackend{leasedbackend.New("i-1")}
+	fx := newFixtureCalling(t, b.Server, b)
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startJob(1, "job", leasedbackend.Hang, 1) // is stopped when it is overdue
+
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	is.Equal(len(fx.backend.Running()), 0)
+	fx.awaitOpen(true)
+}
