Measure what a call costs when answers are left out

standin capacity call runs a sidecar against a backend server that carries out all calls and leaves out a share of the answers, and measures tries, connections, time and allocations for each start, beside the rule of before (one limit of 200 ms, three tries).

--- a/standin/capacity/benchmark.go
+++ b/standin/capacity/benchmark.go
@@ -40,6 +40,7 @@
 // Measurements returns the measurements by the names that the capacity command accepts.
 func Measurements() map[string]Measurement {
 	return map[string]Measurement{
+		"call":            (*Benchmark).Call,
 		"entry-workers":   (*Benchmark).EntryWorkers,
 		"entry-starts":    (*Benchmark).EntryStarts,
 		"entry-members":   (*Benchmark).EntryMembers,
