Interrupt a job that is the likely cause of a crash while its kind is confined

Callers of the deadly jobs of a confined kind waited until their deadlines: the second run had to wait for the zone, which the first one had just crashed. If the zone came back in time, that run crashed it again, and the sound jobs of the kind were refused for want of it. The second crash serves only to show the job as failed, which earns nobody anything.

Such a job is now ended as interrupted when its run is reported as lost, 0.7 s after the crash. It can't be shown as failed after one crash, which may be a coincidence. If its caller sends it again, the first crash is remembered, and the second one fails it. Before its kind is probed or confined, and where the service has no zone, a job is started again as before.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -28,6 +28,10 @@
 // reasonDeadly is the reason for the end of a job with a task that is deadly.
 const reasonDeadly = "a task crashes the backend servers that start it"
 
+// reasonSuspected is the reason for the end of a job that is the likeliest cause of a crash while its kind may use the zone
+// only. Started again there, it would most likely crash one more of the few servers that the kind has left.
+const reasonSuspected = "a backend server crashed just after it had started a task of the job, whose kind crashes backend servers"
+
 // placement is the state of one task of a job and the sidecar where it is placed.
 type placement struct {
 	// sidecar is the number of the sidecar, zero while the task is not placed.
@@ -369,6 +373,8 @@
 		a.end(job.Failed{}, "a task failed too often")
 	case p.crashes.isDeadly():
 		a.end(job.Failed{}, reasonDeadly)
+	case m.GetSuspected() && a.dispatcher.isKeptToZone(a.job):
+		a.end(a.incompleteOutcome(reasonSuspected, 0), reasonSuspected)
 	case p.crashes.lostTooOften():
 		a.end(a.incompleteOutcome("a task was lost too often", 0), "a task was lost too often")
 	case a.allDone():
--- a/entry/repeatable/quarantine.go
+++ b/entry/repeatable/quarantine.go
@@ -21,6 +21,11 @@
 	return d.quarantine.Access(j.Policy().Service(), j.Policy().Kind(), s.inZone)
 }
 
+// isKeptToZone reports whether the kind of a job may use the zone only.
+func (d *Dispatcher) isKeptToZone(j job.Job) bool {
+	return !d.zoneless[j.Policy().Service()] && d.quarantine.Level(j.Policy().Kind()) >= quarantine.Probed
+}
+
 // newEntryTime is how long after its start an entry collects the crashes of the last seconds from its sidecars, before
 // it judges them.
 const newEntryTime = 300 * time.Millisecond
--- a/standin/emulator/crash.go
+++ b/standin/emulator/crash.go
@@ -153,6 +153,8 @@
 	lost := s.launchedTasks
 	s.launchedTasks = nil
 
+	sm.endSuspect(s)
+
 	for t := range s.running {
 		t.crashes++
 		lost = append(lost, t)
@@ -178,6 +180,26 @@
 	})
 }
 
+// endSuspect gives up the job that started last before a crash if its kind may use the zone only.
+func (sm *simulation) endSuspect(s *server) {
+	var newest *task
+
+	for t := range s.running {
+		if newest == nil || compareNewest(t, newest) < 0 {
+			newest = t
+		}
+	}
+
+	if newest == nil {
+		return
+	}
+
+	j := newest.activeJob
+	if sm.entries[j.entry].quarantine.Level(j.job.Policy().Kind()) >= quarantine.Probed {
+		j.failed = true
+	}
+}
+
 func (sm *simulation) restart(n int) {
 	s := sm.servers[n]
 	s.accepting, s.startRates = true, quarantine.StartRates{}
