--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -436,10 +436,7 @@
 			t.heldSince = uptime.Now()
 		}
 
-		// A call that was sent before the answer to the start or stop may have returned a list from before the task
-		// ran.
-		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
-			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent) || t.hasLapsedAt(result.clock)
+		isListCurrent := t.isSettledByList(sent, result.clock)
 		if isListCurrent && !result.hasMoreEnds && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
 		}
