--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -133,6 +133,14 @@
 	i.tokenStep *= 2
 }
 
+// lastLeaseEnd returns the highest end of a lease that was sent, on the backend server's clock.
+func (i *incarnation) lastLeaseEnd() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	return i.leaseEnd
+}
+
 // fenceStarts raises the fencing token, so that the next call fences the starts that were sent before, and returns it.
 func (i *incarnation) fenceStarts() int64 {
 	i.mu.Lock()
@@ -316,9 +324,9 @@
 		return first
 	}
 
-	if i.ready || len(w.tasks) > 0 {
+	if n := len(w.tasks) - w.held(); i.ready || n > 0 {
 		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.announcement.instance).
-			Int("tasks", len(w.tasks)).
+			Int("tasks", n).
 			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost, unless a start may still be carried out")
 	}
 
@@ -428,11 +436,8 @@
 			t.heldSince = uptime.Now()
 		}
 
-		// A call that was sent before the answer to the start or stop may have returned a list from before the task
-		// ran.
-		isListCurrent := t.isHeld() || (t.startAnsweredAt > 0 && t.startAnsweredAt < sent) ||
-			(t.stopAnsweredAt > 0 && t.stopAnsweredAt < sent)
-		if isListCurrent && !present[t.run] && !i.unreadable.mayHold(t) {
+		isListCurrent := t.isSettledByList(sent, result.clock)
+		if isListCurrent && !result.hasMoreEnds && !present[t.run] && !i.unreadable.mayHold(t) {
 			w.finish(t, Lost)
 		}
 	}
