--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -114,13 +114,14 @@
 	return NewPermit(i.instance, i.token, leaseEnd)
 }
 
-// openRuns reports whether no run of an earlier sidecar is left, and whether the stop of a task that is abandoned at the
-// time now has not been answered.
+// openRuns reports whether no run of an earlier sidecar is left, and whether there is a run that has to end in time although
+// its stop may not be carried out: the backend server leaves, a run is orphaned, or the stop of a task that is abandoned at
+// the time now has not been answered.
 func (i *incarnation) openRuns(now time.Duration) (ready, abandoned bool) {
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready, i.departed || i.worker.awaitsStop(i, now)
+	return i.ready, i.departed || len(i.orphans.runs) > 0 || i.worker.awaitsStop(i, now)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
@@ -223,6 +224,7 @@
 
 	sent := uptime.Now()
 	result, err := i.worker.backend.Watch(ctx, i.lastHandledEnd(), wait, i.newPermit())
+	i.worker.metrics.recordWatch(result, err)
 
 	switch {
 	case errors.Is(err, ErrOtherInstance):
@@ -235,8 +237,7 @@
 
 		i.pause()
 	default:
-		i.lease.RecordClock(result.clock, uptime.Now())
-		i.lease.RecordAnswer(sent, uptime.Now())
+		i.recordRenewal(result, sent)
 		i.worker.handleWatchResult(i, result, sent)
 
 		if result.hasUnnumberedEnd() {
--- a/sidecar/repeatable/orphans.go
+++ b/sidecar/repeatable/orphans.go
@@ -1,7 +1,6 @@
 package repeatable
 
 import (
-	"context"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
@@ -73,10 +72,7 @@
 }
 
 func (o *orphanedRunStop) run() {
-	ctx, cancel := context.WithTimeout(o.incarnation.ctx, callTimeout)
-	defer cancel()
-
-	err := o.incarnation.worker.backend.Stop(ctx, o.target, o.incarnation.newPermit())
+	err := o.incarnation.sendStop(o.target)
 
 	o.incarnation.worker.log.Info().AnErr("error", err).Str("event", "orphaned_run_stopped").Str("job", o.target.task.job).
 		Uint32("task", o.target.task.index).Int64("run", o.target.number).
