review: case 2, a cancelled job runs when a copy of its submission arrives

Tried: a client cancels a job while it runs; the entry acknowledges that and answers the submission.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]reviewCase{
 	"foreign-announcement": {2, 4, playForeignAnnouncement},
+	"late-copy":            {2, 4, playLateCopy},
 }
 
 func main() {
