review: case 3, after a suspension leases are longer than the sidecar counts

Tried: the machine of one of 11 servers is suspended for 4 s with its sidecar. 6 s after it goes on, the server carries out calls without answering them for 2 s, three times, while tasks of 1.3 s run.

A single suspension during a run was tried as well: the run that goes on afterwards is stopped within 2 to 3 ms, which is no case.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]reviewCase{
 	"foreign-announcement": {2, 4, playForeignAnnouncement},
 	"late-copy":            {2, 4, playLateCopy},
+	"suspended":            {2, 11, playSuspended},
 }
 
 func main() {
