--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -31,6 +31,7 @@
 	"foreign-announcement": {2, 4, playForeignAnnouncement},
 	"late-copy":            {2, 4, playLateCopy},
 	"suspended":            {2, 11, playSuspended},
+	"odd-sequence":         {2, 4, playOddSequence},
 }
 
 func main() {
