review: case 5, a task that is placed again ignores the limit on one server

Tried: 12 jobs of 7 tasks that allow one task on a server; one of 11 servers fails all that it starts.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -32,6 +32,7 @@
 	"late-copy":            {2, 4, playLateCopy},
 	"suspended":            {2, 11, playSuspended},
 	"odd-sequence":         {2, 4, playOddSequence},
+	"spread":               {2, 11, playSpread},
 }
 
 func main() {
