--- a/review/harness/spread.go
+++ b/review/harness/spread.go
@@ -34,6 +34,11 @@
 		time.Sleep(interval)
 	}
 
+	if disrupted {
+		d.servers[0].setFailing(false)
+		d.record.line("server 0  fails nothing any more")
+	}
+
 	all.Wait()
 
 	for _, j := range sent {
