An announcement of another writer ends no running tasks

Cause: Worker.Announce ended the incarnation in force on the word of the message, and reported its tasks as lost without a stop or the end of their lease. The same held for an equal start, and for the server's own id with a later start.

Change: such an announcement names a successor. It takes effect when a call shows that the incarnation in force is gone (another instance answers, the list has another start, it has departed), and is dropped when the one in force answers a call that was sent later. It is saved once it has answered, and held tasks are lost only then.

Why this works: a process that still answers under its id and start has not ended, and its tasks are listed by it; one that doesn't answer keeps its tasks until its lease ends.

TestForeignAnnouncementDoesNotEndRunningTasks failed before in 7 of its 8 parts (the eighth, an earlier start, was ignored before), TestForeignAnnouncementIsNotSaved too.

Tests of sidecar/repeatable, platform and entry/repeatable passed with -race.

--- a/sidecar/repeatable/announcement.go
+++ b/sidecar/repeatable/announcement.go
@@ -69,6 +69,12 @@
 	return a.startedAtMS != 0 || a.sequence >= gone.sequence
 }
 
+// isOfSameIncarnation reports whether both announcements come from the same incarnation. A start that is not known may be
+// any.
+func (a Announcement) isOfSameIncarnation(b Announcement) bool {
+	return a.instance == b.instance && (a.startedAtMS == b.startedAtMS || a.startedAtMS == 0 || b.startedAtMS == 0)
+}
+
 // isOfLeaving reports whether the announcement comes from the incarnation that says that it leaves. Without the time of its
 // start, that may be an earlier one with the same id whose notice is late: one that leaves has announced that it drains.
 func (a Announcement) isOfLeaving(instance string, startedAtMS int64) bool {
--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -106,7 +106,7 @@
 
 	for _, t := range w.tasks {
 		if t.isHeld() {
-			if end == replaced {
+			if end == replaced && t.incarnation.instance == i.instance {
 				w.finish(t, Lost)
 			}
 
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -35,6 +35,10 @@
 	instance string
 	// announcement, ready, departed and lastEnd change under the worker's mutex.
 	announcement Announcement
+	// isSaved is true if the announcement is saved; one is saved once the backend server has answered as this incarnation.
+	isSaved bool
+	// successor is the incarnation that was announced after this one; it changes under the worker's mutex.
+	successor successor
 	// ready is true once no run of an earlier sidecar is left at the backend server.
 	ready bool
 	// departed is true once the backend server has said that it leaves.
@@ -91,6 +95,9 @@
 	return i
 }
 
+// isConfirmed reports whether the backend server has answered as this incarnation.
+func (i *incarnation) isConfirmed() bool { return i.listedAt > 0 }
+
 func (i *incarnation) run() {
 	r := &leaseRenewer{i}
 	go r.run()
--- a/sidecar/repeatable/lists.go
+++ b/sidecar/repeatable/lists.go
@@ -80,6 +80,16 @@
 		return
 	}
 
+	w.refuteSuccessor(i, sent)
+
+	if !i.isConfirmed() {
+		w.loseHeldOfOthers(i)
+
+		if !i.isSaved {
+			w.saveAnnouncement(i)
+		}
+	}
+
 	i.listedAt = max(i.listedAt, sent)
 
 	// An answer that was overtaken by a later one lists ends again. A task that is launched again at once has the run number
--- a/sidecar/repeatable/unsettled.go
+++ b/sidecar/repeatable/unsettled.go
@@ -81,10 +81,11 @@
 		t.hasLapsedAt(clock)
 }
 
-// loseHeld reports the held tasks as lost after a process with another id has taken the place of theirs.
-func (w *Worker) loseHeld() {
+// loseHeldOfOthers reports the held tasks as lost that were sent to a process with another id than the incarnation, which
+// has answered and so has taken the place of theirs.
+func (w *Worker) loseHeldOfOthers(i *incarnation) {
 	for _, t := range w.tasks {
-		if t.isHeld() {
+		if t.isHeld() && t.incarnation.instance != i.instance {
 			w.finish(t, Lost)
 		}
 	}
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -37,8 +37,6 @@
 	mu sync.Mutex
 	// incarnation is nil until the backend server has announced itself, and after it has left.
 	incarnation *incarnation
-	// lastInstance is the id of the newest incarnation, which may have ended.
-	lastInstance string
 	// lastToken is higher than the fencing tokens of the starts at incarnations that have ended.
 	lastToken int64
 	pool      reservation.Pool
@@ -156,40 +154,30 @@
 
 	a.sequence = 0
 	w.beginIncarnation(ctx, a)
+	w.incarnation.isSaved = true
 	w.updateCapacity()
 }
 
-// Announce applies an announcement of the backend server. It returns false if the announcement is older than the one in
-// force.
+// Announce applies an announcement of the backend server. One that names another incarnation than the one in force takes
+// effect only once a call shows that the one in force has ended, as another writer may have sent it. Announce returns
+// false if the announcement is older than the one in force.
 func (w *Worker) Announce(ctx context.Context, a Announcement) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	current := w.incarnation
-
-	if a.precedesDepartureOf(w.gone) {
-		return false
-	}
+	i := w.incarnation
 
 	switch {
-	case current == nil || current.announcement.instance != a.instance ||
-		current.announcement.startedAtMS < a.startedAtMS:
-		if current != nil && current.announcement.startedAtMS > a.startedAtMS {
-			return false
-		}
-
+	case a.precedesDepartureOf(w.gone):
+		return false
+	case i == nil:
 		w.beginIncarnation(ctx, a)
-		w.saveAnnouncement(a)
-	case current.announcement.startedAtMS > a.startedAtMS || current.announcement.sequence > a.sequence:
+	case !i.announcement.isOfSameIncarnation(a):
+		return w.announceSuccessor(i, a)
+	case i.announcement.sequence > a.sequence:
 		return false
 	default:
-		if current.announcement.draining != a.draining {
-			w.log.Info().Str("event", "backend_state").Str("instance", a.instance).Bool("draining", a.draining).
-				Int64("sequence", a.sequence).Msg("backend server changed its drain state")
-			w.saveAnnouncement(a)
-		}
-
-		current.announcement = a
+		w.updateAnnouncement(i, a)
 	}
 
 	w.updateCapacity()
@@ -197,31 +185,28 @@
 	return true
 }
 
-func (w *Worker) saveAnnouncement(a Announcement) {
-	if w.save != nil {
-		w.save(a)
-	}
-}
-
-// beginIncarnation begins a new incarnation of the backend server. Of the tasks of the previous one, only those may run whose
-// start was carried out late, under the same id.
-func (w *Worker) beginIncarnation(ctx context.Context, a Announcement) {
-	if w.incarnation != nil {
-		w.markCrashed(w.incarnation)
-	}
+// updateAnnouncement replaces the announcement of the incarnation in force by a newer one.
+func (w *Worker) updateAnnouncement(i *incarnation, a Announcement) {
+	changed := i.announcement.draining != a.draining
+	i.announcement = a
 
-	end := replaced
-	if w.lastInstance == a.instance {
-		end = restarted
+	if changed {
+		w.log.Info().Str("event", "backend_state").Str("instance", a.instance).Bool("draining", a.draining).
+			Int64("sequence", a.sequence).Msg("backend server changed its drain state")
+		w.saveAnnouncement(i)
 	}
+}
 
-	w.endIncarnation("the backend server announced a new incarnation", end)
+func (w *Worker) saveAnnouncement(i *incarnation) {
+	i.isSaved = true
 
-	if end == replaced {
-		w.loseHeld()
+	if w.save != nil {
+		w.save(i.announcement)
 	}
+}
 
-	w.lastInstance = a.instance
+// beginIncarnation begins an incarnation of the backend server. None is in force.
+func (w *Worker) beginIncarnation(ctx context.Context, a Announcement) {
 	w.incarnation = newIncarnation(ctx, w, a)
 	w.stats = ejection.Statistics{}
 	w.slowness = 0
@@ -243,13 +228,15 @@
 		return
 	}
 
-	w.gone = w.incarnation.announcement
-	w.gone.departed = true
-	w.saveAnnouncement(w.gone)
-	w.beginDeparture(w.incarnation)
+	i := w.incarnation
+	i.announcement.departed = true
+	w.gone = i.announcement
+	w.saveAnnouncement(i)
+	w.beginDeparture(i)
 }
 
-// endIncarnation ends the current incarnation of the backend server, if there is one, and gives up its tasks.
+// endIncarnation ends the current incarnation of the backend server, if there is one, gives up its tasks and begins the
+// incarnation that was announced meanwhile, if there is one.
 func (w *Worker) endIncarnation(reason string, end processEnd) {
 	if w.incarnation == nil {
 		return
@@ -265,6 +252,10 @@
 	w.pool.Clear()
 	w.loseTasks(last, end)
 
+	if last.successor.exists() {
+		w.beginIncarnation(last.ctx, last.successor.announcement)
+	}
+
 	w.updateCapacity()
 }
 
