A refused connection ends no tasks of a leaving backend server

A notice of departure stops the tasks and waits until the stops are confirmed, but the first refused connection after it reported them as lost. A server that shuts down closes its listener before its tasks end, and the notice may come from another writer.

--- a/sidecar/repeatable/departure_test.go
+++ b/sidecar/repeatable/departure_test.go
@@ -111,6 +111,23 @@
 	is.Equal(len(fx.backend.Running()), 0)
 }
 
+// Guards against a task that is placed again while it runs: its backend server refuses connections after it has said that it
+// leaves, and goes on with its tasks until their lease ends.
+func TestRunAtLeavingBackendThatRefusesConnectionsIsNotReportedAsLost(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announce(1, false)
+	fx.awaitOpen(true)
+	fx.startLong(1)
+	fx.await("the task runs", fx.hasRunning(1))
+
+	fx.backend.SetFault(leasedbackend.FaultNotListening)
+	fx.awaitOpen(false)
+	fx.worker.Depart("i-1", fx.backend.StartedAtMS())
+	is.Equal(fx.nextResult(), wire.Result_RESULT_LOST)
+	is.Equal(len(fx.backend.Running()), 0)
+}
+
 // Guards against the end of a backend server that has left and that counts as a crash under its tasks.
 func TestEndOfBackendThatLeftIsNoCrash(t *testing.T) {
 	is := is.New(t)
--- a/sidecar/repeatable/lists.go
+++ b/sidecar/repeatable/lists.go
@@ -28,7 +28,7 @@
 	}
 
 	first := w.recordCallError(i, err)
-	w.finishDeparture()
+	w.finishDeparture(uptime.Now())
 
 	if w.incarnation != i || !i.lease.Expired(uptime.Now()) {
 		return first
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -98,9 +98,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.finishDeparture()
-
 	now := uptime.Now()
+	w.finishDeparture(now)
+
 	inUse := w.sessionsInUse()
 
 	if len(inUse) == 0 && len(w.tasks) == 0 {
