A suspension makes no lease longer than the sidecar counts

Cause: the sidecar extrapolates the backend server's clock with its own, which counts a suspension, and ignored every lower reading. The leases it sent were cut by the server's maximum of 1000 ms only, and it went on counting 600 ms.

Change: a reading below what the clock had to show when the call was sent replaces the estimate. Time in which the sidecar doesn't tick is added neither to the expected clock nor to the lease that has to end before tasks are lost, since the server's clock may have stood still. backend_clock_behind logs such a clock. The stand-in can be suspended.

The tests of Lease need the new call, so they didn't run before. Ruled out: a lease that is right and given up too early; the runs ended 1.0 to 1.3 s after their last renewal.

--- a/sidecar/repeatable/renewal.go
+++ b/sidecar/repeatable/renewal.go
@@ -24,7 +24,7 @@
 	c.Send()
 	c.Record(watchReply(result, nil))
 
-	i.lease.RecordClock(result.clock, now)
+	i.recordClock(result.clock, sent, now)
 
 	if c.Claim() == delivery.Extended {
 		i.lease.RecordAnswer(sent, now)
@@ -32,3 +32,17 @@
 		i.lease.RecordContact(now)
 	}
 }
+
+// loggedClockError is the error of the expected clock of the backend server above which it is logged.
+const loggedClockError = 50 * time.Millisecond
+
+// recordClock records a reading of the backend server's clock in the answer to a call that was sent at the time sent.
+func (i *incarnation) recordClock(reading, sent, now time.Duration) {
+	behind := i.lease.RecordClock(reading, sent, now)
+	if behind <= loggedClockError {
+		return
+	}
+
+	i.worker.log.Warn().Str("event", "backend_clock_behind").Str("instance", i.instance).Dur("behind", behind).
+		Msg("clock of the backend server is behind of what was expected: it has stood still, or another process has answered; leases follow it")
+}
--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -59,7 +59,7 @@
 	t.incarnation.recordAnswerTime(sent, err)
 
 	if err == nil {
-		t.incarnation.lease.RecordClock(answer.clock, uptime.Now())
+		t.incarnation.recordClock(answer.clock, sent, uptime.Now())
 	}
 
 	if err == nil && answer.result == Started {
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -105,11 +105,13 @@
 
 	if len(inUse) == 0 && len(w.tasks) == 0 {
 		w.keepSessions(inUse, now, idleCheckInterval)
+		w.tickLease(now, idleCheckInterval)
 
 		return idleCheckInterval
 	}
 
 	w.keepSessions(inUse, now, checkInterval)
+	w.tickLease(now, checkInterval)
 
 	if n := w.pool.Expire(now); n > 0 {
 		w.log.Warn().Str("event", "reservations_expired").Int("count", n).
@@ -133,6 +135,13 @@
 	return checkInterval
 }
 
+// tickLease records that this process runs, and checks again after the interval.
+func (w *Worker) tickLease(now, interval time.Duration) {
+	if w.incarnation != nil {
+		w.incarnation.lease.Tick(now, interval)
+	}
+}
+
 // SaveWith sets the function that saves what a restarted sidecar has to know of the backend server before it announces
 // itself again: Restore passes it on.
 func (w *Worker) SaveWith(f func(Announcement)) {
--- a/standin/leasedbackend/crash.go
+++ b/standin/leasedbackend/crash.go
@@ -38,6 +38,7 @@
 
 	s.instance, s.startedAt, s.crashed = instance, time.Now(), false
 	s.token, s.leaseEnd, s.ended, s.lastEnd = 0, 0, nil, 0
+	s.suspendedFor = 0
 	s.highestRun = map[repeatable.Task]int64{}
 }
 
@@ -66,7 +67,7 @@
 // crashWith ends the process of the server unless the run has ended before.
 func (s *Server) crashWith(r *activeRun) {
 	s.mu.Lock()
-	runs := s.running[r.run.Task()] == r
+	runs := s.running[r.run.Task()] == r && s.suspendedAt.IsZero()
 	s.mu.Unlock()
 
 	if runs {
--- a/standin/leasedbackend/server.go
+++ b/standin/leasedbackend/server.go
@@ -34,7 +34,12 @@
 	mu        sync.Mutex
 	instance  string
 	startedAt time.Time
-	fault     Fault
+	// suspendedAt is when the server was suspended, zero while it is not; suspendedFor is how long it was before.
+	suspendedAt  time.Time
+	suspendedFor time.Duration
+	// resumed is closed at the end of the suspension.
+	resumed chan struct{}
+	fault   Fault
 	// crashed is true from the end of the process until Restart; crashes counts these ends.
 	crashed bool
 	crashes int
@@ -58,8 +63,13 @@
 }
 
 type activeRun struct {
-	run   repeatable.Run
-	timer *time.Timer
+	run repeatable.Run
+	// timer calls act at the time due; it is nil for a run that hangs. remaining is the time left when the server was
+	// suspended.
+	timer     *time.Timer
+	due       time.Time
+	act       func()
+	remaining time.Duration
 }
 
 // New returns a new incarnation of a backend server.
@@ -117,7 +127,14 @@
 	return s.peakRunning
 }
 
-func (s *Server) clock() time.Duration { return time.Since(s.startedAt) + time.Second }
+func (s *Server) clock() time.Duration {
+	elapsed := time.Since(s.startedAt)
+	if !s.suspendedAt.IsZero() {
+		elapsed = s.suspendedAt.Sub(s.startedAt)
+	}
+
+	return elapsed - s.suspendedFor + time.Second
+}
 
 // applyLeaseExpiry ends all runs as lost if the lease has ended.
 func (s *Server) applyLeaseExpiry() {
@@ -151,6 +168,10 @@
 // checkCall rejects a call for another instance, and every call while nothing listens. With FaultUnresponsive it blocks
 // until the caller stops waiting.
 func (s *Server) checkCall(ctx context.Context, p repeatable.Permit) error {
+	if err := s.awaitResumed(ctx); err != nil {
+		return err
+	}
+
 	if s.notListening() {
 		return repeatable.ErrNotReached
 	}
@@ -229,16 +250,16 @@
 	switch input {
 	case Hang:
 	case Crash:
-		started.timer = time.AfterFunc(crashDelay, func() { s.crashWith(started) })
+		started.schedule(crashDelay, func() { s.crashWith(started) })
 	case Fail:
-		started.timer = time.AfterFunc(time.Millisecond, func() { s.finish(started, repeatable.Failed) })
+		started.schedule(time.Millisecond, func() { s.finish(started, repeatable.Failed) })
 	default:
 		d, err := time.ParseDuration(input)
 		if err != nil {
 			d = time.Millisecond
 		}
 
-		started.timer = time.AfterFunc(d, func() { s.finish(started, repeatable.Done) })
+		started.schedule(d, func() { s.finish(started, repeatable.Done) })
 	}
 
 	return repeatable.Started
@@ -249,6 +270,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	if !s.suspendedAt.IsZero() {
+		return
+	}
+
 	s.applyLeaseExpiry()
 
 	if s.running[r.run.Task()] == r {
@@ -306,6 +331,10 @@
 
 	if len(s.ended) == 0 && wait > 0 {
 		s.awaitEnd(ctx, wait)
+
+		if err := s.awaitResumed(ctx); err != nil {
+			return repeatable.WatchResult{}, err
+		}
 	}
 
 	if s.notListening() || s.startedAt != called {
--- a/weir/process/lease/lease.go
+++ b/weir/process/lease/lease.go
@@ -29,6 +29,8 @@
 	// sidecar notices that it has lost the entry and stops them, or, if the sidecar fails just before that, until their
 	// lease ends.
 	MaxRunAfterLoss = 1150 * time.Millisecond
+	// maxTickDelay is how late a tick may be without a pause of this process.
+	maxTickDelay = 50 * time.Millisecond
 	// expiryMargin is the time after the end of the lease within which the backend server stops its tasks.
 	expiryMargin = 50 * time.Millisecond
 	// LapseTime is the time after the last renewal in which every run has ended, even if the backend server's clock runs
@@ -38,29 +40,72 @@
 
 // Lease is the lease of the tasks at one incarnation of a backend server. The zero value has no reading of its clock, so
 // that it renews nothing. Its methods may be called from several goroutines.
+//
+// This process may be suspended together with the backend server, whose clock stands still meanwhile, or without it. While
+// this process does not tick, the backend server's clock may or may not have advanced. Nothing is concluded from such a
+// time: the lease may go on as long as if the clock had stood still, and it is renewed as if it had.
 type Lease struct {
 	mu sync.Mutex
-	// clockReading is what the backend server's clock showed at clockReadAt, which is zero before the first reading.
+	// clockReading is what the backend server's clock showed at clockReadAt, which is zero before the first reading. The
+	// clock may have shown it later, by pauses of this process.
 	clockReading, clockReadAt time.Duration
 	// lastAnswer is when the backend server last answered; end is the end of the last lease that was sent, even if the
-	// backend server's clock runs slow.
+	// backend server's clock runs slow or stood still in pauses of this process.
 	lastAnswer, end time.Duration
 	// renewedAt is when the newest call that was answered was sent, and with it a renewal.
 	renewedAt time.Duration
 	// answerDue is when the call that waits for the end of a run is overdue.
 	answerDue time.Duration
+	// tickedAt is the time of the latest tick, zero before the first one; the next one is due tickInterval later.
+	tickedAt, tickInterval time.Duration
 	// suspended is true from Suspend to the next answer.
 	suspended bool
 }
 
-// RecordClock records a reading of the backend server's clock, unless the clock is known to have passed it.
-func (l *Lease) RecordClock(reading, now time.Duration) {
+// Tick records that this process runs. The next tick follows after the interval; if it is late, this process was paused.
+func (l *Lease) Tick(now, interval time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if reading > l.minClock(now) {
+	l.skipPause(now)
+	l.tickedAt, l.tickInterval = max(l.tickedAt, now), interval
+}
+
+// skipPause moves the times that are compared with the backend server's clock by a pause of this process up to now. Each
+// method that compares them calls it first, as it may be the first one to run after the pause.
+func (l *Lease) skipPause(now time.Duration) {
+	pause := now - l.tickedAt
+	if l.tickedAt == 0 || pause <= l.tickInterval+maxTickDelay {
+		return
+	}
+
+	l.tickedAt = now
+	l.end += pause
+
+	if l.clockReadAt > 0 {
+		l.clockReadAt += pause
+	}
+}
+
+// RecordClock records a reading of the backend server's clock in the answer to a call that was sent at the time sent, unless
+// the clock is known to have passed it. It returns by how much the clock was behind of what was expected: it has stood
+// still, or been replaced. A reading of zero is not known.
+func (l *Lease) RecordClock(reading, sent, now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.skipPause(now)
+
+	if reading <= 0 {
+		return 0
+	}
+
+	behind := max(0, l.minClock(sent)-reading)
+	if behind > 0 || reading > l.minClock(now) {
 		l.clockReading, l.clockReadAt = reading, now
 	}
+
+	return behind
 }
 
 // minClock returns a time that the backend server's clock has reached even if it runs slow by MaxClockDrift.
@@ -78,6 +123,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	l.skipPause(now)
+
 	if l.clockReadAt == 0 || l.suspended || now-l.lastAnswer > unresponsiveTimeout {
 		return 0
 	}
@@ -147,5 +194,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	l.skipPause(now)
+
 	return now-l.lastAnswer > unresponsiveTimeout && now > l.end+expiryMargin
 }
--- a/weir/process/lease/lease_test.go
+++ b/weir/process/lease/lease_test.go
@@ -111,7 +111,7 @@
 
 	is.Equal(l.Renew(time.Second), time.Duration(0)) // its clock is not known
 
-	l.RecordClock(time.Hour, time.Second)
+	l.RecordClock(time.Hour, time.Second, time.Second)
 	l.RecordAnswer(time.Second, time.Second)
 	is.Equal(l.Renew(time.Second), time.Hour+lease.Duration)
 	is.Equal(l.Renew(2*time.Second), time.Duration(0))
@@ -138,7 +138,7 @@
 
 	var l lease.Lease
 
-	l.RecordClock(time.Hour, time.Second)
+	l.RecordClock(time.Hour, time.Second, time.Second)
 	l.RecordAnswer(time.Second, time.Second)
 	l.ExpectAnswer(lease.IdleWatchWait, time.Second)
 
@@ -158,7 +158,7 @@
 
 	var l lease.Lease
 
-	l.RecordClock(time.Hour, 1000*ms)
+	l.RecordClock(time.Hour, 990*ms, 1000*ms)
 	l.RecordAnswer(990*ms, 1000*ms)
 	is.True(l.Renew(1000*ms) > 0)
 
@@ -188,3 +188,85 @@
 	l.RecordAnswer(now, now)
 	is.True(!l.RenewalDue(now))
 }
+
+// tickInterval is the time between two ticks.
+const tickInterval = 50 * time.Millisecond
+
+// tick ticks a lease from one time to another, as a process that is not paused does.
+func tick(l *lease.Lease, from, to time.Duration) {
+	for now := from; now <= to; now += tickInterval {
+		l.Tick(now, tickInterval)
+	}
+}
+
+// suspended returns a lease with a renewal, at 2 s, of a process that is then suspended until 6 s.
+func suspended() *lease.Lease {
+	l := &lease.Lease{}
+	tick(l, time.Second, 2*time.Second)
+	l.RecordClock(time.Hour, 2*time.Second, 2*time.Second)
+	l.RecordAnswer(2*time.Second, 2*time.Second)
+	l.Renew(2 * time.Second)
+
+	return l
+}
+
+// Guards against tasks that run for longer than the sidecar counts after a suspension of both: an answer from before it is
+// read first after it, and the backend server's clock has stood still.
+func TestLeaseAfterSuspensionIsNotTooLong(t *testing.T) {
+	is := is.New(t)
+
+	l := suspended()
+	l.RecordAnswer(2*time.Second, 6*time.Second)
+
+	end := l.Renew(6 * time.Second)
+	is.True(end > time.Hour)
+	is.True(end <= time.Hour+lease.Duration)
+}
+
+// Guards against tasks that are reported as lost while they run: their lease did not go on while both were suspended.
+func TestLeaseDoesNotEndDuringSuspension(t *testing.T) {
+	is := is.New(t)
+
+	l := suspended()
+	is.True(!l.Expired(6 * time.Second))
+
+	// The process ticks again.
+	tick(l, 6*time.Second, 6*time.Second+lease.Duration/2)
+	is.True(!l.Expired(6*time.Second + lease.Duration/2))
+
+	tick(l, 6*time.Second+lease.Duration/2, 8*time.Second)
+	is.True(l.Expired(8 * time.Second))
+}
+
+// Guards against leases that are too long for good: the backend server's clock has stood still, and every later reading is
+// lower than expected.
+func TestLeaseFollowsAClockThatHasStoodStill(t *testing.T) {
+	is := is.New(t)
+
+	var l lease.Lease
+
+	l.RecordClock(time.Hour, time.Second, time.Second)
+	l.RecordAnswer(time.Second, time.Second)
+
+	const reading = time.Hour + 100*time.Millisecond
+
+	sent, now := 5*time.Second, 5*time.Second+10*time.Millisecond
+	behind := l.RecordClock(reading, sent, now)
+	l.RecordAnswer(sent, now)
+	is.True(behind > 3*time.Second)
+	is.Equal(l.Renew(now), reading+lease.Duration)
+}
+
+// Guards against a lease that is too short for good because one answer has no reading of the clock, and against one that
+// follows an answer that was overtaken.
+func TestReadingThatIsNoNewsIsIgnored(t *testing.T) {
+	is := is.New(t)
+
+	var l lease.Lease
+
+	l.RecordClock(time.Hour, time.Second, time.Second)
+	l.RecordAnswer(time.Second, time.Second)
+	is.Equal(l.RecordClock(0, time.Second, time.Second), time.Duration(0))
+	is.Equal(l.RecordClock(time.Hour-100*time.Millisecond, 800*time.Millisecond, time.Second), time.Duration(0))
+	is.Equal(l.Renew(time.Second), time.Hour+lease.Duration)
+}
--- a/weir/process/lease/model_test.go
+++ b/weir/process/lease/model_test.go
@@ -170,7 +170,7 @@
 		l.SetActive(true, m.now)
 	}
 
-	m.lease.RecordClock(m.backendClock(m.now), m.now)
+	m.lease.RecordClock(m.backendClock(m.now), m.now, m.now)
 	m.lease.RecordAnswer(m.now, m.now)
 	m.leaseEnd = m.lease.Renew(m.now)
 }
@@ -324,7 +324,7 @@
 		}
 
 		if !m.has(callsLate) {
-			m.lease.RecordClock(m.backendClock(m.now), m.now)
+			m.lease.RecordClock(m.backendClock(m.now), m.now, m.now)
 			m.lease.RecordAnswer(m.now, m.now)
 		}
 	}
--- a/weir/process/lease/sidecar_model_test.go
+++ b/weir/process/lease/sidecar_model_test.go
@@ -369,7 +369,7 @@
 		switch {
 		case s.process != process || s.hasEnded:
 		case answered:
-			l.RecordClock(list.clock, s.now)
+			l.RecordClock(list.clock, sent, s.now)
 			l.RecordAnswer(sent, s.now)
 			s.handleList(list, sent)
 		default:
