A run that can't be named ends by its backend server's clock

The time was counted by the sidecar's clock, which goes on while the instance is suspended and the lease stands still.

Change: it is counted by the backend server's clock, which each list has.

TestUnreadableRunGoesOnAfterSuspension failed in 2 of 2 runs before and passes with this, as do the other tests of unreadable rows, with -race.

--- a/sidecar/repeatable/lists.go
+++ b/sidecar/repeatable/lists.go
@@ -111,7 +111,7 @@
 	w.recordUnreadable(i, result)
 
 	// A run that can't be named in a stop ends with its lease, which is not renewed before the server is ready.
-	unlapsed := i.unreadable.unlapsed(uptime.Now())
+	unlapsed := i.unreadable.unlapsed(result.clock)
 	orphanedRuns := w.reconcileRuns(i, result, sent)
 	w.recordOrphans(i, orphanedRuns, result.clock, sent)
 
--- a/sidecar/repeatable/suspension_test.go
+++ b/sidecar/repeatable/suspension_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/lease"
@@ -42,3 +43,32 @@
 		is.Equal(len(fx.backend.Running()), 0)
 	}
 }
+
+// Guards against a run of an earlier sidecar that goes on while the backend server is used: it can't be named in a stop, and
+// its lease stood still during a suspension.
+func TestUnreadableRunGoesOnAfterSuspension(t *testing.T) {
+	is := is.New(t)
+	b := &garblingBackend{Server: leasedbackend.New("i-1")}
+	b.setGarble(func(r repeatable.WatchResult) repeatable.WatchResult {
+		if len(r.Running()) == 0 {
+			return r
+		}
+
+		return withRuns(r, nil, repeatable.NewUnreadableRun("null"))
+	})
+
+	fx := newFixtureCalling(t, b.Server, b)
+
+	r, err := b.Server.Watch(t.Context(), 0, 0, repeatable.NewPermit("i-1", 1, 0))
+	is.NoErr(err)
+	_, err = b.Server.Watch(t.Context(), 0, 0, repeatable.NewPermit("i-1", 1, r.Clock()+lease.Duration))
+	is.NoErr(err)
+	b.StartOrphaned(repeatable.NewRun(repeatable.NewTask("job", 0), 1))
+
+	fx.announce(1, false)
+	fx.awaitCapacity() // the sidecar knows the backend server
+	fx.await("the run is listed", func() bool { return b.lists.Load() > 0 })
+	fx.suspend(2 * lease.LapseTime)
+	fx.awaitOpen(true)
+	is.Equal(len(b.Running()), 0)
+}
--- a/sidecar/repeatable/unreadable.go
+++ b/sidecar/repeatable/unreadable.go
@@ -52,12 +52,15 @@
 
 // unreadableRows are the rows of the newest lists of an incarnation that can't be read. The zero value has none.
 type unreadableRows struct {
-	// listedSince has the time since when each row is listed, on the clock of package uptime. Equal rows are told
-	// apart by their order.
-	listedSince map[listedRow]time.Duration
+	// listedSince has the time since when each row is listed. Equal rows are told apart by their order.
+	listedSince map[listedRow]listTime
 	ends        map[UnreadableEnd]bool
 }
 
+// listTime is the time of a list, on the clock of package uptime and on that of the backend server, which may have stood
+// still since.
+type listTime struct{ handledAt, backendClock time.Duration }
+
 type listedRow struct {
 	run     UnreadableRun
 	ordinal int
@@ -67,7 +70,7 @@
 func (u *unreadableRows) update(result WatchResult, now time.Duration) []string {
 	var added []string
 
-	since := map[listedRow]time.Duration{}
+	since := map[listedRow]listTime{}
 	count := map[UnreadableRun]int{}
 
 	for _, r := range result.unreadableRuns {
@@ -76,10 +79,14 @@
 
 		at, isKnown := u.listedSince[row]
 		if !isKnown {
-			at = now
+			at = listTime{now, result.clock}
 			added = append(added, "running "+r.row)
 		}
 
+		if at.backendClock == 0 {
+			at.backendClock = result.clock // it was not known before
+		}
+
 		since[row] = at
 	}
 
@@ -102,7 +109,7 @@
 // started can't.
 func (u *unreadableRows) mayHold(t *task) bool {
 	for row, since := range u.listedSince {
-		if row.run.mayBeOf(t.run.task) && since >= t.startedAt {
+		if row.run.mayBeOf(t.run.task) && since.handledAt >= t.startedAt {
 			return true
 		}
 	}
@@ -110,12 +117,13 @@
 	return false
 }
 
-// unlapsed returns the number of rows whose runs may go on although their lease is not renewed.
-func (u *unreadableRows) unlapsed(now time.Duration) int {
+// unlapsed returns the number of rows whose runs may go on at a time on the backend server's clock although their lease is
+// not renewed.
+func (u *unreadableRows) unlapsed(clock time.Duration) int {
 	n := 0
 
 	for _, since := range u.listedSince {
-		if now-since < lease.LapseTime {
+		if clock-since.backendClock < lease.LapseTime {
 			n++
 		}
 	}
