The tasks that a job has at a backend server count for its limit there

Cause: the limit was applied to the reservations of one request. What the job had placed there before didn't count, so each further request could break it: after a task that didn't complete, and 15 ms after the arrival of a job whose tasks wait. Tasks at a lost sidecar, which may still run, didn't count when it had connected again.

Change: each candidate comes with the number of the job's tasks there, by the name of its sidecar. One at the limit is no candidate; while the limit rules some out, a server where a task of the job has failed isn't used again.

Ruled out: launches that the sidecar joins; a job with more tasks than servers broke the limit without any failure.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -34,8 +34,10 @@
 
 // placement is the state of one task of a job and the sidecar where it is placed.
 type placement struct {
-	// sidecar is the number of the sidecar, zero while the task is not placed.
+	// sidecar is the number of the sidecar, zero while the task is not placed, and server its name, which it keeps when it
+	// connects again.
 	sidecar  uint64
+	server   string
 	done     bool
 	failures int
 	crashes  crashCount
@@ -57,7 +59,7 @@
 	// requested and granted count reservations by the number of the sidecar. Granted ones have no launched task yet.
 	requested, granted map[uint64]int
 	// excluded has the sidecars where a task did not complete; they are not used while there are others.
-	excluded                map[uint64]bool
+	excluded                map[uint64]exclusion
 	firstLaunch, lastLaunch time.Duration
 	// slowestRun is the longest run time of a task that is done, slowestSidecar the name of the sidecar where it ran.
 	slowestRun     time.Duration
@@ -75,7 +77,7 @@
 	return &activeJob{
 		dispatcher: d, number: number, job: j, expectedRun: expectedRun, arrived: now, callers: 1,
 		placements: make([]placement, j.Tasks()),
-		requested:  map[uint64]int{}, granted: map[uint64]int{}, excluded: map[uint64]bool{},
+		requested:  map[uint64]int{}, granted: map[uint64]int{}, excluded: map[uint64]exclusion{},
 		done: make(chan struct{}),
 	}
 }
@@ -170,7 +172,7 @@
 		for i := range a.placements {
 			p := &a.placements[i]
 			if len(indices) < a.granted[number] && !p.done && p.sidecar == 0 && !p.sidecarLost {
-				p.sidecar = number
+				p.sidecar, p.server = number, s.name
 				indices = append(indices, uint32(i))
 			}
 		}
@@ -348,9 +350,9 @@
 		}
 	case wire.Result_RESULT_FAILED:
 		p.failures++
-		a.excluded[s.number] = true
+		a.excluded[s.number] = failedThere
 	case wire.Result_RESULT_REJECTED, wire.Result_RESULT_LOST, wire.Result_RESULT_STOPPED:
-		a.excluded[s.number] = true
+		a.excluded[s.number] = max(a.excluded[s.number], notCompletedThere)
 	default:
 	}
 
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -215,21 +215,7 @@
 
 // requestReservations requests reservations for n more tasks.
 func (d *Dispatcher) requestReservations(a *activeJob, n int, now time.Duration) {
-	servers := make([]jobplacement.Server, 0, len(d.sidecars))
-
-	for _, s := range d.sidecars {
-		if !s.canRun(a.job, now) || a.excluded[s.number] || a.requested[s.number] > 0 {
-			continue
-		}
-
-		switch d.access(a.job, s) {
-		case quarantine.Allowed:
-			servers = append(servers, s.candidate(a.job.Policy().Priority()))
-		case quarantine.LastResort:
-			servers = append(servers, s.candidate(a.job.Policy().Priority()).AsLastResort())
-		case quarantine.Forbidden:
-		}
-	}
+	servers, limited := d.candidates(a, now)
 
 	p := jobplacement.Choose(
 		jobplacement.NewDemand(n, a.job.Size(), a.job.Constraints(), a.expectedRun), servers, d.random,
@@ -244,8 +230,7 @@
 	}
 
 	if len(servers) == 0 {
-		// No sidecar is left except those where tasks of the job did not complete, so the next request may use them again.
-		clear(a.excluded)
+		a.readmit(limited)
 	}
 
 	d.log.Debug().Str("event", "job_asks").Str("job", a.job.ID()).Int("tasks", n).Int("places", len(p.Requests())).
@@ -253,6 +238,42 @@
 		Int("asked", len(a.requested)).Msg("requested reservations for the tasks of a job")
 }
 
+// candidates returns the backend servers where tasks of the job may be placed, and whether the limit of the job rules others
+// out.
+func (d *Dispatcher) candidates(a *activeJob, now time.Duration) (servers []jobplacement.Server, limited bool) {
+	servers = make([]jobplacement.Server, 0, len(d.sidecars))
+	limit := a.job.Constraints().MaxTasksPerServer()
+
+	var placed map[string]int
+	if limit > 0 {
+		placed = a.placedTasks()
+	}
+
+	for _, s := range d.sidecars {
+		if !s.canRun(a.job, now) || a.excluded[s.number] > 0 || a.requested[s.number] > 0 {
+			continue
+		}
+
+		if limit > 0 && placed[s.name] >= limit {
+			limited = true
+
+			continue
+		}
+
+		candidate := s.candidate(a.job.Policy().Priority()).WithPlaced(placed[s.name])
+
+		switch d.access(a.job, s) {
+		case quarantine.Allowed:
+			servers = append(servers, candidate)
+		case quarantine.LastResort:
+			servers = append(servers, candidate.AsLastResort())
+		case quarantine.Forbidden:
+		}
+	}
+
+	return servers, limited
+}
+
 // removeCaller removes a caller that no longer waits, and ends the job when no caller is left.
 func (d *Dispatcher) removeCaller(a *activeJob, reason string) job.Outcome {
 	d.mu.Lock()
--- a/standin/leasedbackend/fault.go
+++ b/standin/leasedbackend/fault.go
@@ -23,6 +23,8 @@
 	FaultNotListening
 	// FaultNoStop neither carries out stops nor answers them.
 	FaultNoStop
+	// FaultFailing fails each task that starts.
+	FaultFailing
 )
 
 // SetFault sets how calls are answered from now on.
--- a/standin/leasedbackend/server.go
+++ b/standin/leasedbackend/server.go
@@ -60,6 +60,8 @@
 	// startCounts counts the starts of each task; peakRunning is the largest number of tasks at the same time.
 	startCounts map[repeatable.Task]int
 	peakRunning int
+	// peakOfJob has the largest number of tasks of each job that ran at the same time.
+	peakOfJob map[string]int
 }
 
 type activeRun struct {
@@ -77,6 +79,7 @@
 	return &Server{
 		instance: instance, startedAt: time.Now(), running: map[repeatable.Task]*activeRun{},
 		highestRun: map[repeatable.Task]int64{}, changed: make(chan struct{}), startCounts: map[repeatable.Task]int{},
+		peakOfJob: map[string]int{},
 	}
 }
 
@@ -127,6 +130,29 @@
 	return s.peakRunning
 }
 
+// PeakOfJob returns the largest number of tasks of a job that ran at the same time.
+func (s *Server) PeakOfJob(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.peakOfJob[id]
+}
+
+// recordPeaks records how many tasks run at the same time, of all jobs and of the one whose task has started.
+func (s *Server) recordPeaks(id string) {
+	s.peakRunning = max(s.peakRunning, len(s.running))
+
+	ofJob := 0
+
+	for t := range s.running {
+		if t.Job() == id {
+			ofJob++
+		}
+	}
+
+	s.peakOfJob[id] = max(s.peakOfJob[id], ofJob)
+}
+
 func (s *Server) clock() time.Duration {
 	elapsed := time.Since(s.startedAt)
 	if !s.suspendedAt.IsZero() {
@@ -240,13 +266,17 @@
 	started := &activeRun{run: r}
 	s.running[r.Task()] = started
 	s.startCounts[r.Task()]++
-	s.peakRunning = max(s.peakRunning, len(s.running))
+	s.recordPeaks(r.Task().Job())
 
 	if s.startsToHang > 0 {
 		s.startsToHang--
 		input = Hang
 	}
 
+	if s.fault == FaultFailing {
+		input = Fail
+	}
+
 	switch input {
 	case Hang:
 	case Crash:
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -29,6 +29,8 @@
 	// slowness is the ratio of the measured run times to the expected ones.
 	slowness float64
 	labels   []string
+	// placed is how many tasks of the job are there already, or may be.
+	placed int
 	// lastResort is true if the server is used only when the others are full.
 	lastResort bool
 	// freeTasks is how many tasks of the job may start there at once.
@@ -51,6 +53,13 @@
 	return s
 }
 
+// WithPlaced returns the server with n tasks of the job that are there already, or may be.
+func (s Server) WithPlaced(n int) Server {
+	s.placed = n
+
+	return s
+}
+
 // rankOffset separates the servers that are used only when the others are full, in the order of either kind of request.
 func (s Server) rankOffset() float64 {
 	offset := 0.0
@@ -159,10 +168,10 @@
 	})
 }
 
-// maxTasksPerServer returns the highest number of tasks of the job on one backend server.
-func (d Demand) maxTasksPerServer() int {
-	if d.constraints.MaxTasksPerServer() > 0 {
-		return d.constraints.MaxTasksPerServer()
+// maxTasksAt returns how many more tasks of the job may go to a backend server.
+func (d Demand) maxTasksAt(s Server) int {
+	if limit := d.constraints.MaxTasksPerServer(); limit > 0 {
+		return max(0, limit-s.placed)
 	}
 
 	return d.tasks
@@ -172,7 +181,7 @@
 func (d Demand) requestFree(servers []Server, requested map[uint64]int, random *rand.Rand) int {
 	for i := range servers {
 		s := &servers[i]
-		s.freeTasks = s.free.CountFitting(d.size, d.maxTasksPerServer())
+		s.freeTasks = s.free.CountFitting(d.size, d.maxTasksAt(*s))
 		// A random order weighted by free capacity. With the emptiest first, all entries with the same view would choose
 		// the same backend servers. The offsets below rank slow backend servers last and those with the preferred label
 		// first.
@@ -219,7 +228,7 @@
 		previous := toRequest
 
 		for _, s := range servers {
-			if toRequest > 0 && requested[s.id] < d.maxTasksPerServer() && requested[s.id] < s.maxTasks(d.size) {
+			if toRequest > 0 && requested[s.id] < d.maxTasksAt(s) && requested[s.id] < s.maxTasks(d.size) {
 				requested[s.id]++
 				toRequest--
 			}
--- a/weir/process/jobplacement/choose_test.go
+++ b/weir/process/jobplacement/choose_test.go
@@ -163,6 +163,19 @@
 	is.Equal(len(jobplacement.Choose(newDemand(3, job.NewConstraints("c", "", 0)), servers(), random()).Requests()), 0)
 }
 
+// Guards against more tasks of a job on a backend server than it allows, because those that are there already don't count.
+func TestPlacedTasksCountForTheLimit(t *testing.T) {
+	is := is.New(t)
+
+	for _, free := range []int64{0, 9} { // the tasks that don't fit now are requested, too
+		p := jobplacement.Choose(newDemand(8, job.NewConstraints("", "", 2)), []jobplacement.Server{
+			newServer(1, free, 0, 1).WithPlaced(1), newServer(2, free, 0, 1).WithPlaced(2), newServer(3, free, 0, 1),
+			newServer(4, free, 0, 1).WithPlaced(3),
+		}, random())
+		is.Equal(requestedTasks(p), map[uint64]int{1: 1, 3: 2})
+	}
+}
+
 // Guards against tasks that are placed at a server of last resort although others have free capacity, even slow ones or
 // ones without the preferred label.
 func TestLastResortIsUsedLast(t *testing.T) {
