A backend server's clock, not a number, orders its announcements

Cause: one announcement of another writer under the server's id, with fields missing and a high sequence number, counted as the server's own, so all later ones counted as old. The answer 200 didn't depend on whether the announcement was applied.

Of two announcements the one with the later clock is in force, and a clock that the server has not reached by its own answers is rejected. A drain takes effect even if it is the older.

Why this works: the server's clock can be checked against its answers, a number can't.

--- a/sidecar/repeatable/announcement.go
+++ b/sidecar/repeatable/announcement.go
@@ -27,9 +27,11 @@
 	// startedAtMS is the start of the incarnation in Unix milliseconds, zero if it is not known; sequence increases
 	// with each announcement of an incarnation.
 	startedAtMS, sequence int64
-	capacity              job.Size
-	labels                []string
-	draining              bool
+	// clock is the backend server's clock when it sent the announcement, zero if it is not known.
+	clock    time.Duration
+	capacity job.Size
+	labels   []string
+	draining bool
 	// departed is true in the last announcement that is saved of a backend server that has left.
 	departed bool
 }
@@ -99,6 +101,23 @@
 	}
 }
 
+// WithClock returns the announcement with the reading of the backend server's clock when it sent it.
+func (a Announcement) WithClock(clock time.Duration) Announcement {
+	a.clock = clock
+
+	return a
+}
+
+// isNewerThan reports whether the announcement was sent later than another one of the same incarnation. The clock decides if
+// both have it, as it can be compared with the backend server's own answers; a sequence number may come from another writer.
+func (a Announcement) isNewerThan(b Announcement) bool {
+	if a.clock != 0 && b.clock != 0 && a.clock != b.clock {
+		return a.clock > b.clock
+	}
+
+	return a.sequence >= b.sequence
+}
+
 // Validate returns an error if the announcement describes no backend server that can be used: calls could not name it,
 // sums with its capacity could overflow, or its true announcements would count as older ones.
 func (a Announcement) Validate() error {
--- a/sidecar/repeatable/capacity_test.go
+++ b/sidecar/repeatable/capacity_test.go
@@ -24,7 +24,7 @@
 func (fx *fixture) announceCores(sequence, cores int64) {
 	fx.t.Helper()
 	is.New(fx.t).True(fx.worker.Announce(fx.t.Context(), repeatable.NewAnnouncement(fx.backend.Instance(), "service",
-		"domain", fx.backend.StartedAtMS(), sequence, job.NewSize(cores*core, 1024), []string{"a"}, false)))
+		"domain", fx.backend.StartedAtMS(), sequence, job.NewSize(cores*core, 1024), []string{"a"}, false)).Accepted())
 }
 
 // reserve requests reservations for a job and waits until all are granted.
--- a/sidecar/repeatable/departure_test.go
+++ b/sidecar/repeatable/departure_test.go
@@ -93,7 +93,7 @@
 
 	w := repeatable.NewWorker("other", fx.backend, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
 	is.True(w.Announce(t.Context(), repeatable.NewAnnouncement( // another sidecar has not seen it leave
-		"i-1", "service", "domain", fx.backend.StartedAtMS(), 4, repeatable.Announcement{}.Capacity(), nil, false)))
+		"i-1", "service", "domain", fx.backend.StartedAtMS(), 4, repeatable.Announcement{}.Capacity(), nil, false)).Accepted())
 }
 
 // Guards against a task that is placed again while it runs: its backend server goes on after it has said that it leaves.
--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -185,7 +185,7 @@
 
 func (fx *fixture) announce(sequence int64, draining bool) bool {
 	return fx.worker.Announce(fx.t.Context(), repeatable.NewAnnouncement(fx.backend.Instance(), "service", "domain",
-		fx.backend.StartedAtMS(), sequence, job.NewSize(4*core, 1024), []string{"a"}, draining))
+		fx.backend.StartedAtMS(), sequence, job.NewSize(4*core, 1024), []string{"a"}, draining)).Accepted()
 }
 
 // awaitOpen waits for a capacity report that says whether the sidecar accepts tasks.
--- a/sidecar/repeatable/foreign_announcement_test.go
+++ b/sidecar/repeatable/foreign_announcement_test.go
@@ -1,6 +1,7 @@
 package repeatable_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -111,3 +112,83 @@
 		is.Equal(a.Instance(), "i-1")
 	}
 }
+
+// announceAt passes an announcement with a reading of the backend server's clock to the sidecar.
+func (fx *fixture) announceAt(clock time.Duration, sequence, cores int64, draining bool) repeatable.AnnouncementResult {
+	return fx.worker.Announce(fx.t.Context(), repeatable.NewAnnouncement(fx.backend.Instance(), "service", "domain",
+		fx.backend.StartedAtMS(), sequence, job.NewSize(cores*core, 1024), []string{"a"}, draining).WithClock(clock))
+}
+
+// Guards against announcements of a backend server that count as old, so that its drain or a smaller capacity is not followed,
+// after one of another writer with its id and a high number.
+func TestHighNumberHidesNoLaterAnnouncement(t *testing.T) {
+	const cores, high = 4, 1 << 39
+
+	for name, foreignClock := range map[string]func(*leasedbackend.Server) time.Duration{
+		"clock of the backend server": (*leasedbackend.Server).Clock,
+		"clock in the future":         func(b *leasedbackend.Server) time.Duration { return b.Clock() + time.Hour },
+		"clock of long ago":           func(*leasedbackend.Server) time.Duration { return time.Millisecond },
+	} {
+		for _, isFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, first %v", name, isFirst), func(t *testing.T) {
+				is := is.New(t)
+				fx := newFixture(t, leasedbackend.New("i-1"))
+
+				if !isFirst {
+					fx.announceAt(fx.backend.Clock(), 1, cores, false)
+					fx.awaitOpen(true)
+				}
+
+				fx.announceAt(foreignClock(fx.backend), high, cores, false)
+				fx.awaitOpen(true)
+
+				fx.await("the clock goes on", clockPasses(fx.backend, fx.backend.Clock()))
+				is.Equal(fx.announceAt(fx.backend.Clock(), 2, cores/2, false), repeatable.AnnouncementApplied)
+
+				for fx.awaitOpen(true).GetCapacityCpu() != cores/2*core {
+					t.Log("report of the earlier capacity")
+				}
+
+				fx.await("the clock goes on", clockPasses(fx.backend, fx.backend.Clock()))
+				is.Equal(fx.announceAt(fx.backend.Clock(), 3, cores/2, true), repeatable.AnnouncementApplied)
+				fx.awaitOpen(false)
+			})
+		}
+	}
+}
+
+// clockPasses returns a condition that holds once the backend server's clock has passed a time by more than its resolution.
+func clockPasses(b *leasedbackend.Server, t time.Duration) func() bool {
+	return func() bool { return b.Clock() > t+2*time.Millisecond }
+}
+
+// Guards against a drain that is acknowledged and not followed, as an announcement with a later clock overtook it.
+func TestOvertakenDrainIsFollowed(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	clock := fx.backend.Clock()
+	fx.announceAt(clock, 1, 4, false)
+	fx.awaitOpen(true)
+
+	is.Equal(fx.announceAt(clock-time.Millisecond, 0, 4, false), repeatable.AnnouncementOutdated)
+	is.Equal(fx.announceAt(clock-time.Millisecond, 0, 4, true), repeatable.AnnouncementApplied)
+	fx.awaitOpen(false)
+}
+
+// Guards against an announcement that the backend server cannot have sent yet.
+func TestAnnouncementOfTheFutureIsRejected(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.announceAt(fx.backend.Clock(), 1, 4, false)
+	fx.awaitOpen(true)
+
+	is.Equal(fx.announceAt(fx.backend.Clock()+time.Minute, 2, 4, true), repeatable.AnnouncementImplausible)
+	is.True(fx.completesTask())
+}
+
+// completesTask reports whether a task that is started now completes.
+func (fx *fixture) completesTask() bool {
+	fx.startJob(1, "job", "1ms", 1)
+
+	return fx.nextResult() == wire.Result_RESULT_DONE
+}
--- a/sidecar/repeatable/metrics.go
+++ b/sidecar/repeatable/metrics.go
@@ -34,6 +34,23 @@
 	}).(gometrics.Histogram).Update(run.Microseconds())
 }
 
+// recordAnnouncement counts an announcement by its result.
+func (m *Metrics) recordAnnouncement(result string) { m.count("announcements_total", "result", result) }
+
+// RecordInvalidAnnouncement counts an announcement that names no backend server to use, by the reason, which is one of few.
+func (w *Worker) RecordInvalidAnnouncement(reason string) {
+	w.metrics.count("announcements_invalid_total", "reason", reason)
+}
+
+// count increments a counter with a label.
+func (m *Metrics) count(name, label, value string) {
+	if m == nil {
+		return
+	}
+
+	m.registry.GetOrRegister(metrics.Name(name, label, value), gometrics.NewCounter).(gometrics.Counter).Inc(1)
+}
+
 // recordTry counts a try of a call by its result, which is answered if the try has not failed. A try that this process
 // has broken off is not counted.
 func (m *Metrics) recordTry(name, answered string, err error) {
--- a/sidecar/repeatable/successor.go
+++ b/sidecar/repeatable/successor.go
@@ -17,11 +17,11 @@
 func (s successor) exists() bool { return s.announcedAt > 0 }
 
 // announceSuccessor records the announcement of an incarnation other than the one in force, and calls the backend server
-// to learn which of the two it is. It returns false if the announcement is of an earlier incarnation.
-func (w *Worker) announceSuccessor(i *incarnation, a Announcement) bool {
+// to learn which of the two it is.
+func (w *Worker) announceSuccessor(i *incarnation, a Announcement) AnnouncementResult {
 	isEarlier := a.startedAtMS < i.announcement.startedAtMS
 	if isEarlier && i.isConfirmed() {
-		return false
+		return AnnouncementOutdated
 	}
 
 	isKnown := i.successor.exists() && i.successor.announcement.isOfSameIncarnation(a)
@@ -36,7 +36,11 @@
 	c := &renewalCall{i}
 	go c.run()
 
-	return !isEarlier
+	if isEarlier {
+		return AnnouncementOutdated
+	}
+
+	return AnnouncementPending
 }
 
 // refuteSuccessor drops the successor if the incarnation in force has answered a call that was sent after the announcement,
--- a/sidecar/repeatable/suspension_test.go
+++ b/sidecar/repeatable/suspension_test.go
@@ -54,7 +54,7 @@
 			return r
 		}
 
-		return withRuns(r, nil, repeatable.NewUnreadableRun("null"))
+		return withRuns(r, repeatable.NewUnreadableRun("null"))
 	})
 
 	fx := newFixtureCalling(t, b.Server, b)
--- a/sidecar/repeatable/unreadable_test.go
+++ b/sidecar/repeatable/unreadable_test.go
@@ -58,11 +58,9 @@
 	b.garble.Store(&f)
 }
 
-// withRuns returns the result with another list of runs.
-func withRuns(
-	r repeatable.WatchResult, running []repeatable.Run, unreadable ...repeatable.UnreadableRun,
-) repeatable.WatchResult {
-	return repeatable.NewWatchResult(r.Clock(), r.StartedAtMS(), running, r.Ended()).WithUnreadable(unreadable, nil)
+// withRuns returns the result with rows that can't be read in place of its list of runs.
+func withRuns(r repeatable.WatchResult, unreadable ...repeatable.UnreadableRun) repeatable.WatchResult {
+	return repeatable.NewWatchResult(r.Clock(), r.StartedAtMS(), nil, r.Ended()).WithUnreadable(unreadable, nil)
 }
 
 // longLaunch launches a task that is not stopped as overdue within a test.
@@ -88,7 +86,7 @@
 					return r
 				}
 
-				return withRuns(r, nil, row)
+				return withRuns(r, row)
 			})
 			fx.start(longLaunch, 1)
 			fx.await("the run has begun", fx.hasRunning(1))
@@ -117,7 +115,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := &garblingBackend{Server: leasedbackend.New("i-1")}
-			b.setGarble(func(r repeatable.WatchResult) repeatable.WatchResult { return withRuns(r, nil, row) })
+			b.setGarble(func(r repeatable.WatchResult) repeatable.WatchResult { return withRuns(r, row) })
 
 			fx := newFixtureCalling(t, b.Server, b)
 			fx.announce(1, false)
@@ -138,7 +136,7 @@
 			return r
 		}
 
-		return withRuns(r, nil, repeatable.NewUnreadableRun("null"))
+		return withRuns(r, repeatable.NewUnreadableRun("null"))
 	})
 
 	fx := newFixtureCalling(t, b.Server, b)
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -167,66 +167,6 @@
 	w.updateCapacity()
 }
 
-// Announce applies an announcement of the backend server. One that names another incarnation than the one in force takes
-// effect only once a call shows that the one in force has ended, as another writer may have sent it. Announce returns
-// false if the announcement is older than the one in force.
-func (w *Worker) Announce(ctx context.Context, a Announcement) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	i := w.incarnation
-
-	switch {
-	case a.precedesDepartureOf(w.gone):
-		return false
-	case i == nil:
-		w.beginIncarnation(ctx, a)
-	case !i.announcement.isOfSameIncarnation(a):
-		return w.announceSuccessor(i, a)
-	case i.announcement.sequence > a.sequence:
-		return false
-	default:
-		w.updateAnnouncement(i, a)
-	}
-
-	w.updateCapacity()
-
-	return true
-}
-
-// updateAnnouncement replaces the announcement of the incarnation in force by a newer one.
-func (w *Worker) updateAnnouncement(i *incarnation, a Announcement) {
-	changed := i.announcement.draining != a.draining
-	i.announcement = a
-
-	if changed {
-		w.log.Info().Str("event", "backend_state").Str("instance", a.instance).Bool("draining", a.draining).
-			Int64("sequence", a.sequence).Msg("backend server changed its drain state")
-		w.saveAnnouncement(i)
-	}
-}
-
-func (w *Worker) saveAnnouncement(i *incarnation) {
-	i.isSaved = true
-
-	if w.save != nil {
-		w.save(i.announcement)
-	}
-}
-
-// beginIncarnation begins an incarnation of the backend server. None is in force.
-func (w *Worker) beginIncarnation(ctx context.Context, a Announcement) {
-	w.incarnation = newIncarnation(ctx, w, a)
-	w.stats = ejection.Statistics{}
-	w.slowness = 0
-
-	w.log.Info().Str("event", "backend_announced").Str("instance", a.instance).Str("service", a.service).
-		Int64("born", a.startedAtMS).Int64("cpu", a.capacity.Millicores()).Strs("labels", a.labels).
-		Msg("new incarnation of the backend server")
-
-	go w.incarnation.run()
-}
-
 // Depart begins the end of the incarnation of the backend server if it is the one that leaves. The time of its start is in
 // Unix milliseconds, zero if it is not known.
 func (w *Worker) Depart(instance string, startedAtMS int64) {
--- a/sidecar/repeatable/worker_test.go
+++ b/sidecar/repeatable/worker_test.go
@@ -173,7 +173,7 @@
 	is.True(!fx.announce(4, false)) // older than the announcement that the backend server is draining
 
 	older := repeatable.NewAnnouncement("i-1", "service", "domain", fx.backend.StartedAtMS()-1, 9, job.NewSize(core, 1), nil, false)
-	is.True(!fx.worker.Announce(t.Context(), older))
+	is.True(!fx.worker.Announce(t.Context(), older).Accepted())
 	fx.awaitOpen(false)
 }
 
--- a/standin/leasedbackend/server.go
+++ b/standin/leasedbackend/server.go
@@ -130,6 +130,14 @@
 	return s.peakRunning
 }
 
+// Clock returns the reading of the server's steady clock.
+func (s *Server) Clock() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.clock()
+}
+
 // PeakOfJob returns the largest number of tasks of a job that ran at the same time.
 func (s *Server) PeakOfJob(id string) int {
 	s.mu.Lock()
--- a/weir/process/lease/lease.go
+++ b/weir/process/lease/lease.go
@@ -22,6 +22,8 @@
 	IdleWatchWait = 500 * time.Millisecond
 	// MaxClockDrift is the fraction by which a backend server's clock may run slow.
 	MaxClockDrift = 0.03
+	// clockResolution is the resolution of the readings of a backend server's clock.
+	clockResolution = time.Millisecond
 	// unresponsiveTimeout is the time without an answer from the backend server after which the lease is no longer
 	// renewed.
 	unresponsiveTimeout = 400 * time.Millisecond
@@ -49,6 +51,8 @@
 	// clockReading is what the backend server's clock showed at clockReadAt, which is zero before the first reading. The
 	// clock may have shown it later, by pauses of this process.
 	clockReading, clockReadAt time.Duration
+	// clockSentAt is when the call was sent whose answer had clockReading.
+	clockSentAt time.Duration
 	// lastAnswer is when the backend server last answered; end is the end of the last lease that was sent, even if the
 	// backend server's clock runs slow or stood still in pauses of this process.
 	lastAnswer, end time.Duration
@@ -102,7 +106,7 @@
 
 	behind := max(0, l.minClock(sent)-reading)
 	if behind > 0 || reading > l.minClock(now) {
-		l.clockReading, l.clockReadAt = reading, now
+		l.clockReading, l.clockReadAt, l.clockSentAt = reading, now, sent
 	}
 
 	return behind
@@ -117,6 +121,21 @@
 	return l.clockReading + time.Duration(float64(now-l.clockReadAt)*(1-MaxClockDrift))
 }
 
+// ClockHasReached reports whether the backend server's clock may have reached a time by now. Before the first reading it may
+// have reached any.
+func (l *Lease) ClockHasReached(clock, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.clockReadAt == 0 {
+		return true
+	}
+
+	elapsed := float64(now-l.clockSentAt) * (1 + MaxClockDrift)
+
+	return clock <= l.clockReading+time.Duration(elapsed)+clockResolution
+}
+
 // Renew returns the end of the lease on the backend server's clock, for a call that is sent at the time now or later. It
 // returns zero, which renews nothing, if the backend server is unresponsive: it shall stop its tasks when the lease ends.
 func (l *Lease) Renew(now time.Duration) time.Duration {
