A job whose limit on one server can't be kept is refused at once

A job with more tasks than its limit allows on all backend servers together runs in turns. With a deadline that is too early for its turns it waited until then.

Change: such a job is refused on arrival, with the longest delay for a retry, if not even a quarter of its last turn can run before the deadline; the other rules are unchanged.

TestJobWhoseLimitCannotBeKeptIsRefusedAtOnce needs the new reason; the other tests of admission pass as they were.

--- a/weir/process/admission/admission.go
+++ b/weir/process/admission/admission.go
@@ -113,6 +113,7 @@
 	TooLarge            = "a task needs more CPU or memory than any backend server has"
 	Overloaded          = "waiting for free capacity would make the job miss its objective"
 	DeadlineUnreachable = "the caller's deadline leaves less than a quarter of the expected run time"
+	LimitUnreachable    = "the job's limit on one backend server makes its tasks run in turns beyond the caller's deadline"
 )
 
 // Decide evaluates a job on arrival. Its tasks are expected to run for runTime each.
@@ -128,6 +129,8 @@
 		return Refuse{TooLarge, maxRetryAfter}
 	case j.Timeout() < runTime/4:
 		return Refuse{DeadlineUnreachable, minRetryAfter}
+	case j.Timeout() < time.Duration(l.turns(j)-1)*runTime+runTime/4:
+		return Refuse{LimitUnreachable, maxRetryAfter}
 	}
 
 	objective := j.Policy().Objective(runTime)
@@ -141,6 +144,18 @@
 	return Admit{min(maxWait, j.Timeout()), expectedWait}
 }
 
+// turns returns how often the job has to use each backend server at least, as it limits its tasks there.
+func (l Load) turns(j job.Job) int {
+	limit := j.Constraints().MaxTasksPerServer()
+	if limit == 0 {
+		return 1
+	}
+
+	atOnce := limit * l.servers
+
+	return (j.Tasks() + atOnce - 1) / atOnce
+}
+
 // ExtendWait evaluates a job that got no reservation within its maximum wait. The job goes on waiting, in steps of the
 // expected wait, while it can expect to meet its objective. This covers a burst that the processes between caller and
 // backend server handle late: its queue is gone within the run time of a task.
--- a/weir/process/admission/admission_test.go
+++ b/weir/process/admission/admission_test.go
@@ -49,6 +49,25 @@
 	is.Equal(refusalReason(admission.Decide(quickJob(8), runTime, newLoad(0, 400), random())), admission.Overloaded)
 }
 
+// Guards against a job that waits until its deadline although its limit on one backend server can't be kept within that, and
+// against the refusal of one that can be served in turns.
+func TestJobWhoseLimitCannotBeKeptIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	load := newLoad(640, 0) // of ten backend servers
+
+	decide := func(tasks, limit int, timeout time.Duration) string {
+		j := job.New("a", "", tasks, job.NewSize(core, 64), runTime, timeout, quickJob(1).Policy(), job.NewConstraints("", "", limit))
+
+		return refusalReason(admission.Decide(j, runTime, load, random()))
+	}
+
+	is.Equal(decide(10, 1, 2*runTime), "")
+	is.Equal(decide(20, 1, 2*runTime), "")
+	is.Equal(decide(31, 1, 2*runTime), admission.LimitUnreachable)
+	is.Equal(decide(31, 2, 2*runTime), "")
+	is.Equal(decide(1000, 0, 2*runTime), "")
+}
+
 // Guards against the refusal of a job while there is free capacity for it.
 func TestNothingIsRefusedWithFreeCapacity(t *testing.T) {
 	is := is.New(t)
