The sidecar checks the limits of a job where its tasks start

Two entries may hold tasks of a job that was sent again, and an entry sees labels as of the last report.

Change: a launch names the job's limit on one server and its required label. A start beyond one of them is rejected before it is sent, with a log line and a counter; tasks that are being stopped, held or of unknown fate and orphaned runs count. A sidecar without the fields, or an entry that doesn't send them, works as before.

Failed before (with the check taken out): TestStartBeyondTheLimitOfItsJobIsRejected, TestTaskOfUnknownFateCountsForTheLimitOfItsJob, TestStartWithoutTheRequiredLabelIsRejected.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -181,7 +181,9 @@
 			s.send(wire.Frame_builder{Launch: wire.Launch_builder{
 				Job: a.number, Name: a.job.ID(), Indices: indices, Input: a.job.Input(),
 				ExpectedMs: uint32(a.expectedRun.Milliseconds()), Priority: uint32(a.job.Policy().Priority()),
-				Kind: a.job.Policy().Kind(),
+				Kind:          a.job.Policy().Kind(),
+				MaxPerServer:  uint32(a.job.Constraints().MaxTasksPerServer()),
+				RequiredLabel: a.job.Constraints().RequiredLabel(),
 			}.Build()}.Build())
 		}
 
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -46,7 +46,8 @@
 	expected time.Duration
 	priority int
 	// kind is the kind of the job, empty if the entry does not name it.
-	kind string
+	kind   string
+	limits startLimits
 	// launchedAt is when the launch was received.
 	launchedAt time.Duration
 	// startAnsweredAt is when the answer to the start was received, zero before.
@@ -106,6 +107,7 @@
 			worker: w, incarnation: w.incarnation, key: key, input: m.GetInput(), size: size, stopOutcome: Stopped,
 			expected: time.Duration(m.GetExpectedMs()) * time.Millisecond,
 			priority: int(m.GetPriority()), kind: m.GetKind(), launchedAt: uptime.Now(),
+			limits:   startLimits{int(m.GetMaxPerServer()), m.GetRequiredLabel()},
 			run:      NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
 			stopCall: stopCall{call: delivery.NewCall(delivery.Stop)},
 		}
@@ -123,7 +125,8 @@
 	w.startLaunched()
 }
 
-// startLaunched starts the launched tasks for which there is free capacity, the most urgent first.
+// startLaunched starts the launched tasks for which there is free capacity, the most urgent first. Those that a limit of their
+// job rules out are rejected.
 func (w *Worker) startLaunched() {
 	slices.SortStableFunc(w.launched, func(a, b *task) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.launchedAt, b.launchedAt))
@@ -133,7 +136,7 @@
 
 	for _, t := range w.launched {
 		switch {
-		case w.tasks[t.run.task] != t:
+		case w.tasks[t.run.task] != t || w.rejectBeyondLimit(t):
 		case !w.pool.Begin(t.size):
 			waiting = append(waiting, t)
 		default:
