Copies of a cancelled job's submission run nothing

Cause: an entry forgot a job at its end. Nothing remembered that it was cancelled, here or at the other entries.

A copy gets the outcome. Cancellations go from the entry to its sidecars with the next tick, from them to their other entries, and from those to two of their sidecars, each once. A sidecar stops tasks of cancelled jobs, rejects launches of them and tells entries that connect. A job that runs at another entry than the one that got the cancelling ends there.

Ruled out: a copy that is admitted before the cancelling is complete; they are 4 s apart.

Failed with the memory taken out: TestCopyOfACancelledJobRunsNothing, TestCancellationThatComesFirstKeepsTheJobFromRunning, TestCopyOfAnEndedJobRunsNothing. The fixture of sidecar/repeatable keeps the new frames apart, since TestHostileFrames cancels jobs at random.

Its cost is not measured yet.

--- a/entry/process/settings.go
+++ b/entry/process/settings.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/process/settings"
 	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
 )
@@ -40,6 +41,9 @@
 	QueueTasks     int               `json:"queue_tasks" doc:"largest number of tasks in the queue" unit:"tasks" default:"20000" range:"1..1000000"`
 	Submissions    int               `json:"submissions" doc:"largest number of submissions held" unit:"submissions" default:"200000" range:"1..10000000"`
 	AnswerMemory   settings.Bytes    `json:"answer_memory" doc:"memory for inputs and answers" default:"96MB" range:"1MB..64GB"`
+	RememberedJobs int               `json:"remembered_jobs" doc:"largest number of repeatable jobs whose outcomes are remembered, and of cancelled ones, each with up to 400 bytes" unit:"jobs" default:"8192" range:"1..1000000"`
+	EndedMemory    settings.Duration `json:"ended_job_memory" doc:"how long the outcome of a repeatable job is remembered; a copy of its submission gets it and runs nothing" default:"15s" range:"1s..10m"`
+	CancelMemory   settings.Duration `json:"cancelled_job_memory" doc:"how long a cancelled repeatable job is remembered; a copy of its submission runs nothing" default:"1m" range:"1s..10m"`
 	DrainDelay     settings.Duration `json:"drain_delay" doc:"time between the end of readiness and the refusal of new submissions" default:"2s" range:"0s..1m"`
 	DrainLimit     settings.Duration `json:"drain_limit" doc:"longest wait for active submissions at shutdown" default:"150s" range:"0s..1h"`
 	EntryLostAfter settings.Duration `json:"entry_lost_after" doc:"time without contact after which another entry is removed from the log; choose it longer than outages of the network between regions" default:"2h" range:"1s..168h"`
@@ -147,6 +151,16 @@
 // Slots returns the number of processors to use, and of requests that are decided concurrently.
 func (s Settings) Slots() int { return s.file.Slots }
 
+// EndedJobMemory returns the limit of the outcomes of repeatable jobs that are remembered.
+func (s Settings) EndedJobMemory() jobmemory.Limit {
+	return jobmemory.NewLimit(s.file.RememberedJobs, s.file.EndedMemory.Value())
+}
+
+// CancelledJobMemory returns the limit of the cancelled repeatable jobs that are remembered.
+func (s Settings) CancelledJobMemory() jobmemory.Limit {
+	return jobmemory.NewLimit(s.file.RememberedJobs, s.file.CancelMemory.Value())
+}
+
 // DrainDelay returns how long new submissions are accepted after the end of readiness.
 func (s Settings) DrainDelay() time.Duration { return s.file.DrainDelay.Value() }
 
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -62,7 +62,12 @@
 				return operator.NewReadiness(replica, workers, t, f.Connections)
 			},
 			func() *ledger.Replica { return &ledger.Replica{} },
-			func() *repeatable.Dispatcher { return repeatable.NewDispatcher(&routes.Current{}, nil, log) },
+			func() *repeatable.Dispatcher {
+				d := repeatable.NewDispatcher(&routes.Current{}, nil, log)
+				d.LimitMemory(s.EndedJobMemory(), s.CancelledJobMemory())
+
+				return d
+			},
 			func() *fleet.Fleet { return &fleet.Fleet{} },
 			func() *logservice.Client { return logservice.NewClient(f.LogService) },
 			func(c *logservice.Client, replica *ledger.Replica) *logservice.Follower {
--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -319,6 +319,7 @@
 
 	a.phase = phaseEnded
 	a.outcome = o
+	a.dispatcher.ended.Record(a.job.ID(), o, uptime.Now())
 	delete(a.dispatcher.activeJobs, a.number)
 	delete(a.dispatcher.activeJobsByID, a.job.ID())
 	close(a.done)
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
+	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
@@ -53,9 +54,12 @@
 	activeJobsByID map[string]*activeJob
 	// lastSidecarNumber and lastJobNumber are the numbers assigned last.
 	lastSidecarNumber, lastJobNumber uint64
-	runTimes                         runTimeEstimator
-	releaseRate                      admission.ReleaseRateEstimator
-	routeFetcher                     routeFetcher
+	// ended has the outcomes of jobs that have ended here lately.
+	ended        jobmemory.Ended
+	cancelled    cancellations
+	runTimes     runTimeEstimator
+	releaseRate  admission.ReleaseRateEstimator
+	routeFetcher routeFetcher
 	// quarantine has the kinds that are restricted because they seem to crash backend servers.
 	quarantine quarantine.Tracker
 	// zoneless has the services that have no zone, and so no restricted kinds, while the quarantine is in use.
@@ -128,6 +132,10 @@
 		return a, nil
 	}
 
+	if o, ok := d.remembered(j, now); ok {
+		return nil, o
+	}
+
 	if d.crashes.isDeadly(j) {
 		d.log.Info().Str("event", "job_deadly").Str("job", j.ID()).Str("kind", j.Policy().Kind()).
 			Msg("job failed on arrival: a task of it crashes the backend servers that start it")
@@ -324,21 +332,6 @@
 	return n
 }
 
-// Cancel ends a job by its id on behalf of its caller. It reports whether the job was active at this entry.
-func (d *Dispatcher) Cancel(id string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	a := d.activeJobsByID[id]
-	if a == nil {
-		return false
-	}
-
-	a.end(job.Cancelled{}, "cancelled")
-
-	return true
-}
-
 // State reports whether a job is active at this entry, and whether one of its tasks was launched.
 func (d *Dispatcher) State(id string) (active, started bool) {
 	d.mu.Lock()
--- a/entry/repeatable/keepalive.go
+++ b/entry/repeatable/keepalive.go
@@ -21,6 +21,7 @@
 	d.sidecarEstimate = d.estimateSidecars()
 	d.advanceQuarantine(now)
 	d.fetchNewerRoutes(now)
+	d.sendCancellations()
 
 	for _, s := range d.sidecars {
 		s.SetActive(inUse[s.number], now)
--- a/entry/repeatable/limit_test.go
+++ b/entry/repeatable/limit_test.go
@@ -16,7 +16,7 @@
 
 // newLimitedJob returns a job that allows one of its tasks on a backend server.
 func newLimitedJob(id, input string, tasks int) job.Job {
-	j := newJobWithPriority(id, input, tasks, 1, 100)
+	j := newJobWithTarget(id, input, tasks, 1, 100, relaxedTarget)
 
 	return job.New(id, input, tasks, j.Size(), j.Estimate(), callerTimeout, j.Policy(), job.NewConstraints("", "", 1))
 }
--- a/entry/repeatable/metrics.go
+++ b/entry/repeatable/metrics.go
@@ -23,6 +23,8 @@
 	for name, read := range map[string]func() int64{
 		"sidecars_connected": func() int64 { return int64(len(d.sidecars)) },
 		"jobs_in_flight":     func() int64 { return int64(len(d.activeJobs)) },
+		"jobs_remembered":    func() int64 { return int64(d.ended.Len()) },
+		"jobs_cancelled":     func() int64 { return int64(d.cancelled.known.Len()) },
 		"routes_version":     func() int64 { return int64(d.routes.Version()) },
 		"routes_age_ms":      func() int64 { return d.routes.SinceConfirmation(uptime.Now()).Milliseconds() },
 	} {
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -267,6 +267,8 @@
 		d.handleBackendCrash(s, f.GetBackendCrash(), uptime.Now())
 	case wire.Frame_CrashedTasks_case:
 		d.recordCrashedTasks(f.GetCrashedTasks(), uptime.Now())
+	case wire.Frame_Cancellations_case:
+		d.recordCancellations(f.GetCancellations(), uptime.Now())
 	case wire.Frame_Ended_case:
 		m := f.GetEnded()
 		s.report.SetFreeCpu(m.GetFreeCpu())
--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -31,11 +31,14 @@
 	backend *leasedbackend.Server
 	worker  *repeatable.Worker
 	entry   *session.Session
-	// frames holds the frames that the sidecar has sent in the last session, except capacity reports and reports of crashes.
+	// frames holds the frames that the sidecar has sent in the last session, except reports of capacity,
+	// crashes and cancelled jobs.
 	frames chan *wire.Frame
 	// crashes holds the reports of crashes.
 	crashes      chan *wire.BackendCrash
 	crashedTasks chan *wire.CrashedTasks
+	// cancellations holds the reports of cancelled jobs.
+	cancellations chan *wire.Cancellations
 	// reports holds the latest capacity report.
 	reports chan *wire.Room
 	links   *repeatable.Links
@@ -73,7 +76,8 @@
 
 	fx := &fixture{
 		t: t, backend: b, reports: make(chan *wire.Room, 1),
-		crashes: make(chan *wire.BackendCrash, 16), crashedTasks: make(chan *wire.CrashedTasks, 16), node: &quic.Node{},
+		crashes: make(chan *wire.BackendCrash, 16), crashedTasks: make(chan *wire.CrashedTasks, 16),
+		cancellations: make(chan *wire.Cancellations, 16), node: &quic.Node{},
 		registry: gometrics.NewRegistry(),
 	}
 	fx.worker = repeatable.NewWorker("sidecar", c, repeatable.NewRouteDistributor(zerolog.Nop()),
@@ -146,6 +150,8 @@
 		r.fixture.crashes <- f.GetBackendCrash()
 	case f.HasCrashedTasks():
 		r.fixture.crashedTasks <- f.GetCrashedTasks()
+	case f.HasCancellations():
+		r.fixture.cancellations <- f.GetCancellations()
 	case f.HasRoom():
 		select {
 		case <-r.fixture.reports:
--- a/sidecar/repeatable/limits.go
+++ b/sidecar/repeatable/limits.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
 // startLimits are the limits of a job on where its tasks start. The zero value allows any backend server.
@@ -21,9 +22,10 @@
 	noLimit       limit = ""
 	tasksLimit    limit = "tasks_per_server"
 	requiredLabel limit = "required_label"
+	cancelledJob  limit = "cancelled"
 )
 
-// rejectBeyondLimit rejects a launched task if its start would be beyond a limit of its job, and reports whether it was. The
+// rejectBeyondLimit rejects a launched task if its job was cancelled or its start would be beyond a limit of the job, and reports whether it was. The
 // entry checks the limits when it chooses a backend server, but sees only what it has placed itself, as of its last reports.
 func (w *Worker) rejectBeyondLimit(t *task) bool {
 	exceeded := w.exceededLimit(t)
@@ -43,6 +45,8 @@
 
 func (w *Worker) exceededLimit(t *task) limit {
 	switch {
+	case w.cancelled.Contains(t.run.task.job, uptime.Now()):
+		return cancelledJob
 	case t.limits.requiredLabel != "" && !slices.Contains(t.incarnation.announcement.labels, t.limits.requiredLabel):
 		return requiredLabel
 	case t.limits.maxPerServer > 0 && w.startedOfJob(t) >= t.limits.maxPerServer:
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -64,6 +64,7 @@
 	w.sessions[s.number] = s
 	s.reportNow()
 	s.sendPastCrashes(s.startedAt)
+	s.sendCancellations(w.cancelled.All(s.startedAt))
 	w.mu.Unlock()
 
 	w.log.Info().Str("event", "entry_connected").Str("entry", entry).Msg("entry connected")
@@ -159,6 +160,8 @@
 		s.worker.launch(s, f.GetLaunch())
 	case wire.Frame_Halt_case:
 		s.worker.halt(s, f.GetHalt())
+	case wire.Frame_Cancellations_case:
+		s.worker.recordCancellations(s, f.GetCancellations())
 	case wire.Frame_RoutesFetch_case:
 		s.worker.routes.Fetch(s, f.GetRoutesFetch().GetVersion())
 	case wire.Frame_Routes_case:
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/ejection"
+	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -58,6 +59,8 @@
 	save func(Announcement)
 	// pastCrashes has the latest crashes of the backend server, the newest last.
 	pastCrashes []pastCrash
+	// cancelled has the jobs that were cancelled lately, at any entry.
+	cancelled jobmemory.Cancelled
 	// gone is the last announcement of the incarnation that left last.
 	gone Announcement
 	// sessionShare is the part of the known entries, in thousandths, that is in the set of sessions.
