The lease of requests with tickets counts a suspension

The lease of requests with tickets was compared by the monotonic clock, which doesn't count a suspension. Starts that were buffered meanwhile were in a lease that had run out for the entry, which may have placed the tasks elsewhere.

Change: it uses package uptime, as the lease of repeatable jobs does.

No failing test: no test can suspend the clock of its instance. The tests of the lease have the same times on the new clock, and those of sidecar/entry, tasks and process pass.

--- a/sidecar/entry/lease.go
+++ b/sidecar/entry/lease.go
@@ -18,15 +18,15 @@
 // one connection is never valid on another one.
 var lastEpoch atomic.Uint64
 
-// Lease is the lease of one connection. Times are compared by the monotonic clock, which keeps running while the
-// process is paused. The first check after a pause therefore finds that the lease has lapsed, whatever frames were
-// buffered. The zero value grants nothing.
+// Lease is the lease of one connection. Times are on the clock of package uptime, which keeps running while the process is
+// paused and while its instance is suspended. The first check after either therefore finds that the lease has lapsed,
+// whatever frames were buffered. The zero value grants nothing.
 type Lease struct {
 	mu sync.Mutex
 	// epoch is zero before the first heartbeat.
 	epoch uint64
 	// expiry is the end of the lease. It is zero if none was granted in this epoch.
-	expiry time.Time
+	expiry time.Duration
 	// revoked is set once the connection has ended, and never reset.
 	revoked bool
 	// heartbeats has the latest sent heartbeats, at the index sequence modulo its length.
@@ -35,11 +35,11 @@
 
 type sentHeartbeat struct {
 	sequence, epoch uint64
-	sentAt          time.Time
+	sentAt          time.Duration
 }
 
 // RecordHeartbeat records that a heartbeat is about to be sent and returns the lease epoch for it.
-func (l *Lease) RecordHeartbeat(sequence uint64, now time.Time) uint64 {
+func (l *Lease) RecordHeartbeat(sequence uint64, now time.Duration) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -50,7 +50,7 @@
 }
 
 // Acknowledge extends the lease if the acknowledged heartbeat was sent in the current epoch.
-func (l *Lease) Acknowledge(sequence, epoch uint64, now time.Time) {
+func (l *Lease) Acknowledge(sequence, epoch uint64, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -61,19 +61,19 @@
 		return
 	}
 
-	if until := s.sentAt.Add(LeaseDuration); until.After(l.expiry) && now.Before(until) {
-		l.expiry = until
+	if until := s.sentAt + LeaseDuration; now < until {
+		l.expiry = max(l.expiry, until)
 	}
 }
 
 // Valid reports whether a start with a lease epoch may run.
-func (l *Lease) Valid(epoch uint64, now time.Time) bool {
+func (l *Lease) Valid(epoch uint64, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	l.startEpochIfLapsed(now)
 
-	return epoch == l.epoch && !l.expiry.IsZero() && !l.revoked
+	return epoch == l.epoch && l.expiry > 0 && !l.revoked
 }
 
 // Revoke ends the lease permanently. The entry repeats a start on the next connection, and may place the task at
@@ -87,19 +87,19 @@
 }
 
 // Epoch returns the current epoch and whether the lease is granted.
-func (l *Lease) Epoch(now time.Time) (epoch uint64, granted bool) {
+func (l *Lease) Epoch(now time.Duration) (epoch uint64, granted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	l.startEpochIfLapsed(now)
 
-	return l.epoch, !l.expiry.IsZero() && !l.revoked
+	return l.epoch, l.expiry > 0 && !l.revoked
 }
 
 // startEpochIfLapsed starts the first epoch, or the next one if the lease has expired.
-func (l *Lease) startEpochIfLapsed(now time.Time) {
-	if l.epoch == 0 || !l.expiry.IsZero() && !now.Before(l.expiry) {
+func (l *Lease) startEpochIfLapsed(now time.Duration) {
+	if l.epoch == 0 || l.expiry > 0 && now >= l.expiry {
 		l.epoch = lastEpoch.Add(1)
-		l.expiry = time.Time{}
+		l.expiry = 0
 	}
 }
--- a/sidecar/entry/lease_test.go
+++ b/sidecar/entry/lease_test.go
@@ -13,8 +13,7 @@
 // old epoch must not run, and acknowledgements must not renew it.
 func TestLeaseAfterPause(t *testing.T) {
 	is := is.New(t)
-	begin := time.Now()
-	after := func(s float64) time.Time { return begin.Add(time.Duration(s * float64(time.Second))) }
+	after := func(s float64) time.Duration { return time.Hour + time.Duration(s*float64(time.Second)) }
 
 	var l entry.Lease
 
@@ -45,8 +44,7 @@
 // shortened by the acknowledgement of an older heartbeat.
 func TestLeaseCountsFromSending(t *testing.T) {
 	is := is.New(t)
-	begin := time.Now()
-	after := func(s int) time.Time { return begin.Add(time.Duration(s) * time.Second) }
+	after := func(s int) time.Duration { return time.Hour + time.Duration(s)*time.Second }
 
 	var l entry.Lease
 
@@ -62,8 +60,7 @@
 // entry has not received the new epoch yet.
 func TestOldHeartbeatGrantsNothing(t *testing.T) {
 	is := is.New(t)
-	begin := time.Now()
-	after := func(s float64) time.Time { return begin.Add(time.Duration(s * float64(time.Second))) }
+	after := func(s float64) time.Duration { return time.Hour + time.Duration(s*float64(time.Second)) }
 
 	var l entry.Lease
 
@@ -81,7 +78,7 @@
 // next connection was rejected and the entry has placed the task at another worker.
 func TestRevokedLeaseIsNeverGrantedAgain(t *testing.T) {
 	is := is.New(t)
-	now := time.Now()
+	now := time.Hour
 
 	var l entry.Lease
 
@@ -101,14 +98,14 @@
 // check after the pause must find that the lease has lapsed.
 func TestLapsedEpochStaysInvalid(t *testing.T) {
 	is := is.New(t)
-	now := time.Now()
+	now := time.Hour
 
 	var l entry.Lease
 
 	first := l.RecordHeartbeat(1, now)
 	l.Acknowledge(1, first, now)
 
-	later := now.Add(entry.LeaseDuration)
+	later := now + entry.LeaseDuration
 	is.True(!l.Valid(first, later))
 
 	second := l.RecordHeartbeat(2, later)
@@ -121,7 +118,7 @@
 // Guards against an epoch of a broken connection that is valid on the connection that follows it.
 func TestEpochsOfConnectionsDiffer(t *testing.T) {
 	is := is.New(t)
-	now := time.Now()
+	now := time.Hour
 
 	var a, b entry.Lease
 
--- a/sidecar/entry/session.go
+++ b/sidecar/entry/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
 const (
@@ -91,7 +92,7 @@
 func (s *Session) Entry() (name, address string) { return s.entry.GetName(), s.entry.GetAddress() }
 
 // Lease returns the lease epoch and whether the lease is granted.
-func (s *Session) Lease() (epoch uint64, granted bool) { return s.lease.Epoch(time.Now()) }
+func (s *Session) Lease() (epoch uint64, granted bool) { return s.lease.Epoch(uptime.Now()) }
 
 func (s *Session) requestLeavingFrame() {
 	select {
@@ -163,18 +164,17 @@
 // recordHeartbeat numbers a heartbeat that is about to be sent. The lease is counted from before the heartbeat is
 // sent, so that it never lasts longer than the entry may assume.
 func (s *Session) recordHeartbeat() (sequence, epoch uint64) {
-	now := time.Now()
+	now := uptime.Now()
 	sequence = s.heartbeatSequence.Add(1)
-	s.lastRenewal.Store(int64(now.Sub(clockOrigin)))
+	s.lastRenewal.Store(int64(time.Since(clockOrigin)))
 
 	return sequence, s.lease.RecordHeartbeat(sequence, now)
 }
 
 // recordAcknowledgement processes the acknowledgement of a heartbeat.
 func (s *Session) recordAcknowledgement(sequence, epoch uint64, position int64) {
-	now := time.Now()
-	s.lastContact.Store(now.UnixNano())
-	s.lease.Acknowledge(sequence, epoch, now)
+	s.lastContact.Store(time.Now().UnixNano())
+	s.lease.Acknowledge(sequence, epoch, uptime.Now())
 	s.entryPosition.Store(position)
 
 	select {
--- a/sidecar/tasks/rejection.go
+++ b/sidecar/tasks/rejection.go
@@ -6,6 +6,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/share"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
 // checkNew returns the rejection of a new start, or nil if it may be offered to the scheduler.
@@ -19,7 +20,7 @@
 		return &Rejected{wire.Rejection_REJECTION_LEAVING, "the sidecar is leaving"}
 	case r.rejection != nil:
 		return r.rejection
-	case !r.lease.Valid(r.leaseEpoch, now):
+	case !r.lease.Valid(r.leaseEpoch, uptime.Now()):
 		return &Rejected{wire.Rejection_REJECTION_LEASE_LAPSED, "the start is of a lapsed lease epoch"}
 	case !now.Before(r.deadline):
 		return &Rejected{wire.Rejection_REJECTION_DEADLINE, "the deadline has passed"}
@@ -59,7 +60,7 @@
 	switch r := run.request; {
 	case !now.Before(r.deadline):
 		return &Rejected{wire.Rejection_REJECTION_DEADLINE, "the deadline passed in the queue"}
-	case !r.lease.Valid(r.leaseEpoch, now):
+	case !r.lease.Valid(r.leaseEpoch, uptime.Now()):
 		return &Rejected{wire.Rejection_REJECTION_LEASE_LAPSED, "the lease lapsed in the queue"}
 	case !r.probe && t.statistics.Suspect():
 		return &Rejected{wire.Rejection_REJECTION_SUSPECT, "the backend server became suspect while the task was queued"}
--- a/sidecar/tasks/request.go
+++ b/sidecar/tasks/request.go
@@ -36,7 +36,7 @@
 
 // Lease reports whether a start of a lease epoch may still run.
 type Lease interface {
-	Valid(epoch uint64, now time.Time) bool
+	Valid(epoch uint64, now time.Duration) bool
 }
 
 // Request asks for the start of a task.
--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/ejection"
 	"github.com/skylarkweir/skylarkweir/weir/process/share"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 )
 
@@ -132,7 +133,7 @@
 		return released
 	}
 
-	if _, queued := t.queued[first]; queued && r.rejection == nil && r.lease.Valid(r.leaseEpoch, time.Now()) {
+	if _, queued := t.queued[first]; queued && r.rejection == nil && r.lease.Valid(r.leaseEpoch, uptime.Now()) {
 		first.request.lease, first.request.leaseEpoch = r.lease, r.leaseEpoch
 	}
 
--- a/sidecar/tasks/table_test.go
+++ b/sidecar/tasks/table_test.go
@@ -25,7 +25,7 @@
 // fakeLease is valid for epoch 1 until lapsed is set.
 type fakeLease struct{ lapsed atomic.Bool }
 
-func (l *fakeLease) Valid(epoch uint64, _ time.Time) bool { return epoch == 1 && !l.lapsed.Load() }
+func (l *fakeLease) Valid(epoch uint64, _ time.Duration) bool { return epoch == 1 && !l.lapsed.Load() }
 
 // fakeBackend counts the runs and returns the input as output, once it is unblocked.
 type fakeBackend struct {
