--- a/entry/repeatable/fixture_test.go
+++ b/entry/repeatable/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
 )
@@ -161,7 +162,7 @@
 // announce passes an announcement of the backend server to its sidecar.
 func (s *sidecarNode) announce(draining bool) {
 	s.lastSequence++
-	s.worker.Announce(s.fixture.t.Context(), sidecar.NewAnnouncement(
+	s.worker.Announce(s.fixture.t.Context(), succession.NewAnnouncement(
 		s.backend.Instance(), service, "domain", s.backend.StartedAtMS(), s.lastSequence, job.NewSize(s.cores*core, 1<<20),
 		s.labels, draining,
 	))
--- a/sidecar/leasedbackend/announcer.go
+++ b/sidecar/leasedbackend/announcer.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -51,7 +52,7 @@
 		}
 
 		if err == nil {
-			a.worker.Announce(ctx, repeatable.NewAnnouncement(status.Instance, a.service, a.failureDomain,
+			a.worker.Announce(ctx, succession.NewAnnouncement(status.Instance, a.service, a.failureDomain,
 				status.StartedAtMS, sequence, a.capacity, []string{a.failureDomain}, status.Draining))
 		}
 
--- a/sidecar/repeatable/capacity_test.go
+++ b/sidecar/repeatable/capacity_test.go
@@ -5,9 +5,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -23,7 +23,7 @@
 // announceCores passes an announcement with another capacity to the sidecar.
 func (fx *fixture) announceCores(sequence, cores int64) {
 	fx.t.Helper()
-	is.New(fx.t).True(fx.worker.Announce(fx.t.Context(), repeatable.NewAnnouncement(fx.backend.Instance(), "service",
+	is.New(fx.t).True(fx.worker.Announce(fx.t.Context(), succession.NewAnnouncement(fx.backend.Instance(), "service",
 		"domain", fx.backend.StartedAtMS(), sequence, job.NewSize(cores*core, 1024), []string{"a"}, false)).Accepted())
 }
 
--- a/sidecar/repeatable/crash.go
+++ b/sidecar/repeatable/crash.go
@@ -72,7 +72,7 @@
 // reportCrash tells every entry which kinds ran at a backend server that seems to have crashed. One that was leaving, or
 // that never accepted tasks from this process, says nothing about its tasks.
 func (w *Worker) reportCrash(i *incarnation) {
-	if i.announcement.draining || !i.ready {
+	if w.server.Current().Draining() || !i.ready {
 		return
 	}
 
@@ -195,7 +195,7 @@
 // markCrashed records that the process of the backend server has ended with all its tasks. The end of one that was
 // leaving is no crash.
 func (w *Worker) markCrashed(i *incarnation) {
-	if i.announcement.draining {
+	if w.server.Current().Draining() {
 		return
 	}
 
--- a/sidecar/repeatable/departure.go
+++ b/sidecar/repeatable/departure.go
@@ -9,10 +9,6 @@
 // beginDeparture ends the incarnation once nothing runs there any more. The backend server may go on for seconds after it has
 // said that it leaves, and its tasks go on with it: they are stopped and reported as lost when that is certain.
 func (w *Worker) beginDeparture(i *incarnation) {
-	i.departed = true
-	// The end of a process that leaves is no crash.
-	i.announcement.draining = true
-
 	w.updateCapacity()
 
 	for _, t := range w.tasks {
@@ -29,7 +25,7 @@
 // its tasks until their lease ends.
 func (w *Worker) finishDeparture(now time.Duration) {
 	i := w.incarnation
-	if i == nil || !i.departed {
+	if i == nil || !w.server.Departed() {
 		return
 	}
 
--- a/sidecar/repeatable/departure_test.go
+++ b/sidecar/repeatable/departure_test.go
@@ -10,22 +10,23 @@
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 )
 
 // savedAnnouncements keeps what a worker saves, as the store does.
 type savedAnnouncements struct {
 	mu  sync.Mutex
-	all []repeatable.Announcement
+	all []succession.Announcement
 }
 
-func (s *savedAnnouncements) save(a repeatable.Announcement) {
+func (s *savedAnnouncements) save(a succession.Announcement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	s.all = append(s.all, a)
 }
 
-func (s *savedAnnouncements) last() repeatable.Announcement {
+func (s *savedAnnouncements) last() succession.Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -92,8 +93,8 @@
 	is.True(!fx.announce(4, false))
 
 	w := repeatable.NewWorker("other", fx.backend, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
-	is.True(w.Announce(t.Context(), repeatable.NewAnnouncement( // another sidecar has not seen it leave
-		"i-1", "service", "domain", fx.backend.StartedAtMS(), 4, repeatable.Announcement{}.Capacity(), nil, false)).Accepted())
+	is.True(w.Announce(t.Context(), succession.NewAnnouncement( // another sidecar has not seen it leave
+		"i-1", "service", "domain", fx.backend.StartedAtMS(), 4, succession.Announcement{}.Capacity(), nil, false)).Accepted())
 }
 
 // Guards against a task that is placed again while it runs: its backend server goes on after it has said that it leaves.
--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -190,7 +191,7 @@
 }
 
 func (fx *fixture) announce(sequence int64, draining bool) bool {
-	return fx.worker.Announce(fx.t.Context(), repeatable.NewAnnouncement(fx.backend.Instance(), "service", "domain",
+	return fx.worker.Announce(fx.t.Context(), succession.NewAnnouncement(fx.backend.Instance(), "service", "domain",
 		fx.backend.StartedAtMS(), sequence, job.NewSize(4*core, 1024), []string{"a"}, draining)).Accepted()
 }
 
--- a/sidecar/repeatable/foreign_announcement_test.go
+++ b/sidecar/repeatable/foreign_announcement_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/matryer/is"
 
-	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/lease"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -22,8 +22,8 @@
 	draining          bool
 }
 
-func (a foreignAnnouncement) of(b *leasedbackend.Server) repeatable.Announcement {
-	return repeatable.NewAnnouncement(a.instance, a.service, "domain", b.StartedAtMS()+a.startDelta.Milliseconds(),
+func (a foreignAnnouncement) of(b *leasedbackend.Server) succession.Announcement {
+	return succession.NewAnnouncement(a.instance, a.service, "domain", b.StartedAtMS()+a.startDelta.Milliseconds(),
 		a.sequence, job.NewSize(4*core, 1024), []string{"a"}, a.draining)
 }
 
@@ -114,8 +114,8 @@
 }
 
 // announceAt passes an announcement with a reading of the backend server's clock to the sidecar.
-func (fx *fixture) announceAt(clock time.Duration, sequence, cores int64, draining bool) repeatable.AnnouncementResult {
-	return fx.worker.Announce(fx.t.Context(), repeatable.NewAnnouncement(fx.backend.Instance(), "service", "domain",
+func (fx *fixture) announceAt(clock time.Duration, sequence, cores int64, draining bool) succession.Result {
+	return fx.worker.Announce(fx.t.Context(), succession.NewAnnouncement(fx.backend.Instance(), "service", "domain",
 		fx.backend.StartedAtMS(), sequence, job.NewSize(cores*core, 1024), []string{"a"}, draining).WithClock(clock))
 }
 
@@ -143,14 +143,14 @@
 				fx.awaitOpen(true)
 
 				fx.await("the clock goes on", clockPasses(fx.backend, fx.backend.Clock()))
-				is.Equal(fx.announceAt(fx.backend.Clock(), 2, cores/2, false), repeatable.AnnouncementApplied)
+				is.Equal(fx.announceAt(fx.backend.Clock(), 2, cores/2, false), succession.Applied)
 
 				for fx.awaitOpen(true).GetCapacityCpu() != cores/2*core {
 					t.Log("report of the earlier capacity")
 				}
 
 				fx.await("the clock goes on", clockPasses(fx.backend, fx.backend.Clock()))
-				is.Equal(fx.announceAt(fx.backend.Clock(), 3, cores/2, true), repeatable.AnnouncementApplied)
+				is.Equal(fx.announceAt(fx.backend.Clock(), 3, cores/2, true), succession.Applied)
 				fx.awaitOpen(false)
 			})
 		}
@@ -170,8 +170,8 @@
 	fx.announceAt(clock, 1, 4, false)
 	fx.awaitOpen(true)
 
-	is.Equal(fx.announceAt(clock-time.Millisecond, 0, 4, false), repeatable.AnnouncementOutdated)
-	is.Equal(fx.announceAt(clock-time.Millisecond, 0, 4, true), repeatable.AnnouncementApplied)
+	is.Equal(fx.announceAt(clock-time.Millisecond, 0, 4, false), succession.Outdated)
+	is.Equal(fx.announceAt(clock-time.Millisecond, 0, 4, true), succession.Applied)
 	fx.awaitOpen(false)
 }
 
@@ -182,7 +182,7 @@
 	fx.announceAt(fx.backend.Clock(), 1, 4, false)
 	fx.awaitOpen(true)
 
-	is.Equal(fx.announceAt(fx.backend.Clock()+time.Minute, 2, 4, true), repeatable.AnnouncementImplausible)
+	is.Equal(fx.announceAt(fx.backend.Clock()+time.Minute, 2, 4, true), succession.Implausible)
 	is.True(fx.completesTask())
 }
 
--- a/sidecar/repeatable/incarnation.go
+++ b/sidecar/repeatable/incarnation.go
@@ -33,16 +33,10 @@
 	worker *Worker
 	// instance is the id of the incarnation and does not change.
 	instance string
-	// announcement, ready, departed and lastEnd change under the worker's mutex.
-	announcement Announcement
-	// isSaved is true if the announcement is saved; one is saved once the backend server has answered as this incarnation.
+	// isSaved, ready and lastEnd change under the worker's mutex. isSaved is true if its announcement is saved.
 	isSaved bool
-	// successor is the incarnation that was announced after this one; it changes under the worker's mutex.
-	successor successor
 	// ready is true once no run of an earlier sidecar is left at the backend server.
 	ready bool
-	// departed is true once the backend server has said that it leaves.
-	departed bool
 	// lastEnd is the highest number of an ended run that the worker has handled.
 	lastEnd uint64
 	// listedAt is when the newest call was sent that this process has answered with a list of its runs, zero before.
@@ -79,11 +73,11 @@
 	leaseEnd time.Duration
 }
 
-func newIncarnation(ctx context.Context, w *Worker, a Announcement) *incarnation {
+func newIncarnation(ctx context.Context, w *Worker, instance string) *incarnation {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 
 	i := &incarnation{
-		worker: w, instance: a.instance, announcement: a, ctx: ctx, cancel: cancel,
+		worker: w, instance: instance, ctx: ctx, cancel: cancel,
 		token: max(time.Now().UnixMilli(), w.lastToken), tokenStep: initialTokenStepMS,
 		repeatBudget: retrybudget.New(repeatsPerAnswer),
 	}
@@ -95,9 +89,6 @@
 	return i
 }
 
-// isConfirmed reports whether the backend server has answered as this incarnation.
-func (i *incarnation) isConfirmed() bool { return i.listedAt > 0 }
-
 func (i *incarnation) run() {
 	r := &leaseRenewer{i}
 	go r.run()
--- a/sidecar/repeatable/limits.go
+++ b/sidecar/repeatable/limits.go
@@ -36,7 +36,7 @@
 	w.metrics.count("starts_beyond_limit_total", "limit", string(exceeded))
 	w.log.Info().Str("event", "start_beyond_limit").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
 		Str("limit", string(exceeded)).Int("max_tasks", t.limits.maxPerServer).Int("tasks", w.startedOfJob(t)).
-		Str("required_label", t.limits.requiredLabel).Strs("labels", t.incarnation.announcement.labels).
+		Str("required_label", t.limits.requiredLabel).Strs("labels", w.server.Current().Labels()).
 		Msg("rejecting a launch before its start is sent, as it is beyond a limit of its job")
 	w.finishAs(t, wire.Result_RESULT_REJECTED)
 
@@ -47,7 +47,7 @@
 	switch {
 	case w.cancelled.Contains(t.run.task.job, uptime.Now()):
 		return cancelledJob
-	case t.limits.requiredLabel != "" && !slices.Contains(t.incarnation.announcement.labels, t.limits.requiredLabel):
+	case t.limits.requiredLabel != "" && !slices.Contains(w.server.Current().Labels(), t.limits.requiredLabel):
 		return requiredLabel
 	case t.limits.maxPerServer > 0 && w.startedOfJob(t) >= t.limits.maxPerServer:
 		return tasksLimit
--- a/sidecar/repeatable/lists.go
+++ b/sidecar/repeatable/lists.go
@@ -35,7 +35,7 @@
 	}
 
 	if n := len(w.tasks) - w.held(); i.ready || n > 0 {
-		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.announcement.instance).
+		w.log.Warn().Err(err).Str("event", "backend_silent").Str("instance", i.instance).
 			Int("tasks", n).
 			Msg("backend server is unresponsive and its lease has expired; its tasks are reported as lost, unless a start may still be carried out")
 	}
@@ -73,23 +73,10 @@
 		return
 	}
 
-	if result.startedAtMS != 0 && i.announcement.startedAtMS != 0 && result.startedAtMS != i.announcement.startedAtMS {
-		w.markCrashed(i)
-		w.endIncarnation("the backend server was restarted with the same instance id", restarted)
-
+	if !w.recordListAnswer(i, result.startedAtMS, sent) {
 		return
 	}
 
-	w.refuteSuccessor(i, sent)
-
-	if !i.isConfirmed() {
-		w.loseHeldOfOthers(i)
-
-		if !i.isSaved {
-			w.saveAnnouncement(i)
-		}
-	}
-
 	i.listedAt = max(i.listedAt, sent)
 
 	// An answer that was overtaken by a later one lists ends again. A task that is launched again at once has the run number
@@ -119,7 +106,7 @@
 		i.ready = true
 		i.startRates.Begin(uptime.Now())
 
-		w.log.Info().Str("event", "backend_ready").Str("instance", i.announcement.instance).
+		w.log.Info().Str("event", "backend_ready").Str("instance", i.instance).
 			Msg("backend server accepts tasks")
 		w.updateCapacity()
 	}
--- a/sidecar/repeatable/metrics.go
+++ b/sidecar/repeatable/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
@@ -35,7 +36,9 @@
 }
 
 // recordAnnouncement counts an announcement by its result.
-func (m *Metrics) recordAnnouncement(result string) { m.count("announcements_total", "result", result) }
+func (m *Metrics) recordAnnouncement(r succession.Result) {
+	m.count("announcements_total", "result", r.String())
+}
 
 // RecordInvalidAnnouncement counts an announcement that names no backend server to use, by the reason, which is one of few.
 func (w *Worker) RecordInvalidAnnouncement(reason string) {
--- a/sidecar/repeatable/permit.go
+++ b/sidecar/repeatable/permit.go
@@ -36,7 +36,7 @@
 	i.worker.mu.Lock()
 	defer i.worker.mu.Unlock()
 
-	return i.ready, i.departed || len(i.orphans.runs) > 0 || i.worker.awaitsStop(i, now)
+	return i.ready, i.worker.server.Departed() || len(i.orphans.runs) > 0 || i.worker.awaitsStop(i, now)
 }
 
 // raiseToken raises the fencing token after a rejection, each time by twice as much.
--- a/sidecar/repeatable/ready_test.go
+++ b/sidecar/repeatable/ready_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -38,7 +39,7 @@
 	b := &recordingBackend{leasedbackend.New("i-1"), make(chan time.Duration, 16)}
 	w := repeatable.NewWorker("sidecar", b, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
 
-	w.Announce(t.Context(), repeatable.NewAnnouncement(
+	w.Announce(t.Context(), succession.NewAnnouncement(
 		b.Instance(), "service", "domain", b.StartedAtMS(), 1, job.NewSize(4*core, 1024), nil, false))
 
 	for n := range 2 {
--- a/sidecar/repeatable/report.go
+++ b/sidecar/repeatable/report.go
@@ -44,11 +44,12 @@
 	}
 
 	if w.incarnation != nil {
-		b.Service = w.incarnation.announcement.service
-		b.FailureDomain = w.incarnation.announcement.failureDomain
-		b.Labels = w.incarnation.announcement.labels
-		b.CapacityCpu = w.incarnation.announcement.capacity.Millicores()
-		b.CapacityMemory = w.incarnation.announcement.capacity.MemoryMB()
+		a := w.server.Current()
+		b.Service = a.Service()
+		b.FailureDomain = a.FailureDomain()
+		b.Labels = a.Labels()
+		b.CapacityCpu = a.Capacity().Millicores()
+		b.CapacityMemory = a.Capacity().MemoryMB()
 		b.SlownessPermille = uint32(w.slowness * 1000)
 	}
 
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/ejection"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
@@ -36,7 +37,8 @@
 	metrics *Metrics
 
 	mu sync.Mutex
-	// incarnation is nil until the backend server has announced itself, and after it has left.
+	// server is what is believed of the backend server, and incarnation the one in force, nil if there is none.
+	server      succession.State
 	incarnation *incarnation
 	// lastToken is higher than the fencing tokens of the starts at incarnations that have ended.
 	lastToken int64
@@ -54,15 +56,13 @@
 	launchRates launchMeter
 	// slowness is the moving average of the ratio of run time to expected run time, zero if no run time is known.
 	slowness float64
-	// save is called with the first announcement of each incarnation, with one that changes its drain state, and with the
-	// last one when the backend server has left.
-	save func(Announcement)
+	// save is called with the announcement of each incarnation once that has answered, with one that changes its drain state,
+	// and with the last one when the backend server has left.
+	save func(succession.Announcement)
 	// pastCrashes has the latest crashes of the backend server, the newest last.
 	pastCrashes []pastCrash
 	// cancelled has the jobs that were cancelled lately, at any entry.
 	cancelled jobmemory.Cancelled
-	// gone is the last announcement of the incarnation that left last.
-	gone Announcement
 	// sessionShare is the part of the known entries, in thousandths, that is in the set of sessions.
 	sessionShare uint32
 }
@@ -147,44 +147,23 @@
 
 // SaveWith sets the function that saves what a restarted sidecar has to know of the backend server before it announces
 // itself again: Restore passes it on.
-func (w *Worker) SaveWith(f func(Announcement)) {
+func (w *Worker) SaveWith(f func(succession.Announcement)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	w.save = f
 }
 
-// Restore applies an announcement that an earlier sidecar has saved, unless the backend server has announced itself.
-// The announcement may be out of date: it is discarded if another incarnation answers.
-func (w *Worker) Restore(ctx context.Context, a Announcement) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	if w.incarnation != nil || a.precedesDepartureOf(w.gone) {
-		return
-	}
-
-	a.sequence = 0
-	w.beginIncarnation(ctx, a)
-	w.incarnation.isSaved = true
-	w.updateCapacity()
-}
-
 // Depart begins the end of the incarnation of the backend server if it is the one that leaves. The time of its start is in
 // Unix milliseconds, zero if it is not known.
 func (w *Worker) Depart(instance string, startedAtMS int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.incarnation == nil || w.incarnation.departed || !w.incarnation.announcement.isOfLeaving(instance, startedAtMS) {
-		return
+	if w.server.Depart(instance, startedAtMS) {
+		w.saveAnnouncement(w.incarnation)
+		w.beginDeparture(w.incarnation)
 	}
-
-	i := w.incarnation
-	i.announcement.departed = true
-	w.gone = i.announcement
-	w.saveAnnouncement(i)
-	w.beginDeparture(i)
 }
 
 // endIncarnation ends the current incarnation of the backend server, if there is one, gives up its tasks and begins the
@@ -194,7 +173,7 @@
 		return
 	}
 
-	w.log.Info().Str("event", "backend_gone").Str("instance", w.incarnation.announcement.instance).Str("reason", reason).
+	w.log.Info().Str("event", "backend_gone").Str("instance", w.incarnation.instance).Str("reason", reason).
 		Int("tasks", len(w.tasks)).Msg("incarnation of the backend server ended; its tasks are reported as lost, unless a start may still be carried out")
 	w.incarnation.cancel()
 
@@ -204,8 +183,8 @@
 	w.pool.Clear()
 	w.loseTasks(last, end)
 
-	if last.successor.exists() {
-		w.beginIncarnation(last.ctx, last.successor.announcement)
+	if w.server.End() {
+		w.beginIncarnation(last.ctx)
 	}
 
 	w.updateCapacity()
@@ -216,7 +195,7 @@
 func (w *Worker) updateCapacity() {
 	var capacity, occupied job.Size
 	if w.acceptsTasks() {
-		capacity = w.incarnation.announcement.capacity
+		capacity = w.server.Current().Capacity()
 		occupied = w.incarnation.orphans.size(w.tasks, capacity)
 	} else {
 		w.pool.Clear()
@@ -241,7 +220,7 @@
 func (w *Worker) acceptsTasks() bool {
 	i := w.incarnation
 
-	return i != nil && i.ready && !i.notReached && !i.announcement.draining && !w.leaving
+	return i != nil && i.ready && !i.notReached && !w.server.Current().Draining() && !w.leaving
 }
 
 // schedule starts launched tasks, reserves free capacity for the waiting requests and reports changes to the entries.
--- a/sidecar/repeatable/worker_test.go
+++ b/sidecar/repeatable/worker_test.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -172,7 +173,7 @@
 	is.True(fx.announce(5, true))
 	is.True(!fx.announce(4, false)) // older than the announcement that the backend server is draining
 
-	older := repeatable.NewAnnouncement("i-1", "service", "domain", fx.backend.StartedAtMS()-1, 9, job.NewSize(core, 1), nil, false)
+	older := succession.NewAnnouncement("i-1", "service", "domain", fx.backend.StartedAtMS()-1, 9, job.NewSize(core, 1), nil, false)
 	is.True(!fx.worker.Announce(t.Context(), older).Accepted())
 	fx.awaitOpen(false)
 }
@@ -203,7 +204,7 @@
 	is := is.New(t)
 	fx := newFixture(t, leasedbackend.New("i-2"))
 
-	ended := repeatable.NewAnnouncement("i-1", "service", "domain", 1, 3, job.NewSize(core, 1), nil, false)
+	ended := succession.NewAnnouncement("i-1", "service", "domain", 1, 3, job.NewSize(core, 1), nil, false)
 	fx.worker.Restore(t.Context(), ended)
 	fx.awaitOpen(false)
 
--- a/standin/capacity/call.go
+++ b/standin/capacity/call.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -74,7 +75,7 @@
 	links := repeatable.NewLinks(node, w, sessionset.NewSidecar("sidecar", "domain"), 1, zerolog.Nop())
 	links.Add(sessionset.NewEntry(e.node.Address().String(), "domain"))
 
-	w.Announce(ctx, repeatable.NewAnnouncement(s.backend.Instance(), sessionService, "domain", s.backend.StartedAtMS(), 1,
+	w.Announce(ctx, succession.NewAnnouncement(s.backend.Instance(), sessionService, "domain", s.backend.StartedAtMS(), 1,
 		job.NewSize(workerCores*millicores, workerMemoryMB), nil, false))
 
 	go w.Run(ctx)
--- a/standin/capacity/sessions.go
+++ b/standin/capacity/sessions.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -95,7 +96,7 @@
 func (f *sessionFleet) startSidecar(ctx context.Context, n int, self sessionset.Sidecar, e sessionset.Entry) {
 	b := leasedbackend.New(fmt.Sprintf("instance-%d", n))
 	w := repeatable.NewWorker(fmt.Sprintf("sidecar-%d", n), b, repeatable.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
-	w.Announce(ctx, repeatable.NewAnnouncement(b.Instance(), sessionService, e.FailureDomain(), time.Now().UnixMilli(), 1,
+	w.Announce(ctx, succession.NewAnnouncement(b.Instance(), sessionService, e.FailureDomain(), time.Now().UnixMilli(), 1,
 		job.NewSize(workerSlots*1000, workerMemoryMB), nil, false))
 
 	links := repeatable.NewLinks(&f.node, w, self, rand.Uint64(), zerolog.Nop()) //nolint:gosec // no secret
--- a/weir/process/succession/announcement.go
+++ b/weir/process/succession/announcement.go
@@ -1,4 +1,4 @@
-package repeatable
+package succession
 
 import (
 	"time"
@@ -32,7 +32,7 @@
 	capacity job.Size
 	labels   []string
 	draining bool
-	// departed is true in the last announcement that is saved of a backend server that has left.
+	// departed is true in the last announcement of a backend server that has left.
 	departed bool
 }
 
@@ -60,6 +60,9 @@
 // Departed reports whether the backend server has left, so that what was saved of it is out of date.
 func (a Announcement) Departed() bool { return a.departed }
 
+// Sequence returns the number of the announcement, which increases with each one of an incarnation.
+func (a Announcement) Sequence() int64 { return a.sequence }
+
 // precedesDepartureOf reports whether the announcement comes from the incarnation that has left with the announcement
 // gone, as one that was delayed on its way does.
 func (a Announcement) precedesDepartureOf(gone Announcement) bool {
@@ -71,9 +74,9 @@
 	return a.startedAtMS != 0 || a.sequence >= gone.sequence
 }
 
-// isOfSameIncarnation reports whether both announcements come from the same incarnation. A start that is not known may be
+// IsOfSameIncarnation reports whether both announcements come from the same incarnation. A start that is not known may be
 // any.
-func (a Announcement) isOfSameIncarnation(b Announcement) bool {
+func (a Announcement) IsOfSameIncarnation(b Announcement) bool {
 	return a.instance == b.instance && (a.startedAtMS == b.startedAtMS || a.startedAtMS == 0 || b.startedAtMS == 0)
 }
 
