An entry tells a sidecar that connects of cancelled jobs

Cause: a cancellation that arrives while the paths of its entry are cut is sent over sessions that end, and nobody sends it again; a copy of the submission then ran at another entry. Test: TestSidecarThatConnectsLearnsOfCancelledJobs.

--- a/entry/repeatable/cancellation.go
+++ b/entry/repeatable/cancellation.go
@@ -97,6 +97,16 @@
 	}
 }
 
+// sendKnownCancellations tells a sidecar that has attached of all cancelled jobs, as the session before may have lost some.
+func (d *Dispatcher) sendKnownCancellations(s *sidecar) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	for _, f := range jobmemory.CancellationFrames(d.cancelled.known.All(uptime.Now())) {
+		s.send(f)
+	}
+}
+
 // CancelledJobs returns the number of cancelled jobs that the entry knows of.
 func (d *Dispatcher) CancelledJobs() int {
 	d.mu.Lock()
--- a/entry/repeatable/cancellation_test.go
+++ b/entry/repeatable/cancellation_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
+	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -78,3 +79,15 @@
 		is.Equal(f.startCount(c.job.ID(), 0), c.starts)
 	}
 }
+
+// Guards against a cancellation that is lost with the sessions over which it was sent: a sidecar that connects later has to
+// learn of it.
+func TestSidecarThatConnectsLearnsOfCancelledJobs(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 0, 0)
+	f.entries[0].Cancel("job")
+
+	all := jobmemory.DecodeCancellations(f.attachRaw(f.entries[0], 1).next().GetCancellations())
+	is.Equal(len(all), 1)
+	is.Equal(all[0].ID(), "job")
+}
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -174,6 +174,7 @@
 	s.send(wire.Frame_builder{Attached: wire.Attached_builder{
 		Entry: self, Incarnation: incarnation, IdleKeepAlives: a.GetIdleKeepAlives(),
 	}.Build()}.Build())
+	d.sendKnownCancellations(s)
 
 	s.Run(ctx, func(f *wire.Frame) { d.handleFrame(s, f) })
 	d.detach(s)
