The soak plays more disruptions and checks a record of what ran

The soak checked two rules while it ran, and played no announcements of other writers, limits of jobs, copies or suspensions. The stand-in of the backend server has the new faults.

--- a/standin/leasedbackend/crash.go
+++ b/standin/leasedbackend/crash.go
@@ -18,6 +18,8 @@
 		return
 	}
 
+	s.applyLeaseExpiry()
+
 	s.crashed = true
 	s.crashes++
 
@@ -25,6 +27,8 @@
 		if r.timer != nil {
 			r.timer.Stop()
 		}
+
+		r.endedAt = time.Now()
 	}
 
 	clear(s.running)
--- a/standin/leasedbackend/server.go
+++ b/standin/leasedbackend/server.go
@@ -60,20 +60,18 @@
 	// startCounts counts the starts of each task; peakRunning is the largest number of tasks at the same time.
 	startCounts map[repeatable.Task]int
 	peakRunning int
+	// history has all runs, those that have not ended included.
+	history []*activeRun
+	// partialFault applies to a share of the calls, beside fault.
+	partialFault Fault
+	share        float64
+	// lateBy is how late the starts are carried out with FaultLate, slowness how much longer tasks run.
+	lateBy   time.Duration
+	slowness float64
 	// peakOfJob has the largest number of tasks of each job that ran at the same time.
 	peakOfJob map[string]int
 }
 
-type activeRun struct {
-	run repeatable.Run
-	// timer calls act at the time due; it is nil for a run that hangs. remaining is the time left when the server was
-	// suspended.
-	timer     *time.Timer
-	due       time.Time
-	act       func()
-	remaining time.Duration
-}
-
 // New returns a new incarnation of a backend server.
 func New(instance string) *Server {
 	return &Server{
@@ -146,21 +144,6 @@
 	return s.peakOfJob[id]
 }
 
-// recordPeaks records how many tasks run at the same time, of all jobs and of the one whose task has started.
-func (s *Server) recordPeaks(id string) {
-	s.peakRunning = max(s.peakRunning, len(s.running))
-
-	ofJob := 0
-
-	for t := range s.running {
-		if t.Job() == id {
-			ofJob++
-		}
-	}
-
-	s.peakOfJob[id] = max(s.peakOfJob[id], ofJob)
-}
-
 func (s *Server) clock() time.Duration {
 	elapsed := time.Since(s.startedAt)
 	if !s.suspendedAt.IsZero() {
@@ -181,24 +164,6 @@
 	}
 }
 
-func (s *Server) end(t repeatable.Task, outcome repeatable.Outcome) {
-	r := s.running[t]
-	if r == nil {
-		return
-	}
-
-	if r.timer != nil {
-		r.timer.Stop()
-	}
-
-	delete(s.running, t)
-	s.highestRun[t] = max(s.highestRun[t], r.run.Number())
-	s.lastEnd++
-	s.ended = append(s.ended, repeatable.NewEndedRun(s.lastEnd, r.run, outcome))
-
-	s.interruptCalls()
-}
-
 // checkCall rejects a call for another instance, and every call while nothing listens. With FaultUnresponsive it blocks
 // until the caller stops waiting.
 func (s *Server) checkCall(ctx context.Context, p repeatable.Permit) error {
@@ -210,7 +175,7 @@
 		return repeatable.ErrNotReached
 	}
 
-	if s.fault == FaultUnresponsive {
+	if s.hasFault(FaultUnresponsive) {
 		s.mu.Unlock()
 		<-ctx.Done()
 		s.mu.Lock()
@@ -241,6 +206,15 @@
 		return repeatable.StartAnswer{}, err
 	}
 
+	if s.hasFault(FaultLate) {
+		time.AfterFunc(s.lateBy, func() { s.startLate(r, input, p) })
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+
+		return repeatable.StartAnswer{}, ctx.Err()
+	}
+
 	result := s.start(r, input, p)
 
 	if s.answersToDrop > 0 {
@@ -252,73 +226,6 @@
 	return repeatable.NewStartAnswer(result, s.clock()), s.blockIfNoAnswer(ctx)
 }
 
-func (s *Server) start(r repeatable.Run, input string, p repeatable.Permit) repeatable.StartResult {
-	current := s.running[r.Task()]
-
-	switch {
-	case s.fault == FaultUnhealthy:
-		return repeatable.Unhealthy
-	case p.Token() < s.token:
-		return repeatable.Fenced
-	case p.LeaseEnd() <= s.clock():
-		return repeatable.LeaseExpired
-	case current != nil && current.run == r:
-		return repeatable.Started
-	case current != nil || r.Number() <= s.highestRun[r.Task()]:
-		return repeatable.Outdated
-	}
-
-	s.token = p.Token()
-	s.renewLease(p.LeaseEnd())
-
-	started := &activeRun{run: r}
-	s.running[r.Task()] = started
-	s.startCounts[r.Task()]++
-	s.recordPeaks(r.Task().Job())
-
-	if s.startsToHang > 0 {
-		s.startsToHang--
-		input = Hang
-	}
-
-	if s.fault == FaultFailing {
-		input = Fail
-	}
-
-	switch input {
-	case Hang:
-	case Crash:
-		started.schedule(crashDelay, func() { s.crashWith(started) })
-	case Fail:
-		started.schedule(time.Millisecond, func() { s.finish(started, repeatable.Failed) })
-	default:
-		d, err := time.ParseDuration(input)
-		if err != nil {
-			d = time.Millisecond
-		}
-
-		started.schedule(d, func() { s.finish(started, repeatable.Done) })
-	}
-
-	return repeatable.Started
-}
-
-// finish ends a run whose time is over, unless it has ended before.
-func (s *Server) finish(r *activeRun, outcome repeatable.Outcome) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if !s.suspendedAt.IsZero() {
-		return
-	}
-
-	s.applyLeaseExpiry()
-
-	if s.running[r.run.Task()] == r {
-		s.end(r.run.Task(), outcome)
-	}
-}
-
 // Stop ends a run, and makes starts of this task with this number or a lower one outdated.
 func (s *Server) Stop(ctx context.Context, r repeatable.Run, p repeatable.Permit) error {
 	s.mu.Lock()
@@ -328,7 +235,7 @@
 		return err
 	}
 
-	if s.fault == FaultNoStop {
+	if s.hasFault(FaultNoStop) {
 		s.mu.Unlock()
 		<-ctx.Done()
 		s.mu.Lock()
