Placement takes a further slowdown of a job at a server

Cause: run times that depend on the kind of job, the kind of server and the tasks beside it are to count in placement, which knows one slowness of a server. Change: jobplacement.Server has WithSlowdown; several ratios multiply, and the result takes the place of the slowness. 1 changes nothing. Measured: the tests of the package pass.

--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -28,6 +28,8 @@
 	capacity int64
 	// slowness is the ratio of the measured run times to the expected ones.
 	slowness float64
+	// slowdown is a further ratio of the run times of the job at this server to the expected ones, 1 if unknown.
+	slowdown float64
 	labels   []string
 	// placed is how many tasks of the job are there already, or may be.
 	placed int
@@ -42,10 +44,24 @@
 // capacity are in millicores. slowness is the ratio of its run times to the expected ones.
 func NewServer(id uint64, free job.Size, queued, capacity int64, slowness float64, labels []string) Server {
 	return Server{
-		id: id, free: free, queued: queued, capacity: max(1, capacity), slowness: max(minSlowness, slowness), labels: labels,
+		id: id, free: free, queued: queued, capacity: max(1, capacity), slowness: max(minSlowness, slowness), slowdown: 1,
+		labels: labels,
 	}
 }
 
+// WithSlowdown returns the server with a further ratio of the run times of the job there to the expected ones, 1 if it is
+// unknown. Ratios of several calls multiply. A factor that is not positive is ignored.
+func (s Server) WithSlowdown(factor float64) Server {
+	if factor > 0 {
+		s.slowdown *= factor
+	}
+
+	return s
+}
+
+// runRatio returns the ratio of the expected run time of the job at the server to its usual one.
+func (s Server) runRatio() float64 { return max(minSlowness, s.slowness*s.slowdown) }
+
 // AsLastResort returns the server as one that is used only when the others are full.
 func (s Server) AsLastResort() Server {
 	s.lastResort = true
@@ -64,7 +80,7 @@
 func (s Server) rankOffset() float64 {
 	offset := 0.0
 
-	if s.slowness >= slowThreshold {
+	if s.runRatio() >= slowThreshold {
 		offset += 10
 	}
 
@@ -186,7 +202,7 @@
 		// the same backend servers. The offsets below rank slow backend servers last and those with the preferred label
 		// first.
 		s.score = math.Pow(random.Float64(), float64(max(1, d.size.Millicores()))/float64(max(1, s.free.Millicores())))
-		s.score -= 0.5 * (s.slowness - 1)
+		s.score -= 0.5 * (s.runRatio() - 1)
 		s.score -= s.rankOffset()
 
 		if p := d.constraints.PreferredLabel(); p != "" && slices.Contains(s.labels, p) {
@@ -217,7 +233,7 @@
 func (d Demand) requestQueued(servers []Server, requested map[uint64]int, shortfall int, random *rand.Rand) {
 	for i := range servers {
 		s := &servers[i]
-		s.score = float64(s.queued)/float64(s.capacity)*s.slowness + 0.05*random.Float64() + s.rankOffset()
+		s.score = float64(s.queued)/float64(s.capacity)*s.runRatio() + 0.05*random.Float64() + s.rankOffset()
 	}
 
 	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.score, b.score) })
--- a/weir/process/jobplacement/choose_test.go
+++ b/weir/process/jobplacement/choose_test.go
@@ -191,3 +191,17 @@
 		is.Equal(requested[1], max(0, tasks-10))
 	}
 }
+
+// Guards against a slowdown for the job at hand that placement doesn't see, and against one of 1 that changes a decision.
+func TestSlowdownMultiplies(t *testing.T) {
+	is := is.New(t)
+	choose := func(factor float64) map[uint64]int {
+		return requestedTasks(jobplacement.Choose(newDemand(4, job.Constraints{}), []jobplacement.Server{
+			newServer(1, 10, 0, 1), newServer(2, 4, 0, 1).WithSlowdown(factor).WithSlowdown(factor),
+		}, random()))
+	}
+
+	is.Equal(choose(1), map[uint64]int{2: 4}) // as the random order has it
+	is.Equal(choose(0), choose(1))
+	is.Equal(choose(1.5), map[uint64]int{1: 4})
+}
