Learn the ratios of run times of kinds of jobs at backend servers

Cause: run times differ by the kind of server, and an entry has one estimate for all of them; a sidecar reports one slowness for all kinds of job. Placement takes the ratios and orders starts by their expected end; without ratios it decides as before, with the same random draws. Measured: the tests of jobplacement and entry/repeatable pass.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -53,9 +53,11 @@
 	// expectedRun is the expected run time of a task. It is raised to the run time of a task that ran longer and did not
 	// complete.
 	expectedRun time.Duration
-	arrived     time.Duration
-	phase       phase
-	placements  []placement
+	// usualRun is the expected run time on arrival, and maxWait the maximum wait.
+	usualRun, maxWait time.Duration
+	arrived           time.Duration
+	phase             phase
+	placements        []placement
 	// requested and granted count reservations by the number of the sidecar. Granted ones have no launched task yet.
 	requested, granted map[uint64]int
 	// excluded has the sidecars where a task did not complete; they are not used while there are others.
@@ -75,7 +77,7 @@
 
 func newActiveJob(d *Dispatcher, number uint64, j job.Job, expectedRun, now time.Duration) *activeJob {
 	return &activeJob{
-		dispatcher: d, number: number, job: j, expectedRun: expectedRun, arrived: now, callers: 1,
+		dispatcher: d, number: number, job: j, expectedRun: expectedRun, usualRun: expectedRun, arrived: now, callers: 1,
 		placements: make([]placement, j.Tasks()),
 		requested:  map[uint64]int{}, granted: map[uint64]int{}, excluded: map[uint64]exclusion{},
 		done: make(chan struct{}),
@@ -345,7 +347,7 @@
 	switch r {
 	case wire.Result_RESULT_DONE:
 		p.done = true
-		a.dispatcher.runTimes.observe(a.job, run)
+		a.dispatcher.learnRunTime(a, s, run, uptime.Now())
 		a.dispatcher.releaseRate.Observe(a.job.Policy().Priority(), run)
 
 		if run > a.slowestRun {
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
+	"github.com/skylarkweir/skylarkweir/weir/process/runtimes"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
@@ -58,6 +59,7 @@
 	ended        jobmemory.Ended
 	cancelled    cancellations
 	runTimes     runTimeEstimator
+	runRatios    runtimes.Model
 	releaseRate  admission.ReleaseRateEstimator
 	routeFetcher routeFetcher
 	// quarantine has the kinds that are restricted because they seem to crash backend servers.
@@ -155,6 +157,7 @@
 		return nil, d.refuse(j, run, load, v.Reason(), v.RetryAfter())
 	case admission.Admit:
 		a := d.addJob(j, run, now)
+		a.maxWait = v.MaxWait()
 		a.retryTimer = time.AfterFunc(firstRetryDelay, a.retryReservations)
 		a.maxWaitTimer = time.AfterFunc(v.MaxWait(), a.handleMaxWait)
 		d.requestReservations(a, a.job.Tasks(), now)
@@ -223,11 +226,14 @@
 
 // requestReservations requests reservations for n more tasks.
 func (d *Dispatcher) requestReservations(a *activeJob, n int, now time.Duration) {
-	servers, limited := d.candidates(a, now)
+	ratios := d.runRatios.Kind(a.job.Policy().Kind(), now)
+	servers, limited := d.candidates(a, ratios, now)
+	candidates := len(servers)
+	servers = append(servers, d.outstanding(a, ratios, now)...)
 
-	p := jobplacement.Choose(
-		jobplacement.NewDemand(n, a.job.Size(), a.job.Constraints(), a.expectedRun), servers, d.random,
-	)
+	p := jobplacement.Choose(a.demand(n, now), servers, d.random)
+
+	d.logRunRatios()
 
 	share := p.NeededShare(n, a.requestedCount())
 
@@ -237,18 +243,20 @@
 		s.requestReservation(a, r.Tasks(), share, now)
 	}
 
-	if len(servers) == 0 {
+	if candidates == 0 {
 		a.readmit(limited)
 	}
 
 	d.log.Debug().Str("event", "job_asks").Str("job", a.job.ID()).Int("tasks", n).Int("places", len(p.Requests())).
-		Int("short", p.Shortfall()).Int("candidates", len(servers)).Int("excluded", len(a.excluded)).
+		Int("short", p.Shortfall()).Int("candidates", candidates).Int("excluded", len(a.excluded)).
 		Int("asked", len(a.requested)).Msg("requested reservations for the tasks of a job")
 }
 
 // candidates returns the backend servers where tasks of the job may be placed, and whether the limit of the job rules others
 // out.
-func (d *Dispatcher) candidates(a *activeJob, now time.Duration) (servers []jobplacement.Server, limited bool) {
+func (d *Dispatcher) candidates(
+	a *activeJob, ratios *runtimes.Kind, now time.Duration,
+) (servers []jobplacement.Server, limited bool) {
 	servers = make([]jobplacement.Server, 0, len(d.sidecars))
 	limit := a.job.Constraints().MaxTasksPerServer()
 
@@ -268,7 +276,7 @@
 			continue
 		}
 
-		candidate := s.candidate(a.job.Policy().Priority()).WithPlaced(placed[s.name])
+		candidate := s.withRunRatio(s.candidate(a.job.Policy().Priority()).WithPlaced(placed[s.name]), ratios)
 
 		switch d.access(a.job, s) {
 		case quarantine.Allowed:
--- a/entry/repeatable/metrics.go
+++ b/entry/repeatable/metrics.go
@@ -25,6 +25,8 @@
 		"jobs_in_flight":     func() int64 { return int64(len(d.activeJobs)) },
 		"jobs_remembered":    func() int64 { return int64(d.ended.Len()) },
 		"jobs_cancelled":     func() int64 { return int64(d.cancelled.known.Len()) },
+		"run_ratio_labels":   func() int64 { return int64(d.runRatios.KnownLabels()) },
+		"run_ratio_servers":  func() int64 { return int64(d.runRatios.KnownServers()) },
 		"routes_version":     func() int64 { return int64(d.routes.Version()) },
 		"routes_age_ms":      func() int64 { return d.routes.SinceConfirmation(uptime.Now()).Milliseconds() },
 	} {
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -30,7 +30,14 @@
 	slowness float64
 	// slowdown is a further ratio of the run times of the job at this server to the expected ones, 1 if unknown.
 	slowdown float64
-	labels   []string
+	// usual is the learned ratio of the run times, 1 if nothing was learned; learned is true if something was.
+	usual   float64
+	learned bool
+	// releaseRate is the CPU that the tasks there release, in millicores per second, zero if it is unknown.
+	releaseRate int64
+	// outstanding is how many reservations for the job are requested there and not granted yet.
+	outstanding int
+	labels      []string
 	// placed is how many tasks of the job are there already, or may be.
 	placed int
 	// lastResort is true if the server is used only when the others are full.
@@ -45,7 +52,7 @@
 func NewServer(id uint64, free job.Size, queued, capacity int64, slowness float64, labels []string) Server {
 	return Server{
 		id: id, free: free, queued: queued, capacity: max(1, capacity), slowness: max(minSlowness, slowness), slowdown: 1,
-		labels: labels,
+		usual: 1, labels: labels,
 	}
 }
 
@@ -80,7 +87,7 @@
 func (s Server) rankOffset() float64 {
 	offset := 0.0
 
-	if s.runRatio() >= slowThreshold {
+	if s.runRatio() >= slowThreshold*s.usual {
 		offset += 10
 	}
 
@@ -110,11 +117,14 @@
 	constraints job.Constraints
 	// runTime is the expected run time of a task, zero if it is unknown.
 	runTime time.Duration
+	// remaining is the time until the objective of the job, zero if there is none or it has passed. maxWait is how long a
+	// task may wait for a faster server while a slower one is free.
+	remaining, maxWait time.Duration
 }
 
 // NewDemand returns the demand for tasks of a size and an expected run time each; runTime is zero if it is unknown.
 func NewDemand(tasks int, size job.Size, constraints job.Constraints, runTime time.Duration) Demand {
-	return Demand{tasks, size, constraints, runTime}
+	return Demand{tasks: tasks, size: size, constraints: constraints, runTime: runTime}
 }
 
 // requestFactor returns how many reservations are requested per task without free capacity.
@@ -162,11 +172,18 @@
 func Choose(d Demand, servers []Server, random *rand.Rand) Plan {
 	servers = d.eligible(servers)
 	requested := make(map[uint64]int, len(servers))
-	shortfall := d.requestFree(servers, requested, random)
-	p := Plan{shortfall: shortfall}
 
-	if shortfall > 0 {
-		d.requestQueued(servers, requested, shortfall, random)
+	var p Plan
+
+	if isUneven(servers) {
+		p.shortfall = d.requestEarliest(servers, requested, random)
+	} else {
+		servers = withoutOutstanding(servers)
+		p.shortfall = d.requestFree(servers, requested, random)
+
+		if p.shortfall > 0 {
+			d.requestQueued(servers, requested, p.shortfall, random)
+		}
 	}
 
 	for _, s := range servers {
@@ -184,6 +201,10 @@
 	})
 }
 
+func withoutOutstanding(servers []Server) []Server {
+	return slices.DeleteFunc(servers, func(s Server) bool { return s.outstanding > 0 })
+}
+
 // maxTasksAt returns how many more tasks of the job may go to a backend server.
 func (d Demand) maxTasksAt(s Server) int {
 	if limit := d.constraints.MaxTasksPerServer(); limit > 0 {
@@ -238,8 +259,11 @@
 
 	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.score, b.score) })
 
-	toRequest := int(float64(shortfall)*d.requestFactor() + 1)
+	d.requestInTurn(servers, requested, int(float64(shortfall)*d.requestFactor()+1))
+}
 
+// requestInTurn requests a number of reservations, one at each server in turn, as far as they have room when idle.
+func (d Demand) requestInTurn(servers []Server, requested map[uint64]int, toRequest int) {
 	for toRequest > 0 {
 		previous := toRequest
 
