--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -233,8 +233,6 @@
 
 	p := jobplacement.Choose(a.demand(n, now), servers, d.random)
 
-	d.logRunRatios()
-
 	share := p.NeededShare(n, a.requestedCount())
 
 	for _, r := range p.Requests() {
@@ -254,9 +252,7 @@
 
 // candidates returns the backend servers where tasks of the job may be placed, and whether the limit of the job rules others
 // out.
-func (d *Dispatcher) candidates(
-	a *activeJob, ratios *runtimes.Kind, now time.Duration,
-) (servers []jobplacement.Server, limited bool) {
+func (d *Dispatcher) candidates(a *activeJob, ratios *runtimes.Kind, now time.Duration) (servers []jobplacement.Server, limited bool) {
 	servers = make([]jobplacement.Server, 0, len(d.sidecars))
 	limit := a.job.Constraints().MaxTasksPerServer()
 
@@ -276,8 +272,7 @@
 			continue
 		}
 
-		priority := a.job.Policy().Priority()
-		candidate := s.withRunRatio(s.candidate(priority).WithPlaced(placed[s.name]), priority, ratios)
+		candidate := s.candidateFor(a.job, ratios).WithPlaced(placed[s.name])
 
 		switch d.access(a.job, s) {
 		case quarantine.Allowed:
--- a/entry/repeatable/runratios.go
+++ b/entry/repeatable/runratios.go
@@ -8,6 +8,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/runtimes"
+	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
 // fasterWaitShare is the part of a job's maximum wait in which its tasks may wait for a faster backend server while a
@@ -37,10 +38,10 @@
 	return retryInterval
 }
 
-// withRunRatio returns a candidate with what was learned of the run time of a kind of job there. A suspect server keeps the
-// slowness that stands for its faults.
-func (s *sidecar) withRunRatio(c jobplacement.Server, priority int, k *runtimes.Kind) jobplacement.Server {
-	c = c.WithReleaseRate(s.releaseRate(priority))
+// candidateFor returns the backend server as a candidate for a job, with what was learned of the run time of its kind there.
+// A suspect server keeps the slowness that stands for its faults.
+func (s *sidecar) candidateFor(j job.Job, k *runtimes.Kind) jobplacement.Server {
+	c := s.candidate(j.Policy().Priority()).WithReleaseRate(s.releaseRate(j.Policy().Priority()))
 
 	if ratio, ok := k.Ratio(s.name, s.report.GetLabels()); ok && !s.report.GetSuspect() {
 		c = c.WithRunRatio(ratio)
@@ -72,8 +73,7 @@
 			continue
 		}
 
-		priority := a.job.Policy().Priority()
-		servers = append(servers, s.withRunRatio(s.candidate(priority), priority, k).AsRequested(n))
+		servers = append(servers, s.candidateFor(a.job, k).AsRequested(n))
 	}
 
 	return servers
@@ -88,6 +88,7 @@
 		usual = time.Duration(float64(run) / ratio)
 	}
 
+	d.logRunRatios()
 	d.runTimes.observe(a.job, usual)
 
 	if a.isFirstAtServer(index) {
--- a/weir/process/jobplacement/uneven.go
+++ b/weir/process/jobplacement/uneven.go
@@ -21,8 +21,8 @@
 )
 
 // WithRunRatio returns the server with the learned ratio of the run time of the job's kind there to its usual one. It takes
-// the place of the reported slowness, which contains it, unless that is far higher: then the server has turned slow. A
-// ratio that is not positive is ignored.
+// the place of the reported slowness, which contains it, unless that is far higher: then the server has turned slow, or the
+// ratio is of this kind of job only, and the slowness counts as without a ratio. A ratio that is not positive is ignored.
 func (s Server) WithRunRatio(ratio float64) Server {
 	if ratio <= 0 {
 		return s
--- a/weir/process/jobplacement/uneven_test.go
+++ b/weir/process/jobplacement/uneven_test.go
@@ -143,6 +143,19 @@
 	is.True(starts > mean/2)
 }
 
+// Guards against a server of a slow kind that is avoided like one that has turned slow, against a learned ratio that hides
+// that, and against a ratio that counts for nothing.
+func TestRunRatioAndSlowness(t *testing.T) {
+	is := is.New(t)
+	chosen := func(a, b jobplacement.Server) uint64 {
+		return jobplacement.Choose(newDemand(1, job.Constraints{}), []jobplacement.Server{a, b}, random()).Requests()[0].ID()
+	}
+
+	is.Equal(chosen(newServer(1, 9, 0, 2.3).WithRunRatio(2.2), newServer(2, 9, 0, 2)), uint64(1))
+	is.Equal(chosen(newServer(1, 9, 0, 3).WithRunRatio(0.6), newServer(2, 9, 0, 1).WithRunRatio(1.3)), uint64(2))
+	is.Equal(chosen(newServer(1, 9, 0, 1.1).WithRunRatio(0.6), newServer(2, 9, 0, 1).WithRunRatio(1.3)), uint64(1))
+}
+
 // uneven is a slow server with free capacity and a fast one that is full and releases 20 cores a second.
 func uneven(queued int64) []jobplacement.Server {
 	return []jobplacement.Server{
