A job that waits queues no more reservations than it needs

Cause: while all backend servers are full, a job repeats its requests every 25 ms at further servers, each time for 1.5 to 2.5 times its missing tasks, whatever is outstanding. At the worst seconds of a flash load that was ten requests a job (1.2 in calm times); the surplus grants left capacity idle for a round trip, and the frames took the processor time of small entries. Change: what is outstanding at responsive sidecars counts. Free capacity is requested as before.

--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -226,7 +226,8 @@
 	servers, limited := d.candidates(a, now)
 
 	p := jobplacement.Choose(
-		jobplacement.NewDemand(n, a.job.Size(), a.job.Constraints(), a.expectedRun), servers, d.random,
+		jobplacement.NewDemand(n, a.job.Size(), a.job.Constraints(), a.expectedRun).WithOutstanding(a.outstandingCount(now)),
+		servers, d.random,
 	)
 
 	share := p.NeededShare(n, a.requestedCount())
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -94,11 +94,20 @@
 	constraints job.Constraints
 	// runTime is the expected run time of a task, zero if it is unknown.
 	runTime time.Duration
+	// outstanding is the number of reservations that the job has requested already and that are not granted.
+	outstanding int
 }
 
 // NewDemand returns the demand for tasks of a size and an expected run time each; runTime is zero if it is unknown.
 func NewDemand(tasks int, size job.Size, constraints job.Constraints, runTime time.Duration) Demand {
-	return Demand{tasks, size, constraints, runTime}
+	return Demand{tasks: tasks, size: size, constraints: constraints, runTime: runTime}
+}
+
+// WithOutstanding returns the demand of a job that has requested n reservations already which are not granted.
+func (d Demand) WithOutstanding(n int) Demand {
+	d.outstanding = n
+
+	return d
 }
 
 // requestFactor returns how many reservations are requested per task without free capacity.
@@ -222,7 +231,7 @@
 
 	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.score, b.score) })
 
-	toRequest := int(float64(shortfall)*d.requestFactor() + 1)
+	toRequest := int(float64(shortfall)*d.requestFactor()+1) - d.outstanding
 
 	for toRequest > 0 {
 		previous := toRequest
--- a/weir/process/jobplacement/choose_test.go
+++ b/weir/process/jobplacement/choose_test.go
@@ -126,6 +126,38 @@
 	is.Equal(totalRequested(2*time.Second), 11)
 }
 
+// Guards against a job that queues more reservations at each of its retries while all backend servers are full: each of them
+// costs messages, and its capacity stays idle for a round trip when it is granted and not needed. Capacity that became free
+// meanwhile is still requested.
+func TestRetriesQueueNoMoreThanTheFirstRequest(t *testing.T) {
+	is := is.New(t)
+
+	requested := func(servers []jobplacement.Server, outstanding int) int {
+		sum := 0
+
+		for _, n := range requestedTasks(jobplacement.Choose(
+			jobplacement.NewDemand(2, job.NewSize(core, 1), job.Constraints{}, 60*time.Millisecond).WithOutstanding(outstanding),
+			servers, random(),
+		)) {
+			sum += n
+		}
+
+		return sum
+	}
+
+	const rounds = 5
+
+	outstanding := 0
+
+	for range rounds {
+		full := []jobplacement.Server{newServer(1, 0, 0, 1), newServer(2, 0, 0, 1), newServer(3, 0, 0, 1), newServer(4, 0, 0, 1)}
+		outstanding += requested(full, outstanding)
+	}
+
+	is.Equal(outstanding, 5)
+	is.Equal(requested([]jobplacement.Server{newServer(1, 2, 0, 1)}, outstanding), 2)
+}
+
 // Guards against tasks at a slow backend server while others have free capacity, and against leaving its capacity
 // unused when the others are full.
 func TestSlowServersComeLast(t *testing.T) {
