--- a/weir/version/routes/routes.go
+++ b/weir/version/routes/routes.go
@@ -3,8 +3,10 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,6 +81,11 @@
 	// confirmedAt is when the store of the routes answered last, on the clock of package uptime, or when the process
 	// started; zero before.
 	confirmedAt atomic.Int64
+
+	mu sync.Mutex
+	// adopted is closed with the first version, nil while nobody waits for it; hasAdopted is true after that version.
+	adopted    chan struct{}
+	hasAdopted bool
 }
 
 // Confirm records that the store of the routes has answered at the time now, so that the current version is its newest.
@@ -111,7 +118,53 @@
 		}
 
 		if c.table.CompareAndSwap(old, t) {
+			if old == nil {
+				c.notifyFirst()
+			}
+
 			return true
 		}
 	}
 }
+
+// notifyFirst ends the waits for the first version.
+func (c *Current) notifyFirst() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.hasAdopted = true
+
+	if c.adopted != nil {
+		close(c.adopted)
+	}
+}
+
+// AwaitTable returns the newest version. If there is none, it waits for the first one, and returns nil if the context ends before.
+func (c *Current) AwaitTable(ctx context.Context) *Table {
+	if t := c.table.Load(); t != nil {
+		return t
+	}
+
+	select {
+	case <-c.firstAdopted():
+	case <-ctx.Done():
+	}
+
+	return c.table.Load()
+}
+
+// firstAdopted returns a channel that is closed once there is a version.
+func (c *Current) firstAdopted() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.adopted == nil {
+		c.adopted = make(chan struct{})
+
+		if c.hasAdopted {
+			close(c.adopted)
+		}
+	}
+
+	return c.adopted
+}
