--- a/weir/request/job/job.go
+++ b/weir/request/job/job.go
@@ -2,7 +2,10 @@
 // waits for its end.
 package job
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Size is the CPU and memory that one task occupies while it runs. The zero value occupies nothing.
 type Size struct {
@@ -52,12 +55,32 @@
 	// The objective of a job is stretch times its run time plus target. stretch is at least 1, target is not negative.
 	stretch float64
 	target  time.Duration
+	// regions are the regions where tasks may run, empty if all of them are allowed.
+	regions []string
 }
 
 // NewPolicy returns the policy of a kind of job whose tasks run at a service. Values below their minimum are raised to
 // it: zero for priority and target, one for attemptLimit and stretch.
 func NewPolicy(kind, service string, priority, attemptLimit int, stretch float64, target time.Duration) Policy {
-	return Policy{kind, service, max(0, priority), max(1, attemptLimit), max(1, stretch), max(0, target)}
+	return Policy{
+		kind: kind, service: service, priority: max(0, priority), attemptLimit: max(1, attemptLimit), stretch: max(1, stretch),
+		target: max(0, target),
+	}
+}
+
+// WithRegions returns the policy with the regions where tasks may run. Without any, all regions are allowed.
+func (p Policy) WithRegions(regions []string) Policy {
+	p.regions = regions
+
+	return p
+}
+
+// Regions returns the regions where tasks may run, which are not changed; there are none if all regions are allowed.
+func (p Policy) Regions() []string { return p.regions }
+
+// AllowsRegion reports whether tasks may run in a region. A region that is not known is empty, and allowed only if all are.
+func (p Policy) AllowsRegion(region string) bool {
+	return len(p.regions) == 0 || slices.Contains(p.regions, region)
 }
 
 // Kind returns the name of the kind.
--- a/weir/version/routes/routes.go
+++ b/weir/version/routes/routes.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -34,14 +35,15 @@
 	// source is the record that the operator wrote.
 	source []byte
 	// hosts holds the routes of each lower-case host name, the longest prefix first.
-	hosts map[string][]Route
-	// maxBodyBytes is zero if there is no limit.
-	maxBodyBytes int64
+	hosts  map[string][]Route
+	limits Limits
+	// services has the services that are described, by name.
+	services map[string]Service
 }
 
 // NewTable returns a version of the routes; source is the operator's record that it was read from.
 func NewTable(version uint64, source []byte, routes []Route, maxBodyBytes int64) *Table {
-	t := &Table{version: version, source: source, hosts: map[string][]Route{}, maxBodyBytes: maxBodyBytes}
+	t := &Table{version: version, source: source, hosts: map[string][]Route{}, limits: Limits{maxBodyBytes: maxBodyBytes}}
 	for _, r := range routes {
 		t.hosts[r.host] = append(t.hosts[r.host], r)
 	}
@@ -60,7 +62,35 @@
 func (t *Table) Source() []byte { return t.source }
 
 // MaxBodyBytes returns the largest allowed size of a request's body, or zero if there is no limit.
-func (t *Table) MaxBodyBytes() int64 { return t.maxBodyBytes }
+func (t *Table) MaxBodyBytes() int64 { return t.limits.maxBodyBytes }
+
+// WithLimits returns the version with other limits for callers.
+func (t *Table) WithLimits(l Limits) *Table {
+	u := *t
+	u.limits = l
+
+	return &u
+}
+
+// Limits returns the limits for callers that the operator's record states.
+func (t *Table) Limits() Limits { return t.limits }
+
+// WithServices returns the version with descriptions of services.
+func (t *Table) WithServices(services []Service) *Table {
+	u := *t
+	u.services = make(map[string]Service, len(services))
+
+	for _, s := range services {
+		u.services[s.name] = s
+	}
+
+	return &u
+}
+
+// Services returns the services that are described, sorted by name.
+func (t *Table) Services() []Service {
+	return slices.SortedFunc(maps.Values(t.services), func(a, b Service) int { return cmp.Compare(a.name, b.name) })
+}
 
 // Match returns the route with the longest prefix of the path among those of the host.
 func (t *Table) Match(host, path string) (Route, bool) {
