A ramp decides how fast work returns to a cold backend server

Cause: a server that has just started appears idle beside full ones, so it gets a burst of tasks that it runs slowly. The pool of reservations withholds capacity or limits starts by it.

--- a/weir/process/reservation/pool.go
+++ b/weir/process/reservation/pool.go
@@ -102,6 +102,7 @@
 	// overcommit is the CPU in millicores that is expected to become free within a round trip to the entry. It is reserved
 	// for short tasks ahead of time, so that the next one has arrived when a running one ends.
 	overcommit int64
+	limits     coldLimits
 	// requests are sorted in the order of service.
 	requests []Request
 	reserved map[Key]reservedTasks
@@ -129,6 +130,9 @@
 // Capacity returns the capacity without the overcommit.
 func (p *Pool) Capacity() job.Size { return p.capacity }
 
+// Allocated returns the capacity of reserved, launched and running tasks, and what is occupied.
+func (p *Pool) Allocated() job.Size { return p.allocated }
+
 // SetOvercommit sets the CPU in millicores that is expected to become free within a round trip to the entry. It is
 // limited to maxOvercommitShare of the capacity.
 func (p *Pool) SetOvercommit(cpu int64) {
@@ -136,7 +140,7 @@
 }
 
 // Free returns the capacity that is not allocated.
-func (p *Pool) Free() job.Size { return p.capacity.Minus(p.allocated) }
+func (p *Pool) Free() job.Size { return p.usable().Minus(p.allocated) }
 
 // QueuedCPU returns the CPU that is needed and not reserved, in millicores for each priority.
 func (p *Pool) QueuedCPU() []int64 {
@@ -181,11 +185,13 @@
 
 	remaining := p.requests[:0]
 	blocked := false
+	starts := p.startsToReserve()
 
 	for _, r := range p.requests {
 		n := 0
 		if !blocked {
-			n = p.fittingTasks(r)
+			n = min(p.fittingTasks(r), starts)
+			starts -= n
 		}
 
 		if n > 0 {
@@ -210,10 +216,10 @@
 // availableTo returns the capacity that the request may use.
 func (p *Pool) availableTo(r Request) job.Size {
 	if r.expectedRunTime >= minLongRunTime {
-		return p.capacity.Minus(p.allocated).Minus(job.NewSize(p.headroom, 0))
+		return p.usable().Minus(p.allocated).Minus(job.NewSize(p.headroom, 0))
 	}
 
-	return p.capacity.Plus(job.NewSize(p.overcommit, 0)).Minus(p.allocated)
+	return p.usable().Plus(job.NewSize(p.overcommit, 0)).Minus(p.allocated)
 }
 
 // fittingTasks returns how many tasks of the request fit into the available capacity. An idle backend server accepts
