Sidecars apply the ramp of cold servers, and jobs run in allowed regions only

Cause: ColdLeftMs of announcements, ColdStartS and ColdPerS of services, and AllowedRegions of routes had no effect. Change: an announcement with a cold time that is negative or over an hour is rejected. Entries send sidecars what the configuration states of cold services (frame ServiceSettings), the highest version counts; sidecars limit reservations and starts and report the reduced capacity (Room.usable_permille). A sidecar saves the end of the cold time for the next process. Entries place jobs with allowed regions there only, and refuse them with a reason of their own if no server is there; a sidecar in another region rejects the launch before its start is sent.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -183,7 +183,7 @@
 				ExpectedMs: uint32(a.expectedRun.Milliseconds()), Priority: uint32(a.job.Policy().Priority()),
 				Kind:          a.job.Policy().Kind(),
 				MaxPerServer:  uint32(a.job.Constraints().MaxTasksPerServer()),
-				RequiredLabel: a.job.Constraints().RequiredLabel(),
+				RequiredLabel: a.job.Constraints().RequiredLabel(), AllowedRegions: a.job.Policy().Regions(),
 			}.Build()}.Build())
 		}
 
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -72,7 +72,9 @@
 	clockCheckedAt time.Duration
 	// sidecarEstimate is the estimated number of sidecars in the deployment, as of the last tick.
 	sidecarEstimate int
-	shuttingDown    bool
+	// regions has the region of each failure domain.
+	regions      map[string]string
+	shuttingDown bool
 	// finishBy is when all jobs shall have ended once shuttingDown is true.
 	finishBy time.Duration
 }
@@ -205,7 +207,7 @@
 		servers++
 		free += s.freeCapacity().Millicores()
 		queued += s.queuedMillicores(j.Policy().Priority())
-		capacity += s.capacity().Millicores()
+		capacity += s.usableMillicores()
 		running.Add(s.report.GetRunningCpu())
 		launched.Add(s.report.GetLaunchedCpu())
 
@@ -218,7 +220,7 @@
 	rate := d.releaseRate.Rate(priority, capacity, running, launched)
 
 	return admission.NewLoad(free, queued, capacity, running, priority, rate, largest, servers).
-		WithWarmUp(d.started + warmUpTime - now)
+		WithWarmUp(d.started + warmUpTime - now).WithElsewhere(d.serversElsewhere(j, now))
 }
 
 // requestReservations requests reservations for n more tasks.
@@ -268,7 +270,7 @@
 			continue
 		}
 
-		candidate := s.candidate(a.job.Policy().Priority()).WithPlaced(placed[s.name])
+		candidate := s.candidate(a.job).WithPlaced(placed[s.name])
 
 		switch d.access(a.job, s) {
 		case quarantine.Allowed:
--- a/entry/repeatable/routes.go
+++ b/entry/repeatable/routes.go
@@ -136,6 +136,10 @@
 
 	d.routeFetcher.behindSince = 0
 
+	for _, s := range d.sidecars {
+		d.sendServiceSettings(s)
+	}
+
 	d.log.Info().Str("event", "routes_adopted").Uint64("version", t.Version()).Str("source", source).
 		Dur("behind", behind).Dur("since_answer", d.routes.SinceConfirmation(now)).
 		Msg("new version of the routes in force")
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -36,6 +36,10 @@
 	inZone bool
 	// sentRoutesVersion is the version of the routes that was sent last with a keep-alive.
 	sentRoutesVersion uint64
+	// region is the region of the backend server, empty if it is not known.
+	region string
+	// sentServicesVersion is the version of the routes whose settings of services were sent last.
+	sentServicesVersion uint64
 }
 
 // setReport replaces the capacity report.
@@ -65,9 +69,13 @@
 
 func (s *sidecar) send(f *wire.Frame) { s.Send(f) }
 
-// canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service
-// and has the required label.
+// canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service,
+// has the required label and is in a region that the job allows.
 func (s *sidecar) canRun(j job.Job, now time.Duration) bool {
+	return s.canRunInAnyRegion(j, now) && j.Policy().AllowsRegion(s.region)
+}
+
+func (s *sidecar) canRunInAnyRegion(j job.Job, now time.Duration) bool {
 	if !s.report.GetOpen() || s.report.GetService() != j.Policy().Service() || !s.Responsive(now) {
 		return false
 	}
@@ -79,6 +87,16 @@
 	return job.NewSize(s.report.GetCapacityCpu(), s.report.GetCapacityMemory())
 }
 
+// usableMillicores returns the CPU that the backend server takes at present, which is less than its capacity while it is
+// cold.
+func (s *sidecar) usableMillicores() int64 {
+	if p := int64(s.report.GetUsablePermille()); p > 0 && p < 1000 {
+		return s.report.GetCapacityCpu() * p / 1000
+	}
+
+	return s.report.GetCapacityCpu()
+}
+
 func (s *sidecar) freeCapacity() job.Size {
 	if s.report.GetSuspect() {
 		return job.Size{}
@@ -100,7 +118,9 @@
 	return sum + max(0, s.requestedMillicores-s.report.GetFreeCpu())
 }
 
-func (s *sidecar) candidate(priority int) jobplacement.Server {
+// candidate returns the backend server as a place for tasks of a job. One that is cold takes one task in any case.
+func (s *sidecar) candidate(j job.Job) jobplacement.Server {
+	capacity := max(s.usableMillicores(), min(s.report.GetCapacityCpu(), j.Size().Millicores()))
 	slowness := float64(s.report.GetSlownessPermille()) / 1000
 	if slowness == 0 {
 		slowness = 1
@@ -111,7 +131,7 @@
 	}
 
 	return jobplacement.NewServer(
-		s.number, s.freeCapacity(), s.queuedMillicores(priority), s.report.GetCapacityCpu(), slowness, s.report.GetLabels(),
+		s.number, s.freeCapacity(), s.queuedMillicores(j.Policy().Priority()), capacity, slowness, s.report.GetLabels(),
 	)
 }
 
@@ -253,6 +273,8 @@
 		}
 
 		s.setReport(f.GetRoom(), uptime.Now())
+		s.region = d.regions[f.GetRoom().GetFailureDomain()]
+		d.sendServiceSettings(s)
 		d.answerKeepAlive(s, uptime.Now())
 	case wire.Frame_Reserved_case:
 		m := f.GetReserved()
--- a/sidecar/repeatable/announce.go
+++ b/sidecar/repeatable/announce.go
@@ -38,6 +38,7 @@
 	case succession.Began:
 		w.beginIncarnation(ctx)
 	case succession.Applied:
+		w.recordColdLeft(a, now)
 		w.recordDrain(i, before.Current())
 	case succession.Pending, succession.Outdated:
 		w.verifySuccessor(i, before) //nolint:contextcheck // the incarnation outlives the call
@@ -92,6 +93,7 @@
 	w.incarnation = newIncarnation(ctx, w, a.Instance())
 	w.stats = ejection.Statistics{}
 	w.slowness = 0
+	w.warmUp.begin(a, uptime.Now())
 
 	w.log.Info().Str("event", "backend_announced").Str("instance", a.Instance()).Str("service", a.Service()).
 		Int64("born", a.StartedAtMS()).Int64("cpu", a.Capacity().Millicores()).Strs("labels", a.Labels()).
--- a/sidecar/repeatable/limits.go
+++ b/sidecar/repeatable/limits.go
@@ -13,6 +13,8 @@
 	maxPerServer int
 	// requiredLabel is a label that the backend server must have, empty if it needs none.
 	requiredLabel string
+	// regions has the regions where the backend server has to be, empty if it may be in any.
+	regions []string
 }
 
 // limit names a limit of a job in log lines and metrics.
@@ -23,6 +25,7 @@
 	tasksLimit    limit = "tasks_per_server"
 	requiredLabel limit = "required_label"
 	cancelledJob  limit = "cancelled"
+	otherRegion   limit = "region"
 )
 
 // rejectBeyondLimit rejects a launched task if its job was cancelled or its start would be beyond a limit of the job, and reports whether it was. The
@@ -37,6 +40,7 @@
 	w.log.Info().Str("event", "start_beyond_limit").Str("job", t.run.task.job).Uint32("task", t.run.task.index).
 		Str("limit", string(exceeded)).Int("max_tasks", t.limits.maxPerServer).Int("tasks", w.startedOfJob(t)).
 		Str("required_label", t.limits.requiredLabel).Strs("labels", w.server.Current().Labels()).
+		Strs("allowed_regions", t.limits.regions).Str("region", w.region()).
 		Msg("rejecting a launch before its start is sent, as it is beyond a limit of its job")
 	w.finishAs(t, wire.Result_RESULT_REJECTED)
 
@@ -49,6 +53,8 @@
 		return cancelledJob
 	case t.limits.requiredLabel != "" && !slices.Contains(w.server.Current().Labels(), t.limits.requiredLabel):
 		return requiredLabel
+	case len(t.limits.regions) > 0 && !slices.Contains(t.limits.regions, w.region()):
+		return otherRegion
 	case t.limits.maxPerServer > 0 && w.startedOfJob(t) >= t.limits.maxPerServer:
 		return tasksLimit
 	default:
--- a/sidecar/repeatable/metrics.go
+++ b/sidecar/repeatable/metrics.go
@@ -89,7 +89,9 @@
 func (w *Worker) registerGauges(r gometrics.Registry) {
 	for name, read := range map[string]func() int64{
 		"room_capacity_millicores": func() int64 { return w.pool.Capacity().Millicores() },
-		"room_free_millicores":     func() int64 { return w.pool.Free().Millicores() },
+		"room_free_millicores":     func() int64 { return w.free().Millicores() },
+		"cold_left_ms":             func() int64 { return w.warmUp.ramp.Left(uptime.Now()).Milliseconds() },
+		"room_usable_permille":     func() int64 { return int64(w.usablePermille()) },
 		"tasks_running":            func() int64 { return int64(len(w.tasks)) },
 		"tasks_fate_unknown":       func() int64 { return int64(len(w.unknownFates())) },
 		"tasks_fate_unknown_ms":    func() int64 { return w.longestUnknownFate(uptime.Now()).Milliseconds() },
--- a/sidecar/repeatable/report.go
+++ b/sidecar/repeatable/report.go
@@ -32,15 +32,17 @@
 // newReport returns a report of the capacity and its use.
 func (w *Worker) newReport(now time.Duration) *capacityReport {
 	b := wire.Room_builder{
-		Open:          w.acceptsTasks(),
-		Suspect:       w.stats.Suspect(),
-		FreeCpu:       w.pool.Free().Millicores(),
-		FreeMemory:    w.pool.Free().MemoryMB(),
-		QueuedCpu:     w.pool.QueuedCPU(),
-		LaunchedCpu:   w.launchRates.rates(now),
-		RunningCpu:    w.runningCPU(),
-		RoutesVersion: w.routes.Version(),
-		SharePermille: w.sessionShare,
+		Open:            w.acceptsTasks(),
+		Suspect:         w.stats.Suspect(),
+		FreeCpu:         w.free().Millicores(),
+		FreeMemory:      w.free().MemoryMB(),
+		QueuedCpu:       w.pool.QueuedCPU(),
+		LaunchedCpu:     w.launchRates.rates(now),
+		RunningCpu:      w.runningCPU(),
+		RoutesVersion:   w.routes.Version(),
+		SharePermille:   w.sessionShare,
+		UsablePermille:  w.usablePermille(),
+		ServicesVersion: w.warmUp.reportedVersion(),
 	}
 
 	if w.incarnation != nil {
@@ -67,7 +69,7 @@
 		return -1
 	}
 
-	return w.pool.Free().Millicores()
+	return w.free().Millicores()
 }
 
 // reportDue sends a report to the entries that need one.
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -135,7 +135,7 @@
 
 	s.send(wire.Frame_builder{Ended: wire.Ended_builder{
 		Job: t.key.Job(), Index: t.run.task.index, Result: r, RunMs: uint32(run.Milliseconds()),
-		FreeCpu: s.worker.pool.Free().Millicores(), Crashed: crashed,
+		FreeCpu: s.worker.free().Millicores(), Crashed: crashed,
 		Suspected: crashed && t.key == t.incarnation.suspect,
 	}.Build()}.Build())
 }
@@ -143,7 +143,7 @@
 // sendRejected reports a task that was not launched.
 func (s *entrySession) sendRejected(jobNumber uint64, index uint32) {
 	s.send(wire.Frame_builder{Ended: wire.Ended_builder{
-		Job: jobNumber, Index: index, Result: wire.Result_RESULT_REJECTED, FreeCpu: s.worker.pool.Free().Millicores(),
+		Job: jobNumber, Index: index, Result: wire.Result_RESULT_REJECTED, FreeCpu: s.worker.free().Millicores(),
 	}.Build()}.Build())
 }
 
@@ -166,6 +166,8 @@
 		s.worker.routes.Fetch(s, f.GetRoutesFetch().GetVersion())
 	case wire.Frame_Routes_case:
 		s.worker.routes.Receive(f.GetRoutes())
+	case wire.Frame_ServiceSettings_case:
+		s.worker.receiveServiceSettings(s, f.GetServiceSettings())
 	default:
 		s.worker.log.Warn().Str("event", "frame_unknown").Str("entry", s.entry).Msg("ignoring a frame of an unknown type")
 	}
--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -97,6 +97,7 @@
 	// The task counts as sent from the moment that it may start.
 	if attempt > 0 {
 		t.startCall.call.Send()
+		w.warmUp.ramp.RecordStart(uptime.Now())
 	}
 
 	return t.run, true
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -107,7 +107,7 @@
 			worker: w, incarnation: w.incarnation, key: key, input: m.GetInput(), size: size, stopOutcome: Stopped,
 			expected: time.Duration(m.GetExpectedMs()) * time.Millisecond,
 			priority: int(m.GetPriority()), kind: m.GetKind(), launchedAt: uptime.Now(),
-			limits:   startLimits{int(m.GetMaxPerServer()), m.GetRequiredLabel()},
+			limits:   startLimits{int(m.GetMaxPerServer()), m.GetRequiredLabel(), m.GetAllowedRegions()},
 			run:      NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
 			stopCall: stopCall{call: delivery.NewCall(delivery.Stop)},
 		}
@@ -137,7 +137,7 @@
 	for _, t := range w.launched {
 		switch {
 		case w.tasks[t.run.task] != t || w.rejectBeyondLimit(t):
-		case !w.pool.Begin(t.size):
+		case !w.allowsColdStart(uptime.Now()) || !w.pool.Begin(t.size):
 			waiting = append(waiting, t)
 		default:
 			if w.running() == 0 {
@@ -147,6 +147,7 @@
 			t.startedAt = uptime.Now()
 			t.startCall.task = t
 			t.startCall.call.Send()
+			w.warmUp.recordStart(t.size, t.startedAt)
 			w.launchRates.add(t.startedAt, t.priority, t.size.Millicores())
 			t.incarnation.startRates.Record(t.kind, t.run.task.job, t.startedAt)
 
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -63,6 +63,8 @@
 	pastCrashes []pastCrash
 	// cancelled has the jobs that were cancelled lately, at any entry.
 	cancelled jobmemory.Cancelled
+	warmUp    warmUp
+	placement regionOfServer
 	// sessionShare is the part of the known entries, in thousandths, that is in the set of sessions.
 	sessionShare uint32
 }
@@ -103,6 +105,7 @@
 
 	now := uptime.Now()
 	w.finishDeparture(now)
+	w.applyWarmUp(now)
 
 	inUse := w.sessionsInUse()
 
@@ -135,7 +138,7 @@
 	w.expireHeld(now)
 	w.schedule(now)
 
-	return checkInterval
+	return w.nextCheck(now)
 }
 
 // tickLease records that this process runs, and checks again after the interval.
@@ -181,6 +184,8 @@
 	w.lastToken = max(w.lastToken, last.fenceStarts())
 	w.incarnation = nil
 	w.pool.Clear()
+	w.pool.LiftLimits()
+	w.warmUp.isCold = false
 	w.loseTasks(last, end)
 
 	if w.server.End() {
@@ -225,6 +230,7 @@
 
 // schedule starts launched tasks, reserves free capacity for the waiting requests and reports changes to the entries.
 func (w *Worker) schedule(now time.Duration) {
+	w.applyWarmUp(now)
 	w.startLaunched()
 
 	if w.acceptsTasks() {
@@ -233,7 +239,7 @@
 		for _, g := range w.pool.Allocate(now) {
 			if s := w.sessions[g.Key().Session()]; s != nil {
 				s.send(wire.Frame_builder{Reserved: wire.Reserved_builder{
-					Job: g.Key().Job(), Tasks: uint32(g.Tasks()), FreeCpu: w.pool.Free().Millicores(),
+					Job: g.Key().Job(), Tasks: uint32(g.Tasks()), FreeCpu: w.free().Millicores(),
 				}.Build()}.Build())
 			}
 		}
--- a/weir/process/admission/admission.go
+++ b/weir/process/admission/admission.go
@@ -48,6 +48,8 @@
 	largestServer job.Size
 	// servers is the number of backend servers that accept tasks.
 	servers int
+	// elsewhere is the number of backend servers that accept tasks in regions that the job does not allow.
+	elsewhere int
 	// warmUp is how much longer backend servers may be unknown to this process after its start.
 	warmUp time.Duration
 }
@@ -71,6 +73,17 @@
 	return l
 }
 
+// WithElsewhere returns the load with the number of backend servers that accept tasks, but are in regions that the job does
+// not allow.
+func (l Load) WithElsewhere(servers int) Load {
+	l.elsewhere = servers
+
+	return l
+}
+
+// hasServersElsewhereOnly reports whether servers accept tasks, but none in a region that the job allows.
+func (l Load) hasServersElsewhereOnly() bool { return l.servers == 0 && l.elsewhere > 0 }
+
 // String returns the figures for logs. The key of priorityCapacity is yielding.
 func (l Load) String() string {
 	return fmt.Sprintf("free=%d queued=%d capacity=%d running=%d yielding=%d rate=%d servers=%d",
@@ -110,6 +123,7 @@
 // Reasons of refusals.
 const (
 	NoServers           = "no backend server of the service accepts tasks"
+	NoServersInRegions  = "no backend server in the regions that the route allows accepts tasks of the service"
 	TooLarge            = "a task needs more CPU or memory than any backend server has"
 	Overloaded          = "waiting for free capacity would make the job miss its objective"
 	DeadlineUnreachable = "the caller's deadline leaves less than a quarter of the expected run time"
@@ -123,6 +137,8 @@
 	}
 
 	switch {
+	case l.hasServersElsewhereOnly():
+		return Refuse{NoServersInRegions, RetryAfter(time.Second, random)}
 	case l.servers == 0:
 		return Refuse{NoServers, RetryAfter(time.Second, random)}
 	case l.largestServer.CountFitting(j.Size(), 1) == 0:
@@ -160,6 +176,10 @@
 // expected wait, while it can expect to meet its objective. This covers a burst that the processes between caller and
 // backend server handle late: its queue is gone within the run time of a task.
 func ExtendWait(j job.Job, runTime, waited time.Duration, l Load, random *rand.Rand) Decision {
+	if l.hasServersElsewhereOnly() && l.warmUp == 0 {
+		return Refuse{NoServersInRegions, RetryAfter(time.Second, random)}
+	}
+
 	remainingSlack := slack(j, runTime) - waited
 	// The queue already includes this job.
 	expectedWait := l.expectedWait(0, runTime)
--- a/weir/process/succession/announcement.go
+++ b/weir/process/succession/announcement.go
@@ -5,6 +5,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/skylarkweir/skylarkweir/weir/process/warmup"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -28,7 +29,9 @@
 	// with each announcement of an incarnation.
 	startedAtMS, sequence int64
 	// clock is the backend server's clock when it sent the announcement, zero if it is not known.
-	clock    time.Duration
+	clock time.Duration
+	// coldLeft is how much longer the backend server is slow after its start, as of its clock.
+	coldLeft time.Duration
 	capacity job.Size
 	labels   []string
 	draining bool
@@ -111,6 +114,16 @@
 	return a
 }
 
+// WithColdLeft returns the announcement with how much longer the backend server is slow after its start.
+func (a Announcement) WithColdLeft(left time.Duration) Announcement {
+	a.coldLeft = left
+
+	return a
+}
+
+// ColdLeft returns how much longer the backend server was slow after its start when it sent the announcement.
+func (a Announcement) ColdLeft() time.Duration { return a.coldLeft }
+
 // isNewerThan reports whether the announcement was sent later than another one of the same incarnation. The clock decides if
 // both have it, as it can be compared with the backend server's own answers; a sequence number may come from another writer.
 func (a Announcement) isNewerThan(b Announcement) bool {
@@ -135,6 +148,8 @@
 		return merry.Errorf("sequence: %d is not in 0..%d", a.sequence, maxSequence)
 	case a.capacity.Millicores() == 0 || a.capacity.Millicores() > maxCapacity:
 		return merry.Errorf("processor time: %d millicores are not in 1..%d", a.capacity.Millicores(), maxCapacity)
+	case a.coldLeft < 0 || a.coldLeft > warmup.MaxColdTime:
+		return merry.Errorf("cold time: %s is not in 0..%s", a.coldLeft, warmup.MaxColdTime)
 	case a.capacity.MemoryMB() > maxCapacity:
 		return merry.Errorf("memory: %d MB are not in 0..%d", a.capacity.MemoryMB(), maxCapacity)
 	}
