--- a/sidecar/repeatable/warmup.go
+++ b/sidecar/repeatable/warmup.go
@@ -180,9 +180,15 @@
 	return n
 }
 
-// allowsColdStart reports whether the ramp allows one more start.
-func (w *Worker) allowsColdStart(now time.Duration) bool {
-	return !w.warmUp.ramp.LimitsStarts(now) || w.warmUp.ramp.Starts(now) > 0
+// allowsStart reports whether the ramp allows one more start.
+func (u *warmUp) allowsStart() bool {
+	if !u.isCold {
+		return true
+	}
+
+	now := uptime.Now()
+
+	return !u.ramp.LimitsStarts(now) || u.ramp.Starts(now) > 0
 }
 
 // free returns the capacity that entries may request. While starts are bounded it is that of as many tasks of the usual
