A flood beside a cold server is played from the configuration to the start

Cause: the ramp, the messages and the pool had tests of their own, and none together; the fuzz tests had no cold times.

--- a/entry/repeatable/regions_test.go
+++ b/entry/repeatable/regions_test.go
@@ -1,13 +1,16 @@
 package repeatable_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	sidecar "github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
+	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
 )
@@ -109,3 +112,42 @@
 
 	is.Equal(r.next().GetReserve().GetTasks(), uint32(1))
 }
+
+// Guards against a burst at a server that has just started beside busy ones, from the configuration and the announcement to
+// the start, and against jobs that are refused or lost since it takes few of them.
+func TestColdServerTakesFewOfAFlood(t *testing.T) {
+	const jobs, rate, slack = 120, 10, 5
+
+	is := is.New(t)
+	f := newFixture(t, 2, 2, 8)
+	cold := f.sidecars[0]
+	services := []routes.Service{routes.NewService(service, 0, rate)}
+
+	for _, e := range f.entries {
+		e.AdoptRoutes(routes.NewTable(1, nil, nil, 0).WithServices(services), "store")
+	}
+
+	cold.lastSequence++
+	cold.worker.Announce(t.Context(), succession.NewAnnouncement(cold.backend.Instance(), service, "domain",
+		cold.backend.StartedAtMS(), cold.lastSequence, job.NewSize(8*core, 1<<20), cold.labels, false).WithColdLeft(time.Minute))
+
+	// The settings were sent before any request of the same entry.
+	began := time.Now()
+
+	var pending []*pendingJob
+	for n := range jobs {
+		pending = append(pending, f.submit(t.Context(), f.entries[n%2], newJob(fmt.Sprintf("job-%d", n), "30ms", 1)))
+	}
+
+	for _, p := range pending {
+		is.Equal(p.wait(t), job.Outcome(job.Completed{}))
+	}
+
+	took, started := time.Since(began), 0
+	for n := range jobs {
+		started += cold.backend.StartCount(sidecar.NewTask(fmt.Sprintf("job-%d", n), 0))
+	}
+
+	t.Logf("%d of %d starts at the cold server in %s", started, jobs, took)
+	is.True(started <= slack+int(rate*took.Seconds()))
+}
