A cold server's launch without a token is rejected, and a restart brings no further burst

Cause: a launch whose token went to a start that was sent again waited at the cold server, at low rates for long; a restarted sidecar had a full bucket, so the server could get two bursts within a second. The test of the cold server's use in part passed with the rule that it guards taken out, since its report had the whole capacity free. Change: the last check before the start rejects such a launch (start_beyond_limit, limit cold); a restored announcement begins with an empty bucket; the test reports what a cold server does.

--- a/entry/repeatable/regions_test.go
+++ b/entry/repeatable/regions_test.go
@@ -24,8 +24,13 @@
 
 // reportFrom sends a report of a free backend server in a failure domain.
 func (r *rawSidecar) reportFrom(domain string, usablePermille uint32, servicesVersion uint64) {
+	free := int64(8 * core)
+	if usablePermille > 0 {
+		free = free * int64(usablePermille) / 1000
+	}
+
 	r.send(wire.Frame_builder{Room: wire.Room_builder{
-		Open: true, Service: service, FailureDomain: domain, CapacityCpu: 8 * core, CapacityMemory: 1 << 20, FreeCpu: 8 * core,
+		Open: true, Service: service, FailureDomain: domain, CapacityCpu: 8 * core, CapacityMemory: 1 << 20, FreeCpu: free,
 		FreeMemory: 1 << 20, UsablePermille: usablePermille, ServicesVersion: servicesVersion,
 	}.Build()}.Build())
 }
--- a/sidecar/repeatable/announce.go
+++ b/sidecar/repeatable/announce.go
@@ -20,6 +20,7 @@
 	}
 
 	w.beginIncarnation(ctx)
+	w.warmUp.ramp.UseUp(uptime.Now())
 	w.incarnation.isSaved = true
 	w.updateCapacity()
 }
--- a/sidecar/repeatable/limits.go
+++ b/sidecar/repeatable/limits.go
@@ -26,10 +26,12 @@
 	requiredLabel limit = "required_label"
 	cancelledJob  limit = "cancelled"
 	otherRegion   limit = "region"
+	coldServer    limit = "cold"
 )
 
-// rejectBeyondLimit rejects a launched task if its job was cancelled or its start would be beyond a limit of the job, and reports whether it was. The
-// entry checks the limits when it chooses a backend server, but sees only what it has placed itself, as of its last reports.
+// rejectBeyondLimit rejects a launched task if its job was cancelled or its start would be beyond a limit of the job, or of a
+// cold backend server, and reports whether it was. The entry checks the limits when it chooses a backend server, but
+// sees only what it has placed itself, as of its last reports.
 func (w *Worker) rejectBeyondLimit(t *task) bool {
 	exceeded := w.exceededLimit(t)
 	if exceeded == noLimit {
@@ -55,6 +57,8 @@
 		return requiredLabel
 	case len(t.limits.regions) > 0 && !slices.Contains(t.limits.regions, w.region()):
 		return otherRegion
+	case !w.warmUp.allowsStart():
+		return coldServer
 	case t.limits.maxPerServer > 0 && w.startedOfJob(t) >= t.limits.maxPerServer:
 		return tasksLimit
 	default:
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -137,7 +137,7 @@
 	for _, t := range w.launched {
 		switch {
 		case w.tasks[t.run.task] != t || w.rejectBeyondLimit(t):
-		case !w.warmUp.allowsStart() || !w.pool.Begin(t.size):
+		case !w.pool.Begin(t.size):
 			waiting = append(waiting, t)
 		default:
 			if w.running() == 0 {
--- a/sidecar/repeatable/warmup_test.go
+++ b/sidecar/repeatable/warmup_test.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/succession"
+	"github.com/skylarkweir/skylarkweir/weir/process/warmup"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 )
 
@@ -83,6 +84,29 @@
 	is.Equal(f.GetReserved().GetTasks(), uint32(3))
 }
 
+// Guards against more starts than a cold backend server takes where its reservations were granted before that was known, and
+// against tasks that wait there for long.
+func TestLaunchBeyondTheRateOfAColdServerIsRejected(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.sendColdRate(1, "service", 1)
+	fx.announceCold(1, time.Minute)
+	fx.awaitOpen(true)
+	fx.reserve(1, 5)
+
+	fx.worker.SetColdBounds(warmup.NewBounds(1.5, 2))
+	fx.entry.Send(wire.Frame_builder{Launch: wire.Launch_builder{
+		Job: 1, Name: "job", Indices: []uint32{0, 1, 2, 3, 4}, Input: leasedbackend.Hang, ExpectedMs: longMS,
+	}.Build()}.Build())
+
+	for range 3 {
+		is.Equal(fx.nextResult(), wire.Result_RESULT_REJECTED)
+	}
+
+	fx.await("as many run as are allowed", fx.hasRunning(2))
+	is.Equal(fx.metric(`starts_beyond_limit_total{limit="cold"}`), int64(3))
+}
+
 // Guards against a cold backend server without a stated rate that gets its full share at once, or the rate of another
 // service, and against tasks that no cold server takes as each is larger than the share.
 func TestShareOfAColdServerIsReduced(t *testing.T) {
@@ -174,3 +198,22 @@
 	is.Equal(fx.backend.StartCount(repeatable.NewTask("job", 4)), 0)
 	is.Equal(fx.metric(`starts_beyond_limit_total{limit="region"}`), int64(2))
 }
+
+// Guards against a restarted sidecar that sends a cold backend server one more burst, or all that it has place for, before
+// the next announcement.
+func TestRestoredColdServerIsLimited(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	fx.sendColdRate(1, "service", 1)
+
+	a := succession.NewAnnouncement(fx.backend.Instance(), "service", "domain", fx.backend.StartedAtMS(), 0,
+		job.NewSize(10*core, 1024), []string{"a"}, false)
+	fx.worker.Restore(t.Context(), a.WithColdLeft(time.Minute))
+	fx.awaitReport("nothing may start", func(m *wire.Room) bool {
+		return m.GetOpen() && m.GetServicesVersion() == 1 && m.GetFreeCpu() == 0 && m.GetUsablePermille() > 0
+	})
+
+	fx.announceCold(1, 0)
+	m := fx.awaitReport("no limit", func(m *wire.Room) bool { return m.GetOpen() && m.GetFreeCpu() == 10*core })
+	is.Equal(m.GetUsablePermille(), uint32(0))
+}
--- a/weir/process/warmup/ramp.go
+++ b/weir/process/warmup/ramp.go
@@ -114,6 +114,12 @@
 	r.used = min(r.used+1, 2*r.burst())
 }
 
+// UseUp records that an unknown number of starts may just have been sent, as by a process before this one.
+func (r *Ramp) UseUp(now time.Duration) {
+	r.settle(now)
+	r.used = max(r.used, r.burst())
+}
+
 // Rate returns the stated starts per second, zero if there are none.
 func (r *Ramp) Rate() float64 { return r.rate }
 
--- a/weir/process/warmup/ramp_test.go
+++ b/weir/process/warmup/ramp_test.go
@@ -154,3 +154,15 @@
 	is.Equal(r.Starts(time.Second), 0)
 	is.Equal(r.Starts(time.Second+time.Second), 5)
 }
+
+// Guards against a second burst after a restart of the process that sends the starts.
+func TestRestartBringsNoFurtherBurst(t *testing.T) {
+	is := is.New(t)
+
+	var r warmup.Ramp
+	r.UseUp(time.Second)
+	r.Announce(time.Minute, time.Second)
+	r.Configure(0, 10, 2*time.Second) // as the settings arrive later
+	is.Equal(r.Starts(2*time.Second), 0)
+	is.Equal(r.Starts(2*time.Second+300*time.Millisecond), 3)
+}
