Entries and sidecars follow the operator's evacuations

Entries leave out the backend servers of evacuated domains, give up what they have requested there, and refuse jobs that nothing else can run with reasons of their own. A sidecar closes, drops requests and reservations, rejects launches before their start is sent, and stops a task whose start got no answer. The answer to an attachment and the evacuations are sent under the lock, so that no other frame can precede them. A job_refused line now also comes from a job that waited, so its message no longer says 'on arrival'.

--- a/entry/caller/repeatable_test.go
+++ b/entry/caller/repeatable_test.go
@@ -111,6 +111,8 @@
 	}{
 		{job.NewRefused(admission.Overloaded, 1500*time.Millisecond), 429, "overloaded", "none"},
 		{job.NewRefused(admission.NoServers, time.Second), 503, "no_workers", "none"},
+		{job.NewRefused(admission.AllEvacuated, time.Second), 503, "no_workers", "none"},
+		{job.NewRefused(admission.LabelEvacuated, time.Second), 503, "no_workers", "none"},
 		{job.NewRefused(admission.TooLarge, time.Second), 422, "never_runnable", "none"},
 		{job.Failed{}, 502, "task_failed", "some"},
 		{job.Cancelled{}, 409, "cancelled", "unknown"},
--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -135,7 +135,7 @@
 	case a.phase == phaseEnded || a.unplaced() == 0:
 		a.releaseReservations()
 		s.releaseJob(a.number)
-	case a.dispatcher.access(a.job, s) == quarantine.Forbidden:
+	case s.evacuated || a.dispatcher.access(a.job, s) == quarantine.Forbidden:
 		delete(a.granted, s.number)
 		delete(a.requested, s.number)
 		s.releaseJob(a.number)
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 	"github.com/skylarkweir/skylarkweir/weir/version/routes"
 )
 
@@ -57,6 +58,7 @@
 	// ended has the outcomes of jobs that have ended here lately.
 	ended        jobmemory.Ended
 	cancelled    cancellations
+	evacuations  evacuation.Current
 	runTimes     runTimeEstimator
 	releaseRate  admission.ReleaseRateEstimator
 	routeFetcher routeFetcher
@@ -165,14 +167,14 @@
 	return nil, nil
 }
 
-// refuse logs that a job is refused on arrival and returns the refusal.
+// refuse logs that a job is refused and returns the refusal.
 func (d *Dispatcher) refuse(
 	j job.Job, run time.Duration, load admission.Load, reason string, retryAfter time.Duration,
 ) job.Refused {
 	d.log.Info().Str("event", "job_refused").Str("job", j.ID()).Str("kind", j.Policy().Kind()).Str("reason", reason).
 		Int("tasks", j.Tasks()).Int64("cpu", j.Size().Millicores()).Dur("expected_run", run).Stringer("load", load).
 		Dur("retry_after", retryAfter).Uint64("routes", d.routes.Version()).
-		Stringer("kind_level", d.quarantine.Level(j.Policy().Kind())).Msg("job refused on arrival")
+		Stringer("kind_level", d.quarantine.Level(j.Policy().Kind())).Msg("job refused")
 
 	return job.NewRefused(reason, retryAfter)
 }
@@ -193,11 +195,13 @@
 		free, queued, capacity int64
 		running, launched      admission.Usage
 		largest                job.Size
+		evacuated              evacuatedServers
+		servers                int
 	)
 
-	servers := 0
-
 	for _, s := range d.sidecars {
+		evacuated.add(j, s)
+
 		if !s.canRun(j, now) || d.access(j, s) == quarantine.Forbidden {
 			continue
 		}
@@ -218,7 +222,7 @@
 	rate := d.releaseRate.Rate(priority, capacity, running, launched)
 
 	return admission.NewLoad(free, queued, capacity, running, priority, rate, largest, servers).
-		WithWarmUp(d.started + warmUpTime - now)
+		WithWarmUp(d.started + warmUpTime - now).WithEvacuated(evacuated.reason(j))
 }
 
 // requestReservations requests reservations for n more tasks.
@@ -324,7 +328,7 @@
 	n := 0
 
 	for _, s := range d.sidecars {
-		if s.report.GetOpen() && s.report.GetService() == service && s.Alive() {
+		if s.isOpen() && s.report.GetService() == service && s.Alive() {
 			n++
 		}
 	}
--- a/entry/repeatable/fixture_test.go
+++ b/entry/repeatable/fixture_test.go
@@ -59,6 +59,8 @@
 	cancel  context.CancelFunc
 	cores   int64
 	labels  []string
+	domain  string
+	links   *sidecar.Links
 	// lastSequence is the sequence number of the last announcement.
 	lastSequence int64
 }
@@ -136,34 +138,47 @@
 
 func (f *fixture) addSidecar(name string, b *leasedbackend.Server, cores int64) {
 	f.t.Helper()
+	f.addSidecarIn("domain", name, b, cores)
+}
+
+// addSidecarIn adds a sidecar whose backend server is in a failure domain.
+func (f *fixture) addSidecarIn(domain, name string, b *leasedbackend.Server, cores int64) {
+	f.t.Helper()
 
 	ctx, cancel := context.WithCancel(f.t.Context())
 	s := &sidecarNode{
-		fixture: f, name: name, backend: b, node: &quic.Node{}, cancel: cancel, cores: cores, labels: []string{"a"},
+		fixture: f, name: name, backend: b, node: &quic.Node{}, cancel: cancel, cores: cores, labels: []string{"a"}, domain: domain,
 	}
 	s.worker = sidecar.NewWorker(name, b, sidecar.NewRouteDistributor(zerolog.Nop()), nil, zerolog.Nop())
 
 	is.New(f.t).NoErr(s.node.Listen("127.0.0.1:0", f.keys))
 	f.t.Cleanup(func() { cancel(); _ = s.node.Close() })
 
-	links := sidecar.NewLinks(s.node, s.worker, sessionset.NewSidecar(name, "domain"), rand.Uint64(), zerolog.Nop())
+	s.links = sidecar.NewLinks(s.node, s.worker, sessionset.NewSidecar(name, domain), rand.Uint64(), zerolog.Nop())
 	for _, e := range f.entries {
-		links.Add(sessionset.NewEntry(e.path, "domain"))
+		s.links.Add(sessionset.NewEntry(e.path, "domain"))
 	}
 
 	go s.worker.Run(ctx)
-	go links.Run(ctx)
+	go s.links.Run(ctx)
 
 	s.announce(false)
 
 	f.sidecars = append(f.sidecars, s)
 }
 
+// connectSidecars lets the sidecars connect to an entry that was added after them.
+func (f *fixture) connectSidecars(e *entry) {
+	for _, s := range f.sidecars {
+		s.links.Add(sessionset.NewEntry(e.path, "domain"))
+	}
+}
+
 // announce passes an announcement of the backend server to its sidecar.
 func (s *sidecarNode) announce(draining bool) {
 	s.lastSequence++
 	s.worker.Announce(s.fixture.t.Context(), succession.NewAnnouncement(
-		s.backend.Instance(), service, "domain", s.backend.StartedAtMS(), s.lastSequence, job.NewSize(s.cores*core, 1<<20),
+		s.backend.Instance(), service, s.domain, s.backend.StartedAtMS(), s.lastSequence, job.NewSize(s.cores*core, 1<<20),
 		s.labels, draining,
 	))
 }
--- a/entry/repeatable/quarantine.go
+++ b/entry/repeatable/quarantine.go
@@ -169,7 +169,7 @@
 	names := map[string][]string{}
 
 	for _, s := range d.sidecars {
-		if s.closedFor(now) < memory {
+		if !s.evacuated && s.closedFor(now) < memory {
 			names[s.service] = append(names[s.service], s.name)
 		}
 	}
@@ -189,7 +189,7 @@
 // isZoneUsable reports whether a backend server in the zone of a service accepts tasks, or any one if there is no zone.
 func (d *Dispatcher) isZoneUsable(service string) bool {
 	for _, s := range d.sidecars {
-		if (s.inZone || d.zoneless[service]) && s.service == service && s.report.GetOpen() {
+		if (s.inZone || d.zoneless[service]) && s.service == service && s.isOpen() {
 			return true
 		}
 	}
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
 
 // attachTimeout limits each step of the attachment of a sidecar: the opening of a stream and the first frame.
@@ -31,6 +32,9 @@
 	// zero while they are.
 	service     string
 	closedSince time.Duration
+	// domain is the failure domain in the last report that named one, and evacuated whether the operator has evacuated it.
+	domain    string
+	evacuated bool
 	// inZone is true while the backend server belongs to the zone of its service, to which kinds that crash others are
 	// confined.
 	inZone bool
@@ -46,6 +50,10 @@
 		s.service = r.GetService()
 	}
 
+	if r.GetFailureDomain() != "" {
+		s.domain = r.GetFailureDomain()
+	}
+
 	switch {
 	case r.GetOpen():
 		s.closedSince = 0
@@ -63,12 +71,15 @@
 	return now - s.closedSince
 }
 
+// isOpen reports whether the backend server accepts tasks.
+func (s *sidecar) isOpen() bool { return s.report.GetOpen() && !s.evacuated }
+
 func (s *sidecar) send(f *wire.Frame) { s.Send(f) }
 
 // canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service
 // and has the required label.
 func (s *sidecar) canRun(j job.Job, now time.Duration) bool {
-	if !s.report.GetOpen() || s.report.GetService() != j.Policy().Service() || !s.Responsive(now) {
+	if !s.isOpen() || s.report.GetService() != j.Policy().Service() || !s.Responsive(now) {
 		return false
 	}
 
@@ -170,8 +181,7 @@
 		t.AllowIdleKeepAlives()
 	}
 
-	s := d.attach(a, t)
-	s.send(wire.Frame_builder{Attached: wire.Attached_builder{
+	s := d.attach(a, t, wire.Frame_builder{Attached: wire.Attached_builder{
 		Entry: self, Incarnation: incarnation, IdleKeepAlives: a.GetIdleKeepAlives(),
 	}.Build()}.Build())
 	d.sendKnownCancellations(s)
@@ -180,9 +190,10 @@
 	d.detach(s)
 }
 
-// attach adds a sidecar. A new incarnation of a sidecar sets open in its capacity report only after it has verified
-// that the tasks of the previous incarnation no longer run.
-func (d *Dispatcher) attach(a *wire.Attach, t *session.Session) *sidecar {
+// attach adds a sidecar and sends it the answer to its attachment, then the evacuations, before anything else. A new
+// incarnation of a sidecar sets open in its capacity report only after it has verified that the tasks of the previous
+// incarnation no longer run.
+func (d *Dispatcher) attach(a *wire.Attach, t *session.Session, answer *wire.Frame) *sidecar {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -198,6 +209,8 @@
 		Session: t, number: d.lastSidecarNumber, name: a.GetSidecar(), incarnation: a.GetIncarnation(), report: &wire.Room{},
 		closedSince: uptime.Now(),
 	}
+	s.send(answer)
+	s.sendEvacuations(d.evacuations.Value())
 	d.sidecars[s.number] = s
 
 	d.log.Info().Str("event", "sidecar_connected").Str("sidecar", s.name).Uint64("incarnation", s.incarnation).
@@ -253,6 +266,7 @@
 		}
 
 		s.setReport(f.GetRoom(), uptime.Now())
+		d.checkEvacuated(s)
 		d.answerKeepAlive(s, uptime.Now())
 	case wire.Frame_Reserved_case:
 		m := f.GetReserved()
@@ -270,6 +284,8 @@
 		d.recordCrashedTasks(f.GetCrashedTasks(), uptime.Now())
 	case wire.Frame_Cancellations_case:
 		d.recordCancellations(f.GetCancellations(), uptime.Now())
+	case wire.Frame_Evacuations_case:
+		d.receiveEvacuations(s, evacuation.Decode(f.GetEvacuations()), uptime.Now())
 	case wire.Frame_Ended_case:
 		m := f.GetEnded()
 		s.report.SetFreeCpu(m.GetFreeCpu())
--- a/sidecar/repeatable/fixture_test.go
+++ b/sidecar/repeatable/fixture_test.go
@@ -33,13 +33,15 @@
 	worker  *repeatable.Worker
 	entry   *session.Session
 	// frames holds the frames that the sidecar has sent in the last session, except reports of capacity,
-	// crashes and cancelled jobs.
+	// crashes, cancelled jobs and evacuations.
 	frames chan *wire.Frame
 	// crashes holds the reports of crashes.
 	crashes      chan *wire.BackendCrash
 	crashedTasks chan *wire.CrashedTasks
 	// cancellations holds the reports of cancelled jobs.
 	cancellations chan *wire.Cancellations
+	// evacuations holds the latest evacuations that were the first frame of a session.
+	evacuations chan *wire.Evacuations
 	// reports holds the latest capacity report.
 	reports chan *wire.Room
 	links   *repeatable.Links
@@ -78,7 +80,7 @@
 	fx := &fixture{
 		t: t, backend: b, reports: make(chan *wire.Room, 1),
 		crashes: make(chan *wire.BackendCrash, 16), crashedTasks: make(chan *wire.CrashedTasks, 16),
-		cancellations: make(chan *wire.Cancellations, 16), node: &quic.Node{},
+		cancellations: make(chan *wire.Cancellations, 16), evacuations: make(chan *wire.Evacuations, 1), node: &quic.Node{},
 		registry: gometrics.NewRegistry(),
 	}
 	fx.worker = repeatable.NewWorker("sidecar", c, repeatable.NewRouteDistributor(zerolog.Nop()),
@@ -126,7 +128,7 @@
 
 	// Each session has its own frames: those of one that has ended are no answers to the next one.
 	fx.frames = make(chan *wire.Frame, 1024)
-	receiver := &frameReceiver{fx, fx.entry, fx.frames}
+	receiver := &frameReceiver{fixture: fx, session: fx.entry, frames: fx.frames}
 
 	go receiver.run()
 
@@ -139,6 +141,8 @@
 	fixture *fixture
 	session *session.Session
 	frames  chan *wire.Frame
+	// received is the number of frames of the session.
+	received int
 }
 
 func (r *frameReceiver) run() {
@@ -146,7 +150,17 @@
 }
 
 func (r *frameReceiver) receive(f *wire.Frame) {
+	r.received++
+
 	switch {
+	case f.HasEvacuations() && r.received > 1:
+	case f.HasEvacuations():
+		select {
+		case <-r.fixture.evacuations:
+		default:
+		}
+
+		r.fixture.evacuations <- f.GetEvacuations()
 	case f.HasBackendCrash():
 		r.fixture.crashes <- f.GetBackendCrash()
 	case f.HasCrashedTasks():
--- a/sidecar/repeatable/metrics.go
+++ b/sidecar/repeatable/metrics.go
@@ -94,6 +94,9 @@
 		"tasks_fate_unknown":       func() int64 { return int64(len(w.unknownFates())) },
 		"tasks_fate_unknown_ms":    func() int64 { return w.longestUnknownFate(uptime.Now()).Milliseconds() },
 		"entries_connected":        func() int64 { return int64(len(w.sessions)) },
+		"evacuated":                func() int64 { return boolGauge(w.isEvacuated()) },
+		"evacuated_domains":        func() int64 { return int64(w.evacuations.Value().Len()) },
+		"evacuation_age_ms":        func() int64 { return w.evacuations.Age(uptime.Now()).Milliseconds() },
 		"routes_version":           func() int64 { return int64(w.routes.Version()) },
 	} {
 		gometrics.NewRegisteredFunctionalGauge(name, r, func() int64 {
@@ -104,3 +107,11 @@
 		})
 	}
 }
+
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+
+	return 0
+}
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
 
 const (
@@ -62,6 +63,7 @@
 	w.lastSession++
 	s.number = w.lastSession
 	w.sessions[s.number] = s
+	s.sendEvacuations(w.evacuations.Value())
 	s.reportNow()
 	s.sendPastCrashes(s.startedAt)
 	s.sendCancellations(w.cancelled.All(s.startedAt))
@@ -162,6 +164,8 @@
 		s.worker.halt(s, f.GetHalt())
 	case wire.Frame_Cancellations_case:
 		s.worker.recordCancellations(s, f.GetCancellations())
+	case wire.Frame_Evacuations_case:
+		s.worker.receiveEvacuations(s, evacuation.Decode(f.GetEvacuations()))
 	case wire.Frame_RoutesFetch_case:
 		s.worker.routes.Fetch(s, f.GetRoutesFetch().GetVersion())
 	case wire.Frame_Routes_case:
--- a/sidecar/repeatable/start.go
+++ b/sidecar/repeatable/start.go
@@ -76,7 +76,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return c.task.awaitsStart() && uptime.Now()-c.task.startedAt < max(minStartPatience, c.task.expected)
+	return c.task.awaitsStart() && !w.isEvacuated() && uptime.Now()-c.task.startedAt < max(minStartPatience, c.task.expected)
 }
 
 // awaitsStart reports whether the task has neither started nor ended, and is not to be stopped.
@@ -177,11 +177,11 @@
 
 	s := w.sessions[t.key.Session()]
 
-	return t.awaitsStart() && s != nil && s.Alive()
+	return t.awaitsStart() && s != nil && s.Alive() && !w.isEvacuated()
 }
 
-// handleStartNotSent gives up a start that is not sent, since its session has expired or no lease can be given: the
-// backend server has answered no renewal for too long, and rejects a start without a lease.
+// handleStartNotSent gives up a start that is not sent, since its session has expired, its failure domain is evacuated or no
+// lease can be given: the backend server has answered no renewal for too long, and rejects a start without a lease.
 func (w *Worker) handleStartNotSent(t *task, attempt int, p Permit) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -193,7 +193,13 @@
 	}
 
 	t.describeStart(w.log.Info().Str("event", "start_not_sent"), attempt).Bool("lease", p.leaseEnd > 0).
-		Msg("a start is not sent: its session has expired, or the backend server answers no renewal, so that no lease can be given")
+		Bool("evacuated", w.isEvacuated()).Msg("a start is not sent: its session has expired, its failure domain is evacuated, " +
+		"or the backend server answers no renewal, so that no lease can be given")
+
+	if w.isEvacuated() && t.startCall.call.Claim() == delivery.NeverRan {
+		w.recordEvacuatedStart(t.run.task)
+	}
+
 	w.giveUpStart(t, false)
 }
 
@@ -239,7 +245,8 @@
 }
 
 // giveUpStart ends a task whose start is not sent again: at once if it certainly did not run, otherwise when the backend
-// server has confirmed that it does not run any more.
+// server has confirmed that it does not run any more. In an evacuated failure domain it is stopped like a task whose entry is
+// lost, as the start may still be on its way.
 func (w *Worker) giveUpStart(t *task, unhealthy bool) {
 	neverRan := t.startCall.call.Claim() == delivery.NeverRan
 
@@ -254,7 +261,11 @@
 		return
 	}
 
-	if !t.stopping {
+	switch {
+	case t.stopping:
+	case w.isEvacuated():
+		w.abandon(t)
+	default:
 		t.stopOutcome = Lost
 		w.stop(t)
 	}
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -93,6 +93,12 @@
 	key := reservation.NewKey(s.number, m.GetJob())
 
 	for _, index := range m.GetIndices() {
+		if w.isEvacuated() {
+			w.rejectEvacuated(s, m.GetJob(), NewTask(m.GetName(), index))
+
+			continue
+		}
+
 		size, n := w.pool.Launch(key, 1)
 		if n == 0 || w.incarnation == nil || !w.incarnation.ready {
 			w.log.Info().Str("event", "launch_rejected").Str("job", m.GetName()).Uint32("task", index).
@@ -161,9 +167,15 @@
 // rejectLaunched rejects the launched tasks that have not started.
 func (w *Worker) rejectLaunched() {
 	for _, t := range w.launched {
-		if w.tasks[t.run.task] == t {
-			w.finishAs(t, wire.Result_RESULT_REJECTED)
+		if w.tasks[t.run.task] != t {
+			continue
+		}
+
+		if w.isEvacuated() {
+			w.recordEvacuatedStart(t.run.task)
 		}
+
+		w.finishAs(t, wire.Result_RESULT_REJECTED)
 	}
 
 	w.launched = nil
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
 
 const (
@@ -63,6 +64,10 @@
 	pastCrashes []pastCrash
 	// cancelled has the jobs that were cancelled lately, at any entry.
 	cancelled jobmemory.Cancelled
+	// failureDomain is the domain of this sidecar, which counts until the backend server has announced its own. evacuations
+	// changes under mu only.
+	failureDomain string
+	evacuations   evacuation.Current
 	// sessionShare is the part of the known entries, in thousandths, that is in the set of sessions.
 	sessionShare uint32
 }
@@ -220,7 +225,7 @@
 func (w *Worker) acceptsTasks() bool {
 	i := w.incarnation
 
-	return i != nil && i.ready && !i.notReached && !w.server.Current().Draining() && !w.leaving
+	return i != nil && i.ready && !i.notReached && !w.server.Current().Draining() && !w.leaving && !w.isEvacuated()
 }
 
 // schedule starts launched tasks, reserves free capacity for the waiting requests and reports changes to the entries.
--- a/weir/process/admission/admission.go
+++ b/weir/process/admission/admission.go
@@ -50,6 +50,8 @@
 	servers int
 	// warmUp is how much longer backend servers may be unknown to this process after its start.
 	warmUp time.Duration
+	// evacuated is the reason for the refusal if evacuations leave no backend server that can run the job, or empty.
+	evacuated string
 }
 
 // NewLoad returns the load of a service for jobs of a priority. releaseRate is the capacity that becomes available to
@@ -71,6 +73,17 @@
 	return l
 }
 
+// WithEvacuated returns the load of a service of which evacuations leave no backend server that can run the job, with the
+// reason for its refusal. An empty reason stands for any other load.
+func (l Load) WithEvacuated(reason string) Load {
+	l.evacuated = reason
+
+	return l
+}
+
+// IsEvacuated reports whether evacuations leave no backend server that can run the job.
+func (l Load) IsEvacuated() bool { return l.evacuated != "" }
+
 // String returns the figures for logs. The key of priorityCapacity is yielding.
 func (l Load) String() string {
 	return fmt.Sprintf("free=%d queued=%d capacity=%d running=%d yielding=%d rate=%d servers=%d",
@@ -109,6 +122,8 @@
 
 // Reasons of refusals.
 const (
+	AllEvacuated        = "all failure domains with backend servers of the service are evacuated"
+	LabelEvacuated      = "the required label exists only at backend servers in evacuated failure domains"
 	NoServers           = "no backend server of the service accepts tasks"
 	TooLarge            = "a task needs more CPU or memory than any backend server has"
 	Overloaded          = "waiting for free capacity would make the job miss its objective"
@@ -123,6 +138,8 @@
 	}
 
 	switch {
+	case l.evacuated != "":
+		return Refuse{l.evacuated, RetryAfter(maxRetryAfter, random)}
 	case l.servers == 0:
 		return Refuse{NoServers, RetryAfter(time.Second, random)}
 	case l.largestServer.CountFitting(j.Size(), 1) == 0:
@@ -160,6 +177,10 @@
 // expected wait, while it can expect to meet its objective. This covers a burst that the processes between caller and
 // backend server handle late: its queue is gone within the run time of a task.
 func ExtendWait(j job.Job, runTime, waited time.Duration, l Load, random *rand.Rand) Decision {
+	if l.evacuated != "" {
+		return Refuse{l.evacuated, RetryAfter(maxRetryAfter, random)}
+	}
+
 	remainingSlack := slack(j, runTime) - waited
 	// The queue already includes this job.
 	expectedWait := l.expectedWait(0, runTime)
