--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -137,7 +137,7 @@
 	case a.phase == phaseEnded || a.unplaced() == 0:
 		a.releaseReservations()
 		s.releaseJob(a.number)
-	case a.dispatcher.access(a.job, s) == quarantine.Forbidden:
+	case s.evacuated || a.dispatcher.access(a.job, s) == quarantine.Forbidden:
 		delete(a.granted, s.number)
 		delete(a.requested, s.number)
 		s.releaseJob(a.number)
@@ -185,7 +185,7 @@
 				ExpectedMs: uint32(a.expectedRun.Milliseconds()), Priority: uint32(a.job.Policy().Priority()),
 				Kind:          a.job.Policy().Kind(),
 				MaxPerServer:  uint32(a.job.Constraints().MaxTasksPerServer()),
-				RequiredLabel: a.job.Constraints().RequiredLabel(),
+				RequiredLabel: a.job.Constraints().RequiredLabel(), AllowedRegions: a.job.Policy().Regions(),
 			}.Build()}.Build())
 		}
 
--- a/entry/repeatable/metrics.go
+++ b/entry/repeatable/metrics.go
@@ -27,6 +27,8 @@
 		"jobs_cancelled":     func() int64 { return int64(d.cancelled.known.Len()) },
 		"run_ratio_labels":   func() int64 { return int64(d.runRatios.KnownLabels()) },
 		"run_ratio_servers":  func() int64 { return int64(d.runRatios.KnownServers()) },
+		"evacuated_domains":  func() int64 { return int64(d.evacuations.Value().Len()) },
+		"evacuation_age_ms":  func() int64 { return d.evacuations.Age(uptime.Now()).Milliseconds() },
 		"routes_version":     func() int64 { return int64(d.routes.Version()) },
 		"routes_age_ms":      func() int64 { return d.routes.SinceConfirmation(uptime.Now()).Milliseconds() },
 	} {
--- a/entry/repeatable/runratios.go
+++ b/entry/repeatable/runratios.go
@@ -26,7 +26,7 @@
 	}
 
 	return jobplacement.NewDemand(n, a.job.Size(), a.job.Constraints(), a.expectedRun).
-		WithObjective(max(0, a.job.Policy().Objective(a.expectedRun)-waited), maxWait)
+		WithOutstanding(a.outstandingCount(now)).WithObjective(max(0, a.job.Policy().Objective(a.expectedRun)-waited), maxWait)
 }
 
 // nextRetryDelay returns how long the job waits until it requests further reservations.
@@ -41,7 +41,7 @@
 // candidateFor returns the backend server as a candidate for a job, with what was learned of the run time of its kind there.
 // A suspect server keeps the slowness that stands for its faults.
 func (s *sidecar) candidateFor(j job.Job, k *runtimes.Kind) jobplacement.Server {
-	c := s.candidate(j.Policy().Priority()).WithReleaseRate(s.releaseRate(j.Policy().Priority()))
+	c := s.candidate(j).WithReleaseRate(s.releaseRate(j.Policy().Priority()))
 
 	if ratio, ok := k.Ratio(s.name, s.report.GetLabels()); ok && !s.report.GetSuspect() {
 		c = c.WithRunRatio(ratio)
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
 
 // attachTimeout limits each step of the attachment of a sidecar: the opening of a stream and the first frame.
@@ -31,11 +32,18 @@
 	// zero while they are.
 	service     string
 	closedSince time.Duration
+	// domain is the failure domain in the last report that named one, and evacuated whether the operator has evacuated it.
+	domain    string
+	evacuated bool
 	// inZone is true while the backend server belongs to the zone of its service, to which kinds that crash others are
 	// confined.
 	inZone bool
 	// sentRoutesVersion is the version of the routes that was sent last with a keep-alive.
 	sentRoutesVersion uint64
+	// region is the region of the backend server, empty if it is not known.
+	region string
+	// sentServicesVersion is the version of the routes whose settings of services were sent last.
+	sentServicesVersion uint64
 }
 
 // setReport replaces the capacity report.
@@ -46,6 +54,10 @@
 		s.service = r.GetService()
 	}
 
+	if r.GetFailureDomain() != "" {
+		s.domain = r.GetFailureDomain()
+	}
+
 	switch {
 	case r.GetOpen():
 		s.closedSince = 0
@@ -63,12 +75,19 @@
 	return now - s.closedSince
 }
 
+// isOpen reports whether the backend server accepts tasks.
+func (s *sidecar) isOpen() bool { return s.report.GetOpen() && !s.evacuated }
+
 func (s *sidecar) send(f *wire.Frame) { s.Send(f) }
 
-// canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service
-// and has the required label.
+// canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service,
+// has the required label and is in a region that the job allows.
 func (s *sidecar) canRun(j job.Job, now time.Duration) bool {
-	if !s.report.GetOpen() || s.report.GetService() != j.Policy().Service() || !s.Responsive(now) {
+	return s.canRunInAnyRegion(j, now) && j.Policy().AllowsRegion(s.region)
+}
+
+func (s *sidecar) canRunInAnyRegion(j job.Job, now time.Duration) bool {
+	if !s.isOpen() || s.report.GetService() != j.Policy().Service() || !s.Responsive(now) {
 		return false
 	}
 
@@ -79,6 +98,16 @@
 	return job.NewSize(s.report.GetCapacityCpu(), s.report.GetCapacityMemory())
 }
 
+// usableMillicores returns the CPU that the backend server takes at present, which is less than its capacity while it is
+// cold.
+func (s *sidecar) usableMillicores() int64 {
+	if p := int64(s.report.GetUsablePermille()); p > 0 && p < 1000 {
+		return s.report.GetCapacityCpu() * p / 1000
+	}
+
+	return s.report.GetCapacityCpu()
+}
+
 func (s *sidecar) freeCapacity() job.Size {
 	if s.report.GetSuspect() {
 		return job.Size{}
@@ -100,7 +129,9 @@
 	return sum + max(0, s.requestedMillicores-s.report.GetFreeCpu())
 }
 
-func (s *sidecar) candidate(priority int) jobplacement.Server {
+// candidate returns the backend server as a place for tasks of a job. One that is cold takes one task in any case.
+func (s *sidecar) candidate(j job.Job) jobplacement.Server {
+	capacity := max(s.usableMillicores(), min(s.report.GetCapacityCpu(), j.Size().Millicores()))
 	slowness := float64(s.report.GetSlownessPermille()) / 1000
 	if slowness == 0 {
 		slowness = 1
@@ -111,7 +142,7 @@
 	}
 
 	return jobplacement.NewServer(
-		s.number, s.freeCapacity(), s.queuedMillicores(priority), s.report.GetCapacityCpu(), slowness, s.report.GetLabels(),
+		s.number, s.freeCapacity(), s.queuedMillicores(j.Policy().Priority()), capacity, slowness, s.report.GetLabels(),
 	)
 }
 
@@ -170,8 +201,7 @@
 		t.AllowIdleKeepAlives()
 	}
 
-	s := d.attach(a, t)
-	s.send(wire.Frame_builder{Attached: wire.Attached_builder{
+	s := d.attach(a, t, wire.Frame_builder{Attached: wire.Attached_builder{
 		Entry: self, Incarnation: incarnation, IdleKeepAlives: a.GetIdleKeepAlives(),
 	}.Build()}.Build())
 	d.sendKnownCancellations(s)
@@ -180,9 +210,10 @@
 	d.detach(s)
 }
 
-// attach adds a sidecar. A new incarnation of a sidecar sets open in its capacity report only after it has verified
-// that the tasks of the previous incarnation no longer run.
-func (d *Dispatcher) attach(a *wire.Attach, t *session.Session) *sidecar {
+// attach adds a sidecar and sends it the answer to its attachment, then the evacuations, before anything else. A new
+// incarnation of a sidecar sets open in its capacity report only after it has verified that the tasks of the previous
+// incarnation no longer run.
+func (d *Dispatcher) attach(a *wire.Attach, t *session.Session, answer *wire.Frame) *sidecar {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -198,6 +229,8 @@
 		Session: t, number: d.lastSidecarNumber, name: a.GetSidecar(), incarnation: a.GetIncarnation(), report: &wire.Room{},
 		closedSince: uptime.Now(),
 	}
+	s.send(answer)
+	s.sendEvacuations(d.evacuations.Value())
 	d.sidecars[s.number] = s
 
 	d.log.Info().Str("event", "sidecar_connected").Str("sidecar", s.name).Uint64("incarnation", s.incarnation).
@@ -253,6 +286,9 @@
 		}
 
 		s.setReport(f.GetRoom(), uptime.Now())
+		s.region = d.regions[f.GetRoom().GetFailureDomain()]
+		d.sendServiceSettings(s)
+		d.checkEvacuated(s)
 		d.answerKeepAlive(s, uptime.Now())
 	case wire.Frame_Reserved_case:
 		m := f.GetReserved()
@@ -270,6 +306,8 @@
 		d.recordCrashedTasks(f.GetCrashedTasks(), uptime.Now())
 	case wire.Frame_Cancellations_case:
 		d.recordCancellations(f.GetCancellations(), uptime.Now())
+	case wire.Frame_Evacuations_case:
+		d.receiveEvacuations(s, evacuation.Decode(f.GetEvacuations()), uptime.Now())
 	case wire.Frame_Ended_case:
 		m := f.GetEnded()
 		s.report.SetFreeCpu(m.GetFreeCpu())
--- a/sidecar/repeatable/metrics.go
+++ b/sidecar/repeatable/metrics.go
@@ -89,11 +89,16 @@
 func (w *Worker) registerGauges(r gometrics.Registry) {
 	for name, read := range map[string]func() int64{
 		"room_capacity_millicores": func() int64 { return w.pool.Capacity().Millicores() },
-		"room_free_millicores":     func() int64 { return w.pool.Free().Millicores() },
+		"room_free_millicores":     func() int64 { return w.free().Millicores() },
+		"cold_left_ms":             func() int64 { return w.warmUp.ramp.Left(uptime.Now()).Milliseconds() },
+		"room_usable_permille":     func() int64 { return int64(w.usablePermille()) },
 		"tasks_running":            func() int64 { return int64(len(w.tasks)) },
 		"tasks_fate_unknown":       func() int64 { return int64(len(w.unknownFates())) },
 		"tasks_fate_unknown_ms":    func() int64 { return w.longestUnknownFate(uptime.Now()).Milliseconds() },
 		"entries_connected":        func() int64 { return int64(len(w.sessions)) },
+		"evacuated":                func() int64 { return boolGauge(w.isEvacuated()) },
+		"evacuated_domains":        func() int64 { return int64(w.evacuations.Value().Len()) },
+		"evacuation_age_ms":        func() int64 { return w.evacuations.Age(uptime.Now()).Milliseconds() },
 		"routes_version":           func() int64 { return int64(w.routes.Version()) },
 	} {
 		gometrics.NewRegisteredFunctionalGauge(name, r, func() int64 {
@@ -104,3 +109,11 @@
 		})
 	}
 }
+
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+
+	return 0
+}
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -91,6 +91,12 @@
 	key := reservation.NewKey(s.number, m.GetJob())
 
 	for _, index := range m.GetIndices() {
+		if w.isEvacuated() {
+			w.rejectEvacuated(s, m.GetJob(), NewTask(m.GetName(), index))
+
+			continue
+		}
+
 		size, n := w.pool.Launch(key, 1)
 		if n == 0 || w.incarnation == nil || !w.incarnation.ready {
 			w.log.Info().Str("event", "launch_rejected").Str("job", m.GetName()).Uint32("task", index).
@@ -105,7 +111,7 @@
 			worker: w, incarnation: w.incarnation, key: key, input: m.GetInput(), size: size, stopOutcome: Stopped,
 			expected: time.Duration(m.GetExpectedMs()) * time.Millisecond,
 			priority: int(m.GetPriority()), kind: m.GetKind(), launchedAt: uptime.Now(),
-			limits:   startLimits{int(m.GetMaxPerServer()), m.GetRequiredLabel()},
+			limits:   startLimits{int(m.GetMaxPerServer()), m.GetRequiredLabel(), m.GetAllowedRegions()},
 			run:      NewRun(NewTask(m.GetName(), index), time.Now().UnixNano()/int64(runNumberUnit)),
 			stopCall: stopCall{call: delivery.NewCall(delivery.Stop)},
 		}
@@ -145,6 +151,7 @@
 			t.startedAt = uptime.Now()
 			t.startCall.task = t
 			t.startCall.call.Send()
+			w.warmUp.recordStart(t.size, t.startedAt)
 			w.launchRates.add(t.startedAt, t.priority, t.size.Millicores())
 			t.incarnation.startRates.Record(t.kind, t.run.task.job, t.startedAt)
 
@@ -159,9 +166,15 @@
 // rejectLaunched rejects the launched tasks that have not started.
 func (w *Worker) rejectLaunched() {
 	for _, t := range w.launched {
-		if w.tasks[t.run.task] == t {
-			w.finishAs(t, wire.Result_RESULT_REJECTED)
+		if w.tasks[t.run.task] != t {
+			continue
+		}
+
+		if w.isEvacuated() {
+			w.recordEvacuatedStart(t.run.task)
 		}
+
+		w.finishAs(t, wire.Result_RESULT_REJECTED)
 	}
 
 	w.launched = nil
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/succession"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
 
 const (
@@ -64,6 +65,12 @@
 	pastCrashes []pastCrash
 	// cancelled has the jobs that were cancelled lately, at any entry.
 	cancelled jobmemory.Cancelled
+	warmUp    warmUp
+	placement regionOfServer
+	// failureDomain is the domain of this sidecar, which counts until the backend server has announced its own. evacuations
+	// changes under mu only.
+	failureDomain string
+	evacuations   evacuation.Current
 	// sessionShare is the part of the known entries, in thousandths, that is in the set of sessions.
 	sessionShare uint32
 }
@@ -104,6 +111,7 @@
 
 	now := uptime.Now()
 	w.finishDeparture(now)
+	w.applyWarmUp(now)
 
 	inUse := w.sessionsInUse()
 
@@ -136,7 +144,7 @@
 	w.expireHeld(now)
 	w.schedule(now)
 
-	return checkInterval
+	return w.nextCheck(now)
 }
 
 // tickLease records that this process runs, and checks again after the interval.
@@ -182,6 +190,8 @@
 	w.lastToken = max(w.lastToken, last.fenceStarts())
 	w.incarnation = nil
 	w.pool.Clear()
+	w.pool.LiftLimits()
+	w.warmUp.isCold = false
 	w.loseTasks(last, end)
 
 	if w.server.End() {
@@ -221,11 +231,12 @@
 func (w *Worker) acceptsTasks() bool {
 	i := w.incarnation
 
-	return i != nil && i.ready && !i.notReached && !w.server.Current().Draining() && !w.leaving
+	return i != nil && i.ready && !i.notReached && !w.server.Current().Draining() && !w.leaving && !w.isEvacuated()
 }
 
 // schedule starts launched tasks, reserves free capacity for the waiting requests and reports changes to the entries.
 func (w *Worker) schedule(now time.Duration) {
+	w.applyWarmUp(now)
 	w.startLaunched()
 
 	if w.acceptsTasks() {
@@ -234,7 +245,7 @@
 		for _, g := range w.pool.Allocate(now) {
 			if s := w.sessions[g.Key().Session()]; s != nil {
 				s.send(wire.Frame_builder{Reserved: wire.Reserved_builder{
-					Job: g.Key().Job(), Tasks: uint32(g.Tasks()), FreeCpu: w.pool.Free().Millicores(),
+					Job: g.Key().Job(), Tasks: uint32(g.Tasks()), FreeCpu: w.free().Millicores(),
 				}.Build()}.Build())
 			}
 		}
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -120,6 +120,8 @@
 	// remaining is the time until the objective of the job, zero if there is none or it has passed. maxWait is how long a
 	// task may wait for a faster server while a slower one is free.
 	remaining, maxWait time.Duration
+	// outstanding is the number of reservations that the job has requested already and that are not granted.
+	outstanding int
 }
 
 // NewDemand returns the demand for tasks of a size and an expected run time each; runTime is zero if it is unknown.
@@ -127,6 +129,13 @@
 	return Demand{tasks: tasks, size: size, constraints: constraints, runTime: runTime}
 }
 
+// WithOutstanding returns the demand of a job that has requested n reservations already which are not granted.
+func (d Demand) WithOutstanding(n int) Demand {
+	d.outstanding = n
+
+	return d
+}
+
 // requestFactor returns how many reservations are requested per task without free capacity.
 func (d Demand) requestFactor() float64 {
 	return min(maxRequestFactor, 1+float64(doubleRequestRunTime)/float64(max(d.runTime, time.Millisecond)))
@@ -259,7 +268,7 @@
 
 	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.score, b.score) })
 
-	d.requestInTurn(servers, requested, int(float64(shortfall)*d.requestFactor()+1))
+	d.requestInTurn(servers, requested, int(float64(shortfall)*d.requestFactor()+1)-d.outstanding)
 }
 
 // requestInTurn requests a number of reservations, one at each server in turn, as far as they have room when idle.
--- a/weir/version/routes/routes.go
+++ b/weir/version/routes/routes.go
@@ -3,8 +3,11 @@
 
 import (
 	"cmp"
+	"context"
+	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,14 +37,15 @@
 	// source is the record that the operator wrote.
 	source []byte
 	// hosts holds the routes of each lower-case host name, the longest prefix first.
-	hosts map[string][]Route
-	// maxBodyBytes is zero if there is no limit.
-	maxBodyBytes int64
+	hosts  map[string][]Route
+	limits Limits
+	// services has the services that are described, by name.
+	services map[string]Service
 }
 
 // NewTable returns a version of the routes; source is the operator's record that it was read from.
 func NewTable(version uint64, source []byte, routes []Route, maxBodyBytes int64) *Table {
-	t := &Table{version: version, source: source, hosts: map[string][]Route{}, maxBodyBytes: maxBodyBytes}
+	t := &Table{version: version, source: source, hosts: map[string][]Route{}, limits: Limits{maxBodyBytes: maxBodyBytes}}
 	for _, r := range routes {
 		t.hosts[r.host] = append(t.hosts[r.host], r)
 	}
@@ -60,7 +64,35 @@
 func (t *Table) Source() []byte { return t.source }
 
 // MaxBodyBytes returns the largest allowed size of a request's body, or zero if there is no limit.
-func (t *Table) MaxBodyBytes() int64 { return t.maxBodyBytes }
+func (t *Table) MaxBodyBytes() int64 { return t.limits.maxBodyBytes }
+
+// WithLimits returns the version with other limits for callers.
+func (t *Table) WithLimits(l Limits) *Table {
+	u := *t
+	u.limits = l
+
+	return &u
+}
+
+// Limits returns the limits for callers that the operator's record states.
+func (t *Table) Limits() Limits { return t.limits }
+
+// WithServices returns the version with descriptions of services.
+func (t *Table) WithServices(services []Service) *Table {
+	u := *t
+	u.services = make(map[string]Service, len(services))
+
+	for _, s := range services {
+		u.services[s.name] = s
+	}
+
+	return &u
+}
+
+// Services returns the services that are described, sorted by name.
+func (t *Table) Services() []Service {
+	return slices.SortedFunc(maps.Values(t.services), func(a, b Service) int { return cmp.Compare(a.name, b.name) })
+}
 
 // Match returns the route with the longest prefix of the path among those of the host.
 func (t *Table) Match(host, path string) (Route, bool) {
@@ -79,6 +111,11 @@
 	// confirmedAt is when the store of the routes answered last, on the clock of package uptime, or when the process
 	// started; zero before.
 	confirmedAt atomic.Int64
+
+	mu sync.Mutex
+	// adopted is closed with the first version, nil while nobody waits for it; hasAdopted is true after that version.
+	adopted    chan struct{}
+	hasAdopted bool
 }
 
 // Confirm records that the store of the routes has answered at the time now, so that the current version is its newest.
@@ -111,7 +148,53 @@
 		}
 
 		if c.table.CompareAndSwap(old, t) {
+			if old == nil {
+				c.notifyFirst()
+			}
+
 			return true
 		}
 	}
 }
+
+// notifyFirst ends the waits for the first version.
+func (c *Current) notifyFirst() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.hasAdopted = true
+
+	if c.adopted != nil {
+		close(c.adopted)
+	}
+}
+
+// AwaitTable returns the newest version. If there is none, it waits for the first one, and returns nil if the context ends before.
+func (c *Current) AwaitTable(ctx context.Context) *Table {
+	if t := c.table.Load(); t != nil {
+		return t
+	}
+
+	select {
+	case <-c.firstAdopted():
+	case <-ctx.Done():
+	}
+
+	return c.table.Load()
+}
+
+// firstAdopted returns a channel that is closed once there is a version.
+func (c *Current) firstAdopted() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.adopted == nil {
+		c.adopted = make(chan struct{})
+
+		if c.hasAdopted {
+			close(c.adopted)
+		}
+	}
+
+	return c.adopted
+}
