Await 20 jobs at the faster kind of server instead of 5

Cause: without any learning, five jobs use the faster kind by chance in one of 32 rounds, and the test then went on before effects were computed. It failed once (56 of 100 tasks at the slow kind). Change: the await requires 20 jobs in a row; the checks after it are the same.

--- a/entry/repeatable/runratios_test.go
+++ b/entry/repeatable/runratios_test.go
@@ -96,9 +96,9 @@
 	// Effects are computed four times a second.
 	round := 0
 
-	f.await("five jobs in a row use the faster kind", func() bool {
+	f.await("20 jobs in a row use the faster kind, which is no chance", func() bool {
 		round++
-		slow, _ := submit(fmt.Sprintf("round-%d-", round), 5)
+		slow, _ := submit(fmt.Sprintf("round-%d-", round), 20)
 
 		return slow == 0
 	})
