Tasks no longer wait for a faster server while a slower one is free

The additional requests cost messages and leave granted capacity idle for a round trip. Change: servers with free capacity are ordered by rank, lateness, expected end and the random order; the fast ones are still left to other jobs where a slow task decides the end. Tasks without free capacity are requested as before learning, within the bound on outstanding reservations, by (queue / capacity + 1) times the run ratio. The release rate, the longest wait and the list of outstanding servers are gone, so candidates() is the only list of servers. Measured: go test of jobplacement passes (4 s).

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -53,11 +53,11 @@
 	// expectedRun is the expected run time of a task. It is raised to the run time of a task that ran longer and did not
 	// complete.
 	expectedRun time.Duration
-	// usualRun is the expected run time on arrival, and maxWait the maximum wait.
-	usualRun, maxWait time.Duration
-	arrived           time.Duration
-	phase             phase
-	placements        []placement
+	// usualRun is the expected run time on arrival.
+	usualRun   time.Duration
+	arrived    time.Duration
+	phase      phase
+	placements []placement
 	// requested and granted count reservations by the number of the sidecar. Granted ones have no launched task yet.
 	requested, granted map[uint64]int
 	// excluded has the sidecars where a task did not complete; they are not used while there are others.
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -161,7 +161,6 @@
 		return nil, d.refuse(j, run, load, v.Reason(), v.RetryAfter())
 	case admission.Admit:
 		a := d.addJob(j, run, now)
-		a.maxWait = v.MaxWait()
 		a.retryTimer = time.AfterFunc(firstRetryDelay, a.retryReservations)
 		a.maxWaitTimer = time.AfterFunc(v.MaxWait(), a.handleMaxWait)
 		d.requestReservations(a, a.job.Tasks(), now)
@@ -234,8 +233,6 @@
 func (d *Dispatcher) requestReservations(a *activeJob, n int, now time.Duration) {
 	ratios := d.runRatios.Kind(a.job.Policy().Kind(), now)
 	servers, limited := d.candidates(a, ratios, now)
-	candidates := len(servers)
-	servers = append(servers, d.outstanding(a, ratios, now)...)
 
 	p := jobplacement.Choose(a.demand(n, now), servers, d.random)
 
@@ -247,12 +244,12 @@
 		s.requestReservation(a, r.Tasks(), share, now)
 	}
 
-	if candidates == 0 {
+	if len(servers) == 0 {
 		a.readmit(limited)
 	}
 
 	d.log.Debug().Str("event", "job_asks").Str("job", a.job.ID()).Int("tasks", n).Int("places", len(p.Requests())).
-		Int("short", p.Shortfall()).Int("candidates", candidates).Int("excluded", len(a.excluded)).
+		Int("short", p.Shortfall()).Int("candidates", len(servers)).Int("excluded", len(a.excluded)).
 		Int("asked", len(a.requested)).Msg("requested reservations for the tasks of a job")
 }
 
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -33,18 +33,18 @@
 	// usual is the learned ratio of the run times, 1 if nothing was learned; learned is true if something was.
 	usual   float64
 	learned bool
-	// releaseRate is the CPU that becomes available to jobs of the priority, in millicores per second, zero if it is unknown.
-	releaseRate int64
-	// outstanding is how many reservations for the job are requested there and not granted yet.
-	outstanding int
-	labels      []string
+	labels  []string
 	// placed is how many tasks of the job are there already, or may be.
 	placed int
 	// lastResort is true if the server is used only when the others are full.
 	lastResort bool
 	// freeTasks is how many tasks of the job may start there at once.
 	freeTasks int
-	score     float64
+	// rank separates the servers that are used only when those of a lower rank are full.
+	rank, score float64
+	// late and step are set by orderByEnd.
+	late bool
+	step float64
 }
 
 // NewServer returns a backend server. queued is the CPU of requests that are at least as urgent as the job; it and
@@ -117,9 +117,8 @@
 	constraints job.Constraints
 	// runTime is the expected run time of a task, zero if it is unknown.
 	runTime time.Duration
-	// remaining is the time until the objective of the job, zero if there is none or it has passed. maxWait is how long a
-	// task may wait for a faster server while a slower one is free.
-	remaining, maxWait time.Duration
+	// remaining is the time until the objective of the job, zero if there is none or it has passed.
+	remaining time.Duration
 	// outstanding is the number of reservations that the job has requested already and that are not granted.
 	outstanding int
 }
@@ -181,18 +180,11 @@
 func Choose(d Demand, servers []Server, random *rand.Rand) Plan {
 	servers = d.eligible(servers)
 	requested := make(map[uint64]int, len(servers))
+	shortfall := d.requestFree(servers, requested, random)
+	p := Plan{shortfall: shortfall}
 
-	var p Plan
-
-	if isUneven(servers) {
-		p.shortfall = d.requestEarliest(servers, requested, random)
-	} else {
-		servers = withoutOutstanding(servers)
-		p.shortfall = d.requestFree(servers, requested, random)
-
-		if p.shortfall > 0 {
-			d.requestQueued(servers, requested, p.shortfall, random)
-		}
+	if shortfall > 0 {
+		d.requestQueued(servers, requested, shortfall, random)
 	}
 
 	for _, s := range servers {
@@ -210,10 +202,6 @@
 	})
 }
 
-func withoutOutstanding(servers []Server) []Server {
-	return slices.DeleteFunc(servers, func(s Server) bool { return s.outstanding > 0 })
-}
-
 // maxTasksAt returns how many more tasks of the job may go to a backend server.
 func (d Demand) maxTasksAt(s Server) int {
 	if limit := d.constraints.MaxTasksPerServer(); limit > 0 {
@@ -232,15 +220,20 @@
 		// the same backend servers. The offsets below rank slow backend servers last and those with the preferred label
 		// first.
 		s.score = math.Pow(random.Float64(), float64(max(1, d.size.Millicores()))/float64(max(1, s.free.Millicores())))
-		s.score -= 0.5 * (s.runRatio() - 1)
-		s.score -= s.rankOffset()
+		s.rank = s.rankOffset()
 
 		if p := d.constraints.PreferredLabel(); p != "" && slices.Contains(s.labels, p) {
-			s.score += 20
+			s.rank -= 20
 		}
 	}
 
-	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(b.score, a.score) })
+	if isUneven(servers) {
+		d.orderByEnd(servers)
+	} else {
+		slices.SortFunc(servers, func(a, b Server) int {
+			return cmp.Compare(b.score-0.5*(b.runRatio()-1)-b.rank, a.score-0.5*(a.runRatio()-1)-a.rank)
+		})
+	}
 
 	remaining := d.tasks
 
@@ -261,18 +254,20 @@
 
 // requestQueued requests capacity that has yet to become free.
 func (d Demand) requestQueued(servers []Server, requested map[uint64]int, shortfall int, random *rand.Rand) {
+	further := 0.0
+	if isUneven(servers) { // a queue takes about one run time for each multiple of the capacity, and the task one more
+		further = 1
+	}
+
 	for i := range servers {
 		s := &servers[i]
-		s.score = float64(s.queued)/float64(s.capacity)*s.runRatio() + 0.05*random.Float64() + s.rankOffset()
+		s.score = (float64(s.queued)/float64(s.capacity)+further)*s.runRatio() + 0.05*random.Float64() + s.rankOffset()
 	}
 
 	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.score, b.score) })
 
-	d.requestInTurn(servers, requested, int(float64(shortfall)*d.requestFactor()+1)-d.outstanding)
-}
+	toRequest := int(float64(shortfall)*d.requestFactor()+1) - d.outstanding
 
-// requestInTurn requests a number of reservations, one at each server in turn, as far as they have room when idle.
-func (d Demand) requestInTurn(servers []Server, requested map[uint64]int, toRequest int) {
 	for toRequest > 0 {
 		previous := toRequest
 
