Keep kinds that slow each other down apart where there is room

Cause: the entry knows run times and places tasks, but not what runs beside them.

Change: an entry that learns of interference asks for neighbours in Launch (field 14). The sidecar then tells in Ended which kinds ran beside a task that is done, for which part of its run time, and the mean load (8, 9), and in Room the running kinds (24). The entry learns from one task of each job, chosen in advance, and passes the slowdown of a pair to placement, where it counts among servers with free capacity only: no job waits longer for it. jobplacement.Server.WithSlowdown is a further ratio of run times. Nothing is asked, sent or learned unless SeparateKinds was called.

With a slowdown of 1, 200 plans are equal to those without.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -183,7 +183,7 @@
 				ExpectedMs: uint32(a.expectedRun.Milliseconds()), Priority: uint32(a.job.Policy().Priority()),
 				Kind:          a.job.Policy().Kind(),
 				MaxPerServer:  uint32(a.job.Constraints().MaxTasksPerServer()),
-				RequiredLabel: a.job.Constraints().RequiredLabel(),
+				RequiredLabel: a.job.Constraints().RequiredLabel(), WantsNeighbours: d.interference != nil,
 			}.Build()}.Build())
 		}
 
@@ -346,6 +346,7 @@
 	case wire.Result_RESULT_DONE:
 		p.done = true
 		a.dispatcher.runTimes.observe(a.job, run)
+		a.observeInterference(s, m, uptime.Now())
 		a.dispatcher.releaseRate.Observe(a.job.Policy().Priority(), run)
 
 		if run > a.slowestRun {
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
+	"github.com/skylarkweir/skylarkweir/weir/process/interference"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
@@ -62,6 +63,8 @@
 	routeFetcher routeFetcher
 	// quarantine has the kinds that are restricted because they seem to crash backend servers.
 	quarantine quarantine.Tracker
+	// interference has the pairs of kinds that slow each other down, nil if they are not to be kept apart.
+	interference *interference.Model
 	// zoneless has the services that have no zone, and so no restricted kinds, while the quarantine is in use.
 	zoneless map[string]bool
 	// crashes has the crashes under tasks of all entries. earlyCrashes has those that were reported while this entry was
@@ -268,7 +271,8 @@
 			continue
 		}
 
-		candidate := s.candidate(a.job.Policy().Priority()).WithPlaced(placed[s.name])
+		candidate := s.candidate(a.job.Policy().Priority()).WithPlaced(placed[s.name]).
+			WithSlowdown(d.slowdown(a.job, s))
 
 		switch d.access(a.job, s) {
 		case quarantine.Allowed:
--- a/entry/repeatable/keepalive.go
+++ b/entry/repeatable/keepalive.go
@@ -20,6 +20,7 @@
 
 	d.sidecarEstimate = d.estimateSidecars()
 	d.advanceQuarantine(now)
+	d.advanceInterference(now)
 	d.fetchNewerRoutes(now)
 	d.sendCancellations()
 
--- a/entry/repeatable/metrics.go
+++ b/entry/repeatable/metrics.go
@@ -25,6 +25,8 @@
 		"jobs_in_flight":     func() int64 { return int64(len(d.activeJobs)) },
 		"jobs_remembered":    func() int64 { return int64(d.ended.Len()) },
 		"jobs_cancelled":     func() int64 { return int64(d.cancelled.known.Len()) },
+		"interference_pairs": func() int64 { return int64(d.interference.PairCount()) },
+		"interference_kinds": func() int64 { return int64(d.interference.Kinds()) },
 		"routes_version":     func() int64 { return int64(d.routes.Version()) },
 		"routes_age_ms":      func() int64 { return d.routes.SinceConfirmation(uptime.Now()).Milliseconds() },
 	} {
--- a/sidecar/repeatable/report.go
+++ b/sidecar/repeatable/report.go
@@ -41,6 +41,7 @@
 		RunningCpu:    w.runningCPU(),
 		RoutesVersion: w.routes.Version(),
 		SharePermille: w.sessionShare,
+		RunningKinds:  w.neighbours.runningKinds(),
 	}
 
 	if w.incarnation != nil {
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -52,6 +52,8 @@
 	sidecars atomic.Int64
 	// startedAt is when the session began, on the clock of package uptime.
 	startedAt time.Duration
+	// wantsNeighbours is true once the entry has asked for what runs beside its tasks.
+	wantsNeighbours bool
 }
 
 // Serve handles the frames of an entry until the session ends, then stops the entry's tasks.
@@ -80,6 +82,7 @@
 	defer w.mu.Unlock()
 
 	delete(w.sessions, s.number)
+	w.neighbours.endSession(s)
 	w.pool.ReleaseSession(s.number)
 
 	stopped := 0
@@ -133,11 +136,13 @@
 func (s *entrySession) sendEnded(t *task, r wire.Result, run time.Duration) {
 	crashed := r == wire.Result_RESULT_LOST && t.hasCrashed()
 
-	s.send(wire.Frame_builder{Ended: wire.Ended_builder{
+	m := wire.Ended_builder{
 		Job: t.key.Job(), Index: t.run.task.index, Result: r, RunMs: uint32(run.Milliseconds()),
 		FreeCpu: s.worker.pool.Free().Millicores(), Crashed: crashed,
 		Suspected: crashed && t.key == t.incarnation.suspect,
-	}.Build()}.Build())
+	}.Build()
+	s.describeNeighbours(m, t)
+	s.send(wire.Frame_builder{Ended: m}.Build())
 }
 
 // sendRejected reports a task that was not launched.
--- a/sidecar/repeatable/task.go
+++ b/sidecar/repeatable/task.go
@@ -7,6 +7,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/delivery"
+	"github.com/skylarkweir/skylarkweir/weir/process/interference"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -50,6 +51,9 @@
 	limits startLimits
 	// launchedAt is when the launch was received.
 	launchedAt time.Duration
+	// mark is where the record of neighbours began, nil if there is none; surroundings is what ran beside the task.
+	mark         *interference.Mark
+	surroundings interference.Surroundings
 	// startAnsweredAt is when the answer to the start was received, zero before.
 	startAnsweredAt time.Duration
 	// confirmedAt is when a try of the start was last answered as started, zero before.
@@ -92,6 +96,10 @@
 
 	key := reservation.NewKey(s.number, m.GetJob())
 
+	if m.GetWantsNeighbours() {
+		w.neighbours.ask(s)
+	}
+
 	for _, index := range m.GetIndices() {
 		size, n := w.pool.Launch(key, 1)
 		if n == 0 || w.incarnation == nil || !w.incarnation.ready {
@@ -145,6 +153,7 @@
 			}
 
 			t.startedAt = uptime.Now()
+			w.neighbours.begin(t)
 			t.startCall.task = t
 			t.startCall.call.Send()
 			w.launchRates.add(t.startedAt, t.priority, t.size.Millicores())
@@ -288,6 +297,7 @@
 	if t.startedAt > 0 {
 		run = uptime.Now() - t.startedAt
 		w.pool.End(t.size)
+		w.neighbours.end(t, w.pool.Capacity().Millicores())
 	} else {
 		w.pool.Cancel(t.size)
 	}
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -54,6 +54,7 @@
 	leaving     bool
 	stats       ejection.Statistics
 	launchRates launchMeter
+	neighbours  neighbourRecorder
 	// slowness is the moving average of the ratio of run time to expected run time, zero if no run time is known.
 	slowness float64
 	// save is called with the announcement of each incarnation once that has answered, with one that changes its drain state,
--- a/weir/process/interference/fleet_test.go
+++ b/weir/process/interference/fleet_test.go
@@ -212,13 +212,13 @@
 	interference.Change
 }
 
-// planted is an effect on kind a beside kind b.
-func planted(factor float64) func(kind, beside string, at time.Duration) float64 {
-	return func(kind, beside string, _ time.Duration) float64 {
-		if kind == "a" && beside == "b" {
-			return factor
-		}
+// plantedFactor is the factor of run times of kind a beside kind b where a pair is planted.
+const plantedFactor = 1.8
 
-		return 1
+func planted(kind, beside string, _ time.Duration) float64 {
+	if kind == "a" && beside == "b" {
+		return plantedFactor
 	}
+
+	return 1
 }
--- a/weir/process/interference/model_test.go
+++ b/weir/process/interference/model_test.go
@@ -88,7 +88,7 @@
 	is := is.New(t)
 	f := usualFleet()
 	f.duration = 150 * time.Second
-	f.effect = planted(1.8)
+	f.effect = planted
 
 	others, found := seedsWithPair(t, f, 100, "a", "b")
 	t.Logf("found in %d of 100 seeds, others in %d", found, others)
@@ -100,7 +100,7 @@
 func TestFactorOfThePairIsLearned(t *testing.T) {
 	is := is.New(t)
 	f := usualFleet()
-	f.effect = planted(1.8)
+	f.effect = planted
 
 	m, _ := learned(f, 1)
 	pairs := m.Pairs()
@@ -174,7 +174,7 @@
 	f.duration = 300 * time.Second
 	f.effect = func(kind, beside string, at time.Duration) float64 {
 		if at < end {
-			return planted(1.8)(kind, beside, at)
+			return planted(kind, beside, at)
 		}
 
 		return 1
@@ -205,7 +205,7 @@
 func TestUnconfirmedPairIsDropped(t *testing.T) {
 	is := is.New(t)
 	f := usualFleet()
-	f.effect = planted(1.8)
+	f.effect = planted
 	m, _ := learned(f, 1)
 	is.Equal(len(m.Pairs()), 1)
 
@@ -234,7 +234,7 @@
 	is.Equal(m.Kinds(), interference.MaxKinds)
 
 	f := usualFleet()
-	f.effect = planted(1.8)
+	f.effect = planted
 
 	for _, o := range f.run(1) {
 		m.Observe(o.obs, o.at+time.Hour)
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -28,6 +28,8 @@
 	capacity int64
 	// slowness is the ratio of the measured run times to the expected ones.
 	slowness float64
+	// slowdown is a further ratio of run times, for this job.
+	slowdown float64
 	labels   []string
 	// placed is how many tasks of the job are there already, or may be.
 	placed int
@@ -42,7 +44,8 @@
 // capacity are in millicores. slowness is the ratio of its run times to the expected ones.
 func NewServer(id uint64, free job.Size, queued, capacity int64, slowness float64, labels []string) Server {
 	return Server{
-		id: id, free: free, queued: queued, capacity: max(1, capacity), slowness: max(minSlowness, slowness), labels: labels,
+		id: id, free: free, queued: queued, capacity: max(1, capacity), slowness: max(minSlowness, slowness), slowdown: 1,
+		labels: labels,
 	}
 }
 
@@ -53,6 +56,13 @@
 	return s
 }
 
+// WithSlowdown returns the server with a further ratio of run times, for this job at this server; 1 if it is unknown.
+func (s Server) WithSlowdown(factor float64) Server {
+	s.slowdown = max(minSlowness, factor)
+
+	return s
+}
+
 // WithPlaced returns the server with n tasks of the job that are there already, or may be.
 func (s Server) WithPlaced(n int) Server {
 	s.placed = n
@@ -85,6 +95,10 @@
 	maxRequestFactor = 2.5
 	// slowThreshold is the slowness from which a backend server is used only when the others are full.
 	slowThreshold = 2.0
+	// slowdownWeight is what a slowdown counts against free capacity, whose random order spans 1: with a factor of 1.25 the
+	// others with free capacity come first. Among full servers the slowdown does not count, since what runs there now may
+	// have ended when the job starts, and no job waits longer for it.
+	slowdownWeight = 4.0
 )
 
 // Demand is the tasks of a job that have to be placed.
@@ -187,6 +201,7 @@
 		// first.
 		s.score = math.Pow(random.Float64(), float64(max(1, d.size.Millicores()))/float64(max(1, s.free.Millicores())))
 		s.score -= 0.5 * (s.slowness - 1)
+		s.score -= slowdownWeight * (s.slowdown - 1)
 		s.score -= s.rankOffset()
 
 		if p := d.constraints.PreferredLabel(); p != "" && slices.Contains(s.labels, p) {
--- a/weir/process/jobplacement/choose_test.go
+++ b/weir/process/jobplacement/choose_test.go
@@ -176,6 +176,43 @@
 	}
 }
 
+// Guards against tasks beside a kind that slows them down while others have free capacity, and against leaving that capacity
+// unused or longer queues when the others are full.
+func TestSlowdownCountsWhereThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	source := random()
+
+	for range 100 {
+		servers := func() []jobplacement.Server {
+			return []jobplacement.Server{newServer(1, 10, 0, 1).WithSlowdown(1.3), newServer(2, 2, 0, 1)}
+		}
+		is.Equal(requestedTasks(jobplacement.Choose(newDemand(2, job.Constraints{}), servers(), source)), map[uint64]int{2: 2})
+		is.Equal(
+			requestedTasks(jobplacement.Choose(newDemand(6, job.Constraints{}), servers(), source)), map[uint64]int{1: 4, 2: 2})
+
+		full := []jobplacement.Server{newServer(1, 0, 1, 1).WithSlowdown(3), newServer(2, 0, 5, 1)}
+		is.True(requestedTasks(jobplacement.Choose(newDemand(1, job.Constraints{}), full, source))[1] > 0)
+	}
+}
+
+// Guards against decisions that change although no slowdown is known.
+func TestUnknownSlowdownChangesNothing(t *testing.T) {
+	is := is.New(t)
+	plain, other := random(), random()
+
+	for n := range 200 {
+		var servers, same []jobplacement.Server
+
+		for id := range uint64(6) {
+			s := newServer(id, int64(n%7)*int64(id%3), int64(id), 1+float64(id%4)/2)
+			servers, same = append(servers, s), append(same, s.WithSlowdown(1))
+		}
+
+		d := newDemand(1+n%9, job.Constraints{})
+		is.Equal(jobplacement.Choose(d, servers, plain), jobplacement.Choose(d, same, other))
+	}
+}
+
 // Guards against tasks that are placed at a server of last resort although others have free capacity, even slow ones or
 // ones without the preferred label.
 func TestLastResortIsUsedLast(t *testing.T) {
