Show pairs of kinds to operators and plant one in the emulator

Cause: operators have to see which kinds an entry keeps apart, and the effect has to be measurable without a fleet.

The emulator runs a load with a planted pair and the rule Separating.

--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -26,6 +26,7 @@
 	"github.com/skylarkweir/skylarkweir/entry/caller"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/process/interference"
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
@@ -46,6 +47,11 @@
 	Healthy() bool
 }
 
+// Pairs returns the pairs of kinds that are kept apart; *repeatable.Dispatcher implements it.
+type Pairs interface {
+	InterferingPairs() []interference.Pair
+}
+
 // Server serves the admin endpoints for operators.
 type Server struct {
 	self      *wire.Entry
@@ -58,6 +64,8 @@
 	readiness *Readiness
 	drain     func()
 	start     time.Time
+	// pairs is nil if there are none.
+	pairs Pairs
 }
 
 // NewServer returns a server that calls drain to start the graceful shutdown.
@@ -65,7 +73,14 @@
 	self *wire.Entry, replica *ledger.Replica, workers *fleet.Fleet, peers Peers, explainer Explainer, log LogHealth,
 	registry gometrics.Registry, readiness *Readiness, drain func(),
 ) *Server {
-	return &Server{self, replica, workers, peers, explainer, log, registry, readiness, drain, time.Now()}
+	return &Server{self, replica, workers, peers, explainer, log, registry, readiness, drain, time.Now(), nil}
+}
+
+// WithPairs makes the status contain the pairs of kinds that are kept apart.
+func (s *Server) WithPairs(p Pairs) *Server {
+	s.pairs = p
+
+	return s
 }
 
 // Handler returns the handler of the admin endpoints.
--- a/entry/operator/status.go
+++ b/entry/operator/status.go
@@ -7,6 +7,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/adminapi"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
@@ -30,9 +31,29 @@
 		out.Peers = append(out.Peers, entryOf(e))
 	}
 
+	out.InterferingPairs = s.interferingPairs()
+
 	writeJSON(w, http.StatusOK, out)
 }
 
+func (s *Server) interferingPairs() []adminapi.InterferingPair {
+	if s.pairs == nil {
+		return nil
+	}
+
+	pairs := s.pairs.InterferingPairs()
+	all := make([]adminapi.InterferingPair, 0, len(pairs))
+
+	for _, p := range pairs {
+		all = append(all, adminapi.InterferingPair{
+			Kind: p.Kind(), Beside: p.Beside(), Factor: p.Factor(), Score: p.Score(), Tasks: p.Tasks(),
+			AgeMS: (uptime.Now() - p.Since()).Milliseconds(),
+		})
+	}
+
+	return all
+}
+
 func entryOf(e *wire.Entry) adminapi.Entry {
 	return adminapi.Entry{
 		Name: e.GetName(), Incarnation: e.GetIncarnation(), Address: e.GetAddress(), FailureDomain: e.GetFailureDomain(),
--- a/entry/process/metrics.go
+++ b/entry/process/metrics.go
@@ -16,6 +16,8 @@
 		"weir_entry_bindings":           func() int64 { return int64(p.params.Replica.State().BindingCount()) },
 		"weir_entry_workers_connected":  func() int64 { return int64(len(p.params.Fleet.View().Workers())) },
 		"weir_entry_workers_registered": func() int64 { return int64(len(p.params.Replica.State().Workers())) },
+		"weir_entry_interference_pairs": func() int64 { return int64(len(p.params.Dispatcher.InterferingPairs())) },
+		"weir_entry_interference_kinds": func() int64 { return int64(p.params.Dispatcher.ModelledKinds()) },
 		"weir_entry_peers_connected":    func() int64 { return int64(len(p.params.Peers.Reached())) },
 	} {
 		_ = p.params.Registry.Register(name, gometrics.NewFunctionalGauge(value))
--- a/entry/process/settings.go
+++ b/entry/process/settings.go
@@ -44,6 +44,7 @@
 	RememberedJobs int               `json:"remembered_jobs" doc:"largest number of repeatable jobs whose outcomes are remembered, and of cancelled ones, each with up to 400 bytes" unit:"jobs" default:"8192" range:"1..1000000"`
 	EndedMemory    settings.Duration `json:"ended_job_memory" doc:"how long the outcome of a repeatable job is remembered; a copy of its submission gets it and runs nothing" default:"15s" range:"1s..10m"`
 	CancelMemory   settings.Duration `json:"cancelled_job_memory" doc:"how long a cancelled repeatable job is remembered; a copy of its submission runs nothing" default:"1m" range:"1s..10m"`
+	Interference   bool              `json:"separate_interfering_kinds" doc:"whether to learn which kinds of repeatable jobs slow each other down on one backend server, and to keep them apart where there is room" default:"false"`
 	DrainDelay     settings.Duration `json:"drain_delay" doc:"time between the end of readiness and the refusal of new submissions" default:"2s" range:"0s..1m"`
 	DrainLimit     settings.Duration `json:"drain_limit" doc:"longest wait for active submissions at shutdown" default:"150s" range:"0s..1h"`
 	EntryLostAfter settings.Duration `json:"entry_lost_after" doc:"time without contact after which another entry is removed from the log; choose it longer than outages of the network between regions" default:"2h" range:"1s..168h"`
@@ -161,6 +162,9 @@
 	return jobmemory.NewLimit(s.file.RememberedJobs, s.file.CancelMemory.Value())
 }
 
+// SeparateInterferingKinds reports whether kinds of repeatable jobs that slow each other down are kept apart.
+func (s Settings) SeparateInterferingKinds() bool { return s.file.Interference }
+
 // DrainDelay returns how long new submissions are accepted after the end of readiness.
 func (s Settings) DrainDelay() time.Duration { return s.file.DrainDelay.Value() }
 
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -25,6 +25,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
+	"github.com/skylarkweir/skylarkweir/weir/process/interference"
 	"github.com/skylarkweir/skylarkweir/weir/request/submission"
 	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
@@ -66,6 +67,10 @@
 				d := repeatable.NewDispatcher(&routes.Current{}, nil, log)
 				d.LimitMemory(s.EndedJobMemory(), s.CancelledJobMemory())
 
+				if s.SeparateInterferingKinds() {
+					d.SeparateKinds(&interference.Model{})
+				}
+
 				return d
 			},
 			func() *fleet.Fleet { return &fleet.Fleet{} },
@@ -242,7 +247,8 @@
 
 func newOperatorServer(
 	self *wire.Entry, replica *ledger.Replica, workers *fleet.Fleet, p *peer.Peers, r *caller.Router,
-	f *logservice.Follower, registry gometrics.Registry, readiness *operator.Readiness, s fx.Shutdowner,
+	f *logservice.Follower, registry gometrics.Registry, readiness *operator.Readiness, d *repeatable.Dispatcher,
+	s fx.Shutdowner,
 ) *operator.Server {
-	return operator.NewServer(self, replica, workers, p, r, f, registry, readiness, func() { _ = s.Shutdown() })
+	return operator.NewServer(self, replica, workers, p, r, f, registry, readiness, func() { _ = s.Shutdown() }).WithPairs(d)
 }
--- a/standin/emulator/load.go
+++ b/standin/emulator/load.go
@@ -70,6 +70,7 @@
 	// reportInterval is the interval at which sidecars report to entries.
 	reportInterval time.Duration
 	crashes        crashLoad
+	pair           pairLoad
 }
 
 // crashLoad is a share of the jobs of a kind that crash the backend servers that run them, during a part of the
--- a/standin/emulator/reservations.go
+++ b/standin/emulator/reservations.go
@@ -23,7 +23,7 @@
 		candidate := jobplacement.NewServer(
 			uint64(n), job.NewSize(max(0, r.freeCPU-e.requestedCPU[n]), 1<<20),
 			r.queuedAhead(sm.priority(j)), s.capacity.Millicores(), s.slowness, nil,
-		)
+		).WithSlowdown(e.slowdown(j, r))
 
 		if access == quarantine.LastResort {
 			candidate = candidate.AsLastResort()
--- a/standin/emulator/result.go
+++ b/standin/emulator/result.go
@@ -39,6 +39,8 @@
 	// cause is why a job was refused, empty for other endings; capacity is what was free for it then.
 	cause    string
 	capacity Capacity
+	// beside is true if a task ran beside the kind that slows it down, for at least half of its run time.
+	beside bool
 }
 
 // Kind returns the number of the job's kind, in the order of Result.Kinds.
@@ -102,6 +104,7 @@
 	kinds, largestTenth []KindResult
 	jobs                []JobResult
 	usage               []UsageSample
+	pairChanges         []PairChange
 }
 
 // Kinds returns the result of each kind.
@@ -123,6 +126,7 @@
 func (sm *simulation) result() Result {
 	r := Result{
 		kinds: make([]KindResult, len(sm.load.kinds)), largestTenth: make([]KindResult, len(sm.load.kinds)), usage: sm.usage,
+		pairChanges: sm.pairChanges,
 	}
 
 	for n, k := range sm.load.kinds {
@@ -148,7 +152,8 @@
 }
 
 func (j *activeJob) outcome() JobResult {
-	o := JobResult{kind: j.kind, arrivedAt: j.arrivedAt, ideal: slices.Max(j.runTimes), cause: j.cause, capacity: j.capacity}
+	o := JobResult{kind: j.kind, arrivedAt: j.arrivedAt, ideal: slices.Max(j.runTimes), cause: j.cause, capacity: j.capacity,
+		beside: j.beside}
 
 	if j.endedAt > 0 {
 		o.responseTime = j.endedAt - j.arrivedAt
--- a/standin/emulator/rule.go
+++ b/standin/emulator/rule.go
@@ -1,6 +1,6 @@
 package emulator
 
-// Rule is one of Product, Windowed, Unlimited, Unordered and Unconfined. Compare prints the names of these types.
+// Rule is one of Product, Windowed, Unlimited, Unordered, Unconfined and Separating. Compare prints the names of these types.
 type Rule interface{ rule() }
 
 // Product makes the decisions of the product unchanged.
@@ -19,6 +19,12 @@
 // Unconfined lets every kind use every backend server, whatever it crashes.
 type Unconfined struct{}
 
+// Separating learns which kinds slow each other down and keeps them apart where there is room, as the product does where
+// that is set.
+type Separating struct{}
+
+func (Separating) rule() {}
+
 func (Product) rule() {}
 
 func (Windowed) rule() {}
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
+	"github.com/skylarkweir/skylarkweir/weir/process/interference"
 	"github.com/skylarkweir/skylarkweir/weir/process/quarantine"
 	"github.com/skylarkweir/skylarkweir/weir/process/reservation"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
@@ -34,6 +35,8 @@
 	jobs      []*activeJob
 	// usage holds the used part of the fleet's CPU at each report.
 	usage []UsageSample
+	// pairChanges has the pairs of kinds that entries took up or dropped.
+	pairChanges []PairChange
 }
 
 type server struct {
@@ -54,10 +57,15 @@
 	runningCPU    [reservation.PriorityCount]int64
 	// launchedCPU is counted in the current window of 1 s, launchRate is the count of the last one.
 	launchedCPU, launchRate [reservation.PriorityCount]int64
+	// occupancy and sharing, the started tasks in order, are in use if the load has a pair.
+	occupancy interference.Occupancy
+	sharing   []*task
 }
 
 type task struct {
 	activeJob *activeJob
+	index     int
+	progress  progress
 	runTime   time.Duration
 	startedAt time.Duration
 	// deadly is true if the task crashes the backend servers that start it; crashes counts those that crashed under it.
@@ -73,6 +81,7 @@
 	freeCPU                int64
 	queuedCPU              []int64
 	runningCPU, launchRate [reservation.PriorityCount]int64
+	runningKinds           []string
 }
 
 type entry struct {
@@ -87,6 +96,8 @@
 	quarantine quarantine.Tracker
 	// zone holds the names of the backend servers to which kinds that crash others are confined.
 	zone map[string]bool
+	// pairs is what the entry has learned of interference, nil unless the rule is Separating.
+	pairs *interference.Model
 }
 
 type activeJob struct {
@@ -107,6 +118,8 @@
 	// failed is true once the job was given up because of a task that crashes backend servers.
 	failed  bool
 	endedAt time.Duration
+	// beside is true if a task of the job ran beside the kind that slows it down, for at least half of its run time.
+	beside bool
 }
 
 // isOver reports whether no more tasks of the job are placed.
@@ -130,6 +143,7 @@
 	for range l.entries {
 		sm.entries = append(sm.entries, &entry{
 			reports: make([]report, l.servers), requestedCPU: make([]int64, l.servers), connected: make([]bool, l.servers),
+			pairs: newPairs(r),
 		})
 	}
 
@@ -141,6 +155,7 @@
 	}
 
 	sm.schedule(0, sm.sendReports)
+	sm.advancePairs()
 
 	for sm.events.Len() > 0 && sm.now < l.duration+jobTimeout {
 		e := heap.Pop(&sm.events).(event)
@@ -196,7 +211,10 @@
 // sendReport sends a report from a sidecar to every entry.
 func (sm *simulation) sendReport(n int) {
 	s := sm.servers[n]
-	r := report{!s.accepting, s.closedSince, s.pool.Free().Millicores(), s.pool.QueuedCPU(), s.runningCPU, s.launchRate}
+	r := report{
+		!s.accepting, s.closedSince, s.pool.Free().Millicores(), s.pool.QueuedCPU(), s.runningCPU, s.launchRate,
+		s.occupancy.Running(),
+	}
 
 	sm.scheduleAfter(sm.load.messageDelay, func() {
 		for _, e := range sm.entries {
@@ -213,7 +231,7 @@
 	sm.jobs = append(sm.jobs, j)
 
 	for i, runTime := range a.runTimes {
-		j.pending = append(j.pending, &task{activeJob: j, runTime: runTime, deadly: a.deadly && i == 0})
+		j.pending = append(j.pending, &task{activeJob: j, index: i, runTime: runTime, deadly: a.deadly && i == 0})
 	}
 
 	maxWait := jobTimeout
@@ -337,7 +355,7 @@
 
 	runTime := time.Duration(float64(t.runTime) * s.slowness)
 
-	sm.scheduleAfter(runTime, func() {
+	sm.run(n, t, runTime, func(runTime time.Duration) {
 		if s.life != life {
 			return
 		}
--- a/weir/connection/adminapi/body.go
+++ b/weir/connection/adminapi/body.go
@@ -20,6 +20,20 @@
 	AgreementVersion int64    `json:"agreement_version"`
 	Workers          []Worker `json:"workers"`
 	Peers            []Entry  `json:"peers"`
+	// InterferingPairs has the pairs of kinds that the entry keeps apart.
+	InterferingPairs []InterferingPair `json:"interfering_pairs,omitempty"`
+}
+
+// InterferingPair is a kind whose tasks run longer beside tasks of another kind, as one entry has learned.
+type InterferingPair struct {
+	Kind   string `json:"kind"`
+	Beside string `json:"beside"`
+	// Factor is by how much longer they run, Score the estimate in standard errors, Tasks the number of tasks beside the other
+	// kind that it rests on.
+	Factor float64 `json:"factor"`
+	Score  float64 `json:"score"`
+	Tasks  int     `json:"tasks"`
+	AgeMS  int64   `json:"age_ms"`
 }
 
 // Entry is the identity of an entry as the log and its peers hold it.
--- a/weirctl/command/status.go
+++ b/weirctl/command/status.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/skylarkweir/skylarkweir/daemon/console"
 	"github.com/skylarkweir/skylarkweir/weir/connection/adminapi"
@@ -193,6 +194,26 @@
 	}
 
 	printTable(w, []string{"process", "queue of", "waiting"}, rows)
+	b.printPairs(w)
+}
+
+// printPairs prints the kinds that slow each other down, if there are any.
+func (b statusOutput) printPairs(w io.Writer) {
+	var rows [][]string
+
+	for _, e := range b.Entries {
+		for _, p := range e.InterferingPairs {
+			rows = append(rows, []string{
+				e.Entry.Name, p.Kind, p.Beside, strconv.FormatFloat(p.Factor, 'f', 2, 64), strconv.FormatFloat(p.Score, 'f', 1, 64),
+				strconv.Itoa(p.Tasks), (time.Duration(p.AgeMS) * time.Millisecond).Round(time.Second).String(),
+			})
+		}
+	}
+
+	if len(rows) > 0 {
+		fmt.Fprintln(w)
+		printTable(w, []string{"entry", "kind", "runs longer beside", "factor", "score", "tasks", "age"}, rows)
+	}
 }
 
 // workerState returns the first that applies of leaving, not registered, ejected and suspect, or else up.
