A request for another size releases the reservations of the earlier one

Cause: the reservations of a key are released with one size, that of its last request. An entry that requests tasks of another size for the same job while it holds reservations leaves capacity allocated for good. Entries request one size for each job, so only a faulty peer does this.

Change: Pool.Add releases the reservations of the key if their size differs.

--- a/weir/process/reservation/pool.go
+++ b/weir/process/reservation/pool.go
@@ -151,10 +151,15 @@
 // HasRequests reports whether any request is queued.
 func (p *Pool) HasRequests() bool { return len(p.requests) > 0 }
 
-// Add queues a request. It replaces a request with the same key.
+// Add queues a request. It replaces a request with the same key. The reservations of a key have one size, so a request for
+// another size releases those of the earlier one.
 func (p *Pool) Add(r Request) {
 	p.drop(r.key)
 
+	if h, ok := p.reserved[r.key]; ok && h.size != r.size {
+		p.Release(r.key)
+	}
+
 	if r.tasks <= 0 {
 		return
 	}
--- a/weir/process/reservation/pool_test.go
+++ b/weir/process/reservation/pool_test.go
@@ -307,3 +307,19 @@
 
 	is.Equal(p.Free(), p.Capacity())
 }
+
+// Guards against capacity that is never free again: a key that holds reservations requests others of another size, and all
+// of them are released with the size of the last ones.
+func TestRequestOfAnotherSizeLeavesNothingReserved(t *testing.T) {
+	is := is.New(t)
+	p := newPool(10)
+
+	for _, memory := range []int64{500, 300, 0} {
+		p.Add(reservation.NewRequest(
+			reservation.NewKey(1, 1), 1, job.NewSize(core, memory), 0, 0, noExpiry, shortRunTime, 1))
+		is.Equal(grantedTasks(p.Allocate(time.Second)), map[uint64]int{1: 1})
+	}
+
+	p.ReleaseSession(1)
+	is.Equal(p.Free(), p.Capacity())
+}
