Log events of interference are literals

Cause: TestEventsPage compares events.md with the literals of log calls, and failed since the names of the two events were chosen by a variable.

Change: one log call for each event.

Measured: the tests of standin/pages pass with -race, and so do those of interference in entry/repeatable.

--- a/entry/repeatable/interference.go
+++ b/entry/repeatable/interference.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/interference"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -78,14 +80,19 @@
 	}
 
 	for _, c := range d.interference.Advance(now) {
-		event, message := "interference_dropped", "a pair of kinds is no longer kept apart"
 		if c.Added() {
-			event, message = "interference_found", "tasks of a kind run longer beside another kind; they are kept apart where there is room"
+			describePair(d.log.Info().Str("event", "interference_found"), c, now).
+				Msg("tasks of a kind run longer beside another kind; they are kept apart where there is room")
+		} else {
+			describePair(d.log.Info().Str("event", "interference_dropped"), c, now).
+				Msg("a pair of kinds is no longer kept apart")
 		}
-
-		p := c.Pair()
-		d.log.Info().Str("event", event).Str("kind", p.Kind()).Str("beside", p.Beside()).Str("reason", string(c.Reason())).
-			Float64("factor", p.Factor()).Float64("score", p.Score()).Int("tasks", p.Tasks()).Dur("in_force", now-p.Since()).
-			Msg(message)
 	}
 }
+
+func describePair(line *zerolog.Event, c interference.Change, now time.Duration) *zerolog.Event {
+	p := c.Pair()
+
+	return line.Str("kind", p.Kind()).Str("beside", p.Beside()).Str("reason", string(c.Reason())).
+		Float64("factor", p.Factor()).Float64("score", p.Score()).Int("tasks", p.Tasks()).Dur("in_force", now-p.Since())
+}
