--- a/entry/repeatable/metrics.go
+++ b/entry/repeatable/metrics.go
@@ -27,6 +27,8 @@
 		"jobs_cancelled":     func() int64 { return int64(d.cancelled.known.Len()) },
 		"evacuated_domains":  func() int64 { return int64(d.evacuations.Value().Len()) },
 		"evacuation_age_ms":  func() int64 { return d.evacuations.Age(uptime.Now()).Milliseconds() },
+		"interference_pairs": func() int64 { return int64(d.interference.PairCount()) },
+		"interference_kinds": func() int64 { return int64(d.interference.Kinds()) },
 		"routes_version":     func() int64 { return int64(d.routes.Version()) },
 		"routes_age_ms":      func() int64 { return d.routes.SinceConfirmation(uptime.Now()).Milliseconds() },
 	} {
--- a/sidecar/repeatable/report.go
+++ b/sidecar/repeatable/report.go
@@ -43,6 +43,7 @@
 		SharePermille:   w.sessionShare,
 		UsablePermille:  w.usablePermille(),
 		ServicesVersion: w.warmUp.reportedVersion(),
+		RunningKinds:    w.neighbours.runningKinds(),
 	}
 
 	if w.incarnation != nil {
