Callers of our own entry draw from a budget, and small bodies have memory of their own

Cause: our own front end had no bound for connections and bodies; 200 callers at each path took it to 195 MB and 1218 descriptors. Change: the entry's callers and its operators' interface use weir/connection/callerlimit, with the settings caller_connections and caller_memory. Announcements without memory are answered with 503.

--- a/entry/caller/decode_test.go
+++ b/entry/caller/decode_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/base64"
 	"encoding/json"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -132,3 +133,35 @@
 		}
 	})
 }
+
+const (
+	// A body may allocate a fixed amount, an amount for each of its tasks, and an amount for each of its bytes, garbage included.
+	fixedBytes, taskBytes, allocatedMultiple = 64 << 10, 4 << 10, 16
+	maxDecodedTasks                          = 1000
+)
+
+// Guards against bodies of legal size that need many times their size in memory.
+func FuzzDecodeMemory(f *testing.F) {
+	const legalBytes = 256 << 10
+
+	for _, field := range []string{`{"input":""},`, `{},`, `0,`} {
+		f.Add([]byte(`{"kind":"k","tasks":[` + strings.Repeat(field, legalBytes/len(field)) + `{"input":""}]}`))
+	}
+
+	f.Add([]byte(`{"kind":"k","tasks":[{"input":"` + strings.Repeat("A", legalBytes) + `"}]}`))
+	f.Add([]byte(`{"a":` + strings.Repeat(`[`, legalBytes)))
+	f.Add([]byte(`{` + strings.Repeat(`"wait":true,`, legalBytes/12)))
+
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var before, after runtime.MemStats
+
+		runtime.ReadMemStats(&before)
+		_, _ = caller.DecodeBody("job", data, maxDecodedTasks)
+		runtime.ReadMemStats(&after)
+
+		n := after.TotalAlloc - before.TotalAlloc
+		if n > fixedBytes+maxDecodedTasks*taskBytes+allocatedMultiple*uint64(len(data)) {
+			t.Fatalf("%d bytes allocated for a body of %d", n, len(data))
+		}
+	})
+}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/gorilla/mux"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/skylarkweir/skylarkweir/weir/connection/callerlimit"
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
@@ -27,8 +28,10 @@
 	bodyTimeout = 30 * time.Second
 	// firstReadyTimeout is how long the first requests wait for a new entry to become ready.
 	firstReadyTimeout = 2 * time.Second
-	keyHeader         = "Idempotency-Key"
-	uuidLength        = 36
+	// memoryRetryAfter is the retry time of requests for whose body there was no memory.
+	memoryRetryAfter = time.Second
+	keyHeader        = "Idempotency-Key"
+	uuidLength       = 36
 )
 
 // Binder binds UUIDs that callers choose as idempotency keys to tickets.
@@ -204,6 +207,10 @@
 		return nil, fault.New(fault.TooLarge, "the body has more than %d bytes", s.maxBody)
 	}
 
+	if errors.Is(err, callerlimit.ErrNoMemory) {
+		return nil, fault.WithRetryAfter(fault.Wrap(fault.Overloaded, err, "read the body"), memoryRetryAfter)
+	}
+
 	if err != nil {
 		return nil, fault.Wrap(fault.InvalidRequest, err, "read the body")
 	}
@@ -248,6 +255,7 @@
 		}
 
 		b, err := s.local.Decode(r.Context(), form, data)
+		_ = r.Body.Close() // the decoder needs no more memory
 		if err != nil {
 			return Refuse(withEarlierTries(r, err), "")
 		}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -25,6 +25,7 @@
 	"github.com/skylarkweir/skylarkweir/entry/repeatable"
 	"github.com/skylarkweir/skylarkweir/entry/sidecar"
 	"github.com/skylarkweir/skylarkweir/weir/connection/adminapi"
+	"github.com/skylarkweir/skylarkweir/weir/connection/callerlimit"
 	"github.com/skylarkweir/skylarkweir/weir/connection/logservice"
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
@@ -41,6 +42,11 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long an idle connection of a caller is kept.
 	idleTimeout = 2 * time.Minute
+	// adminConnections and adminMemory limit the connections to the admin API and the memory, in bytes, for bodies there. Only
+	// operators and load balancers use it.
+	adminConnections, adminMemory = 64, 1 << 20
+	// bodyMultiple is the memory that the decoder needs for each byte of a body.
+	bodyMultiple = 8
 	// helloTimeout bounds how long a new connection may take to open its control stream, and then to send its first
 	// frame.
 	helloTimeout = 2 * time.Second
@@ -58,7 +64,9 @@
 type Process struct {
 	params params
 
-	callers, admin         *http.Server
+	callers, admin *http.Server
+	// callersGate and adminGate limit the callers of the two servers.
+	callersGate, adminGate *callerlimit.Gate
 	callersAddr, adminAddr net.Addr
 	// cancel ends the background loops.
 	cancel context.CancelFunc
@@ -103,6 +111,22 @@
 // Address returns the address at which other processes reach this entry.
 func (p *Process) Address() string { return p.params.Self.GetAddress() }
 
+// newGate returns the gate of a server.
+func (p *Process) newGate(server string, l callerlimit.Limits) *callerlimit.Gate {
+	m := callerlimit.NewMetrics(p.params.Registry, server,
+		"weir_entry_caller_connections", "weir_entry_caller_body_bytes", "weir_entry_caller_refusals_total")
+
+	return callerlimit.NewGate(server, l, m, p.params.Log)
+}
+
+// newServer returns the server of a gate.
+func newServer(g *callerlimit.Gate, h http.Handler) *http.Server {
+	s := g.Server(h)
+	s.ReadHeaderTimeout, s.IdleTimeout = headerTimeout, idleTimeout
+
+	return s
+}
+
 func (p *Process) start(ctx context.Context) error {
 	f := p.params.Settings.file
 
@@ -124,12 +148,10 @@
 	}
 
 	p.callersAddr, p.adminAddr = callerListener.Addr(), adminListener.Addr()
-	p.callers = &http.Server{
-		Handler: p.params.Callers.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
-	p.admin = &http.Server{
-		Handler: guard.Wrap(p.params.Operator.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
+	p.callersGate = p.newGate("callers", f.callerLimits())
+	p.adminGate = p.newGate("admin", callerlimit.NewLimits(adminConnections, adminMemory))
+	p.callers = newServer(p.callersGate, p.params.Callers.Handler())
+	p.admin = newServer(p.adminGate, guard.Wrap(p.params.Operator.Handler()))
 
 	// The loops run until the shutdown, so they must not end with the start's context.
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -141,13 +163,13 @@
 	for _, loop := range []func(context.Context){
 		p.params.Follower.Run, p.params.Appender.Run, p.params.Table.Run, p.params.Peers.Run, p.detectWorkerLoss,
 		p.acceptConnections, p.keepRegistered, p.params.EntryLossDetector.Run, p.params.Readiness.Run,
-		p.params.Dispatcher.Run,
+		p.params.Dispatcher.Run, p.callersGate.Run, p.adminGate.Run,
 	} {
 		p.group.Go(func() { loop(loopCtx) })
 	}
 
-	p.group.Go(func() { p.serve(p.callers, callerListener) })
-	p.group.Go(func() { p.serve(p.admin, adminListener) })
+	p.group.Go(func() { p.serve(p.callers, p.callersGate.Listener(callerListener)) })
+	p.group.Go(func() { p.serve(p.admin, p.adminGate.Listener(adminListener)) })
 
 	p.params.Log.Info().Str("event", "listening").Str("callers", p.CallersAddress()).Str("admin", p.AdminAddress()).
 		Str("quic", p.Address()).Uint64("incarnation", p.params.Self.GetIncarnation()).Msg("the entry is listening")
--- a/entry/process/settings.go
+++ b/entry/process/settings.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/skylarkweir/skylarkweir/weir/connection/callerlimit"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/process/settings"
 	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
@@ -38,6 +39,8 @@
 	Connections    int               `json:"connections" doc:"sidecar connections" unit:"connections" default:"64" range:"1..4096"`
 	MaxTasks       int               `json:"max_tasks" doc:"largest number of tasks of a job" unit:"tasks" default:"1000" range:"1..100000"`
 	MaxBody        settings.Bytes    `json:"max_body" doc:"largest body of a request" default:"32MB" range:"1KB..60MB"`
+	CallerConns    int               `json:"caller_connections" doc:"largest number of callers' connections; while it is reached, connections that stall are closed for those that wait" unit:"connections" default:"4096" range:"8..1000000"`
+	CallerMemory   settings.Bytes    `json:"caller_memory" doc:"memory for callers' bodies until they are decoded, 8 bytes for each byte of a body; while it is used up, bodies that stall are given up for those that wait" default:"512MB" range:"1MB..64GB"`
 	QueueTasks     int               `json:"queue_tasks" doc:"largest number of tasks in the queue" unit:"tasks" default:"20000" range:"1..1000000"`
 	Submissions    int               `json:"submissions" doc:"largest number of submissions held" unit:"submissions" default:"200000" range:"1..10000000"`
 	AnswerMemory   settings.Bytes    `json:"answer_memory" doc:"memory for inputs and answers" default:"96MB" range:"1MB..64GB"`
@@ -84,6 +87,13 @@
 	return nil
 }
 
+// callerLimits returns the limits of callers.
+func (f *file) callerLimits() callerlimit.Limits {
+	return callerlimit.NewLimits(f.CallerConns, f.CallerMemory.Value()).
+		WithBodyBytes(f.MaxBody.Value).
+		WithMultiple(bodyMultiple)
+}
+
 // Settings are the validated settings of an entry.
 type Settings struct{ file file }
 
--- a/weir/connection/callerlimit/body.go
+++ b/weir/connection/callerlimit/body.go
@@ -1,19 +1,13 @@
 package callerlimit
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
-	"time"
 )
 
-const (
-	// firstReservation is the part of a body for which memory is reserved at first; the rest follows when it has arrived.
-	firstReservation = 16 << 10
-	// memoryTimeout is how long a body waits for memory before it is refused.
-	memoryTimeout = time.Second
-)
+// firstReservation is the part of a body, in bytes, for which memory is reserved at first; the rest follows when it has arrived.
+const firstReservation = 4 << 10
 
 // ErrNoMemory is the error of a body for which there was no memory. The caller may try again; nothing of the request was read.
 var ErrNoMemory = errors.New("no memory for the body at present")
@@ -36,9 +30,11 @@
 			return
 		}
 
-		b := &body{gate: g, connection: c, source: r.Body, length: r.ContentLength, limit: g.limits.BodyBytes()}
+		b := &body{
+			gate: g, connection: c, header: w.Header(), source: r.Body, length: r.ContentLength, limit: g.limits.BodyBytes(),
+			small: reservation{pool: g.small}, large: reservation{pool: g.large},
+		}
 		v := &writer{ResponseWriter: w, body: b}
-		b.header = w.Header()
 
 		defer b.release()
 
@@ -87,9 +83,11 @@
 	source     io.ReadCloser
 	// length is the announced length, negative if it is not known. limit is the largest length.
 	length, limit int64
-	// read counts the bytes that were read, reserved those for which memory is reserved, and cost is that memory.
-	read, reserved, cost int64
-	complete             bool
+	// read counts the bytes that were read, reserved those for which memory is reserved.
+	read, reserved int64
+	// small and large are the memory for the first part of the body and for the rest.
+	small, large reservation
+	complete     bool
 }
 
 // Read reads a part of the body. It returns http.MaxBytesError for a body over the limit, without reading one whose length is
@@ -147,9 +145,9 @@
 
 // reserve reserves memory for the next part of the body: for the rest if its length is known, otherwise for as much again.
 func (b *body) reserve() error {
-	next := int64(firstReservation)
+	next, part := int64(firstReservation), &b.small
 	if b.reserved > 0 {
-		next = 2 * b.reserved
+		next, part = 2*b.reserved, &b.large
 		if b.length >= 0 {
 			next = b.length
 		}
@@ -161,68 +159,64 @@
 
 	// A body of one byte more is over the limit.
 	next = max(b.read+1, min(next, b.limit+1))
-	cost := b.gate.limits.cost(next)
 
-	if err := b.gate.acquire(b.connection, cost-b.cost); err != nil {
+	if err := part.raise(b, next-b.before(part)); err != nil {
 		return err
 	}
 
-	b.reserved, b.cost = next, cost
-	b.connection.reserved.Store(cost)
+	b.reserved = next
+	b.connection.reserved.Store(b.small.cost + b.large.cost)
 
 	return nil
 }
 
-// reduce returns all but n bytes of the memory.
-func (b *body) reduce(n int64) {
-	if b.cost <= n {
-		return
+// before returns how many bytes of the body precede those for which memory is reserved in a part.
+func (b *body) before(part *reservation) int64 {
+	if part == &b.large {
+		return min(b.reserved, firstReservation)
 	}
 
-	b.gate.releaseMemory(b.cost - n)
-	b.cost = n
-	b.connection.reserved.Store(n)
+	return 0
 }
 
-func (b *body) release() { b.reduce(0) }
-
-// acquire takes n bytes from the budget. While it is used up, bodies that have stalled lose theirs.
-func (g *Gate) acquire(c *connection, n int64) error {
-	if g.memory == nil || n <= 0 || g.memory.TryAcquire(n) {
-		g.metrics.addMemory(n)
+// reservation is the memory that a body has of a pool.
+type reservation struct {
+	pool *pool
+	cost int64
+}
 
+// raise raises the reservation to that for n bytes of the body.
+func (r *reservation) raise(b *body, n int64) error {
+	more := r.pool.cost(n, b.gate.limits.multipleOrDefault()) - r.cost
+	if more <= 0 {
 		return nil
 	}
 
-	c.waiting.Store(true)
-
-	defer func() {
-		c.enter(readingBody)
-		c.waiting.Store(false)
-	}()
-
-	for deadline := time.Now().Add(memoryTimeout); time.Now().Before(deadline); {
-		g.closeStalled(reasonMemory, true)
-
-		ctx, cancel := context.WithTimeout(context.Background(), minStall)
-		err := g.memory.Acquire(ctx, n)
-
-		cancel()
-
-		if err == nil {
-			g.metrics.addMemory(n)
-
-			return nil
-		}
+	err := r.pool.acquire(more, b.connection, func() { b.gate.closeStalled(reasonMemory, true) })
+	if err == nil {
+		r.cost += more
+		b.gate.metrics.addMemory(more)
 	}
 
-	return ErrNoMemory
+	return err
 }
 
-func (g *Gate) releaseMemory(n int64) {
-	if g.memory != nil {
-		g.memory.Release(n)
+// lower returns all but n bytes of the memory.
+func (r *reservation) lower(b *body, n int64) {
+	if r.cost <= n {
+		return
 	}
 
-	g.metrics.addMemory(-n)
+	r.pool.release(r.cost - n)
+	b.gate.metrics.addMemory(n - r.cost)
+	r.cost = n
 }
+
+// reduce returns all but n bytes of the memory.
+func (b *body) reduce(n int64) {
+	b.large.lower(b, max(0, n-b.small.cost))
+	b.small.lower(b, min(n, b.small.cost))
+	b.connection.reserved.Store(b.small.cost + b.large.cost)
+}
+
+func (b *body) release() { b.reduce(0) }
--- a/weir/connection/callerlimit/gate.go
+++ b/weir/connection/callerlimit/gate.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 )
 
 // checkInterval is the time between two looks for connections that are overdue.
@@ -25,8 +24,8 @@
 	limits  Limits
 	metrics *Metrics
 	events  events
-	// memory is the budget of bodies, nil without a limit.
-	memory *semaphore.Weighted
+	// small and large are the memory for the first part of each body and for the rest, nil without a limit.
+	small, large *pool
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
@@ -40,9 +39,9 @@
 		limits: l, metrics: m, events: events{name: name, log: log}, connections: map[*connection]struct{}{},
 		freed: make(chan struct{}, 1),
 	}
-	if l.memory > 0 {
-		g.memory = semaphore.NewWeighted(l.memory)
-	}
+
+	small := int64(float64(l.memory) * smallShare)
+	g.small, g.large = newPool(small, l.connections), newPool(l.memory-small, l.connections)
 
 	m.register(g)
 
--- a/weir/connection/callerlimit/limits.go
+++ b/weir/connection/callerlimit/limits.go
@@ -102,12 +102,10 @@
 	return defaultBodyBytes
 }
 
-// cost returns the memory for n bytes of a body. No body costs more than the whole budget, so that each can be read alone.
-func (l Limits) cost(n int64) int64 {
-	multiple := l.multiple
-	if multiple <= 0 {
-		multiple = defaultMultiple
+func (l Limits) multipleOrDefault() int64 {
+	if l.multiple > 0 {
+		return l.multiple
 	}
 
-	return min(n*multiple, l.memory)
+	return defaultMultiple
 }
