--- a/weir/connection/callerlimit/gate_test.go
+++ b/weir/connection/callerlimit/gate_test.go
@@ -176,6 +176,40 @@
 	is.True(f.gauge("bytes") <= 400_000)
 }
 
+// Guards against limits of the smallest machine that callers inside the documented limits meet: hundreds of connections whose jobs
+// run, and bodies of the largest size.
+func TestLegalCallersMeetNoLimit(t *testing.T) {
+	const jobs, jobBytes, largeBodies, largeBytes = 400, 3000, 3, 256 << 10
+
+	is := is.New(t)
+	f := newFixture(t, callerlimit.ForMachine(144<<20, 3075, 0.5), io.Discard)
+
+	var all []net.Conn
+
+	for range jobs {
+		all = append(all, f.open(request("/wait", jobBytes, strings.Repeat("x", jobBytes))))
+	}
+
+	for range largeBodies {
+		all = append(all, f.open(request("/wait", largeBytes, strings.Repeat("x", largeBytes))))
+	}
+
+	for f.read.Load() < jobs*jobBytes+largeBodies*largeBytes {
+		time.Sleep(time.Millisecond)
+		is.NoErr(t.Context().Err())
+	}
+
+	close(f.release)
+
+	for _, c := range all {
+		is.Equal(f.status(c), http.StatusOK)
+	}
+
+	for _, reason := range []string{"connections", "memory", "body", "overdue"} {
+		is.Equal(f.registry.Get(`refusals_total{server="test",reason="`+reason+`"}`), nil)
+	}
+}
+
 // BenchmarkRequest compares the processor time of a small request with and without limits, in one run.
 func BenchmarkRequest(b *testing.B) {
 	for name, l := range map[string]callerlimit.Limits{
