--- a/entry/process/settings.go
+++ b/entry/process/settings.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/skylarkweir/skylarkweir/weir/connection/callerlimit"
 	"github.com/skylarkweir/skylarkweir/weir/process/jobmemory"
 	"github.com/skylarkweir/skylarkweir/weir/process/settings"
 	"github.com/skylarkweir/skylarkweir/weir/request/ticket"
@@ -38,12 +39,15 @@
 	Connections    int               `json:"connections" doc:"sidecar connections" unit:"connections" default:"64" range:"1..4096"`
 	MaxTasks       int               `json:"max_tasks" doc:"largest number of tasks of a job" unit:"tasks" default:"1000" range:"1..100000"`
 	MaxBody        settings.Bytes    `json:"max_body" doc:"largest body of a request" default:"32MB" range:"1KB..60MB"`
+	CallerConns    int               `json:"caller_connections" doc:"largest number of callers' connections; while it is reached, connections that stall are closed for those that wait" unit:"connections" default:"4096" range:"8..1000000"`
+	CallerMemory   settings.Bytes    `json:"caller_memory" doc:"memory for callers' bodies until they are decoded, 8 bytes for each byte of a body; while it is used up, bodies that stall are given up for those that wait" default:"512MB" range:"1MB..64GB"`
 	QueueTasks     int               `json:"queue_tasks" doc:"largest number of tasks in the queue" unit:"tasks" default:"20000" range:"1..1000000"`
 	Submissions    int               `json:"submissions" doc:"largest number of submissions held" unit:"submissions" default:"200000" range:"1..10000000"`
 	AnswerMemory   settings.Bytes    `json:"answer_memory" doc:"memory for inputs and answers" default:"96MB" range:"1MB..64GB"`
 	RememberedJobs int               `json:"remembered_jobs" doc:"largest number of repeatable jobs whose outcomes are remembered, and of cancelled ones, each with up to 400 bytes" unit:"jobs" default:"8192" range:"1..1000000"`
 	EndedMemory    settings.Duration `json:"ended_job_memory" doc:"how long the outcome of a repeatable job is remembered; a copy of its submission gets it and runs nothing" default:"15s" range:"1s..10m"`
 	CancelMemory   settings.Duration `json:"cancelled_job_memory" doc:"how long a cancelled repeatable job is remembered; a copy of its submission runs nothing" default:"1m" range:"1s..10m"`
+	Interference   bool              `json:"separate_interfering_kinds" doc:"whether to learn which kinds of repeatable jobs slow each other down on one backend server, and to keep them apart where there is room" default:"false"`
 	DrainDelay     settings.Duration `json:"drain_delay" doc:"time between the end of readiness and the refusal of new submissions" default:"2s" range:"0s..1m"`
 	DrainLimit     settings.Duration `json:"drain_limit" doc:"longest wait for active submissions at shutdown" default:"150s" range:"0s..1h"`
 	EntryLostAfter settings.Duration `json:"entry_lost_after" doc:"time without contact after which another entry is removed from the log; choose it longer than outages of the network between regions" default:"2h" range:"1s..168h"`
@@ -84,6 +88,13 @@
 	return nil
 }
 
+// callerLimits returns the limits of callers.
+func (f *file) callerLimits() callerlimit.Limits {
+	return callerlimit.NewLimits(f.CallerConns, f.CallerMemory.Value()).
+		WithBodyBytes(f.MaxBody.Value).
+		WithMultiple(bodyMultiple)
+}
+
 // Settings are the validated settings of an entry.
 type Settings struct{ file file }
 
@@ -161,6 +172,9 @@
 	return jobmemory.NewLimit(s.file.RememberedJobs, s.file.CancelMemory.Value())
 }
 
+// SeparateInterferingKinds reports whether kinds of repeatable jobs that slow each other down are kept apart.
+func (s Settings) SeparateInterferingKinds() bool { return s.file.Interference }
+
 // DrainDelay returns how long new submissions are accepted after the end of readiness.
 func (s Settings) DrainDelay() time.Duration { return s.file.DrainDelay.Value() }
 
--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -186,6 +186,7 @@
 				Kind:          a.job.Policy().Kind(),
 				MaxPerServer:  uint32(a.job.Constraints().MaxTasksPerServer()),
 				RequiredLabel: a.job.Constraints().RequiredLabel(), AllowedRegions: a.job.Policy().Regions(),
+				WantsNeighbours: d.interference != nil,
 			}.Build()}.Build())
 		}
 
@@ -348,6 +349,7 @@
 	case wire.Result_RESULT_DONE:
 		p.done = true
 		a.dispatcher.learnRunTime(a, int(index), s, run, uptime.Now())
+		a.observeInterference(s, m, uptime.Now())
 		a.dispatcher.releaseRate.Observe(a.job.Policy().Priority(), run)
 
 		if run > a.slowestRun {
--- a/sidecar/repeatable/worker.go
+++ b/sidecar/repeatable/worker.go
@@ -56,6 +56,7 @@
 	leaving     bool
 	stats       ejection.Statistics
 	launchRates launchMeter
+	neighbours  neighbourRecorder
 	// slowness is that of the incarnation of the backend server.
 	slowness runtimes.Slowness
 	// save is called with the announcement of each incarnation once that has answered, with one that changes its drain state,
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -28,7 +28,7 @@
 	capacity int64
 	// slowness is the ratio of the measured run times to the expected ones.
 	slowness float64
-	// slowdown is a further ratio of the run times of the job at this server to the expected ones, 1 if unknown.
+	// slowdown is a further ratio of run times, for this job.
 	slowdown float64
 	// usual is the learned ratio of the run times, 1 if nothing was learned; learned is true if something was.
 	usual   float64
@@ -40,11 +40,9 @@
 	lastResort bool
 	// freeTasks is how many tasks of the job may start there at once.
 	freeTasks int
-	// rank separates the servers that are used only when those of a lower rank are full.
-	rank, score float64
-	// late and step are set by orderByEnd.
-	late bool
-	step float64
+	score     float64
+	// end is set by orderByEnd.
+	end expectedEnd
 }
 
 // NewServer returns a backend server. queued is the CPU of requests that are at least as urgent as the job; it and
@@ -56,22 +54,16 @@
 	}
 }
 
-// WithSlowdown returns the server with a further ratio of the run times of the job there to the expected ones, 1 if it is
-// unknown. Ratios of several calls multiply. A factor that is not positive is ignored.
-func (s Server) WithSlowdown(factor float64) Server {
-	if factor > 0 {
-		s.slowdown *= factor
-	}
+// AsLastResort returns the server as one that is used only when the others are full.
+func (s Server) AsLastResort() Server {
+	s.lastResort = true
 
 	return s
 }
 
-// runRatio returns the ratio of the expected run time of the job at the server to its usual one.
-func (s Server) runRatio() float64 { return max(minSlowness, s.slowness*s.slowdown) }
-
-// AsLastResort returns the server as one that is used only when the others are full.
-func (s Server) AsLastResort() Server {
-	s.lastResort = true
+// WithSlowdown returns the server with a further ratio of run times, for this job at this server; 1 if it is unknown.
+func (s Server) WithSlowdown(factor float64) Server {
+	s.slowdown = max(minSlowness, factor)
 
 	return s
 }
@@ -87,7 +79,7 @@
 func (s Server) rankOffset() float64 {
 	offset := 0.0
 
-	if s.runRatio() >= slowThreshold*s.usual {
+	if s.slowness >= slowThreshold*s.usual {
 		offset += 10
 	}
 
@@ -106,8 +98,14 @@
 	doubleRequestRunTime = 60 * time.Millisecond
 	// maxRequestFactor limits the reservations requested per task without free capacity.
 	maxRequestFactor = 2.5
+	// preferredOffset puts the servers with the preferred label first, unless they are of last resort.
+	preferredOffset = 20
 	// slowThreshold is the slowness from which a backend server is used only when the others are full.
 	slowThreshold = 2.0
+	// slowdownWeight is what a slowdown counts against free capacity, whose random order spans 1: with a factor of 1.25 the
+	// others with free capacity come first. Among full servers the slowdown does not count, since what runs there now may
+	// have ended when the job starts, and no job waits longer for it.
+	slowdownWeight = 4.0
 )
 
 // Demand is the tasks of a job that have to be placed.
@@ -202,6 +200,13 @@
 	})
 }
 
+// prefers reports whether the backend server has the label that the job prefers.
+func (d Demand) prefers(s Server) bool {
+	p := d.constraints.PreferredLabel()
+
+	return p != "" && slices.Contains(s.labels, p)
+}
+
 // maxTasksAt returns how many more tasks of the job may go to a backend server.
 func (d Demand) maxTasksAt(s Server) int {
 	if limit := d.constraints.MaxTasksPerServer(); limit > 0 {
@@ -220,19 +225,20 @@
 		// the same backend servers. The offsets below rank slow backend servers last and those with the preferred label
 		// first.
 		s.score = math.Pow(random.Float64(), float64(max(1, d.size.Millicores()))/float64(max(1, s.free.Millicores())))
-		s.rank = s.rankOffset()
+		s.end.draw = s.score
+		s.score -= 0.5 * (s.slowness - 1)
+		s.score -= slowdownWeight * (s.slowdown - 1)
+		s.score -= s.rankOffset()
 
-		if p := d.constraints.PreferredLabel(); p != "" && slices.Contains(s.labels, p) {
-			s.rank -= 20
+		if d.prefers(*s) {
+			s.score += preferredOffset
 		}
 	}
 
 	if isUneven(servers) {
 		d.orderByEnd(servers)
 	} else {
-		slices.SortFunc(servers, func(a, b Server) int {
-			return cmp.Compare(b.score-0.5*(b.runRatio()-1)-b.rank, a.score-0.5*(a.runRatio()-1)-a.rank)
-		})
+		slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(b.score, a.score) })
 	}
 
 	remaining := d.tasks
@@ -261,7 +267,7 @@
 
 	for i := range servers {
 		s := &servers[i]
-		s.score = (float64(s.queued)/float64(s.capacity)+further)*s.runRatio() + 0.05*random.Float64() + s.rankOffset()
+		s.score = (float64(s.queued)/float64(s.capacity)+further)*s.slowness + 0.05*random.Float64() + s.rankOffset()
 	}
 
 	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.score, b.score) })
--- a/weir/process/jobplacement/uneven.go
+++ b/weir/process/jobplacement/uneven.go
@@ -41,26 +41,43 @@
 	return slices.ContainsFunc(servers, func(s Server) bool { return s.learned })
 }
 
+// expectedEnd says when tasks of a job would end at a server.
+type expectedEnd struct {
+	// rank separates the servers that are used only when those of a lower rank are full.
+	rank float64
+	// late is true if the tasks would end after the objective.
+	late bool
+	// step is the logarithm of the run time, in units of endStep.
+	step float64
+	// draw is the random order weighted by free capacity.
+	draw float64
+}
+
 // orderByEnd orders servers by their rank, whether the tasks would be late there, and their expected end. Servers with the
 // same end keep the random order.
 func (d Demand) orderByEnd(servers []Server) {
 	for i := range servers {
 		s := &servers[i]
-		run := float64(max(d.runTime, time.Millisecond)) * s.runRatio()
-		s.late = d.remaining > 0 && run > float64(d.remaining)
-		s.step = math.Round(math.Log(run) / endStep)
+		run := float64(max(d.runTime, time.Millisecond)) * max(minSlowness, s.slowness*s.slowdown)
+		s.end.late = d.remaining > 0 && run > float64(d.remaining)
+		s.end.step = math.Round(math.Log(run) / endStep)
+		s.end.rank = s.rankOffset()
+
+		if d.prefers(*s) {
+			s.end.rank -= preferredOffset
+		}
 	}
 
 	slices.SortFunc(servers, func(a, b Server) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), compareBool(a.late, b.late), cmp.Compare(a.step, b.step),
-			cmp.Compare(b.score, a.score))
+		return cmp.Or(cmp.Compare(a.end.rank, b.end.rank), compareBool(a.end.late, b.end.late),
+			cmp.Compare(a.end.step, b.end.step), cmp.Compare(b.end.draw, a.end.draw))
 	})
 
 	d.leaveFaster(servers)
 }
 
 // leaveFaster moves the servers that are as slow as the slowest one that the job needs to the front: the job ends no earlier
-// with the faster ones, which are left to other jobs.
+// with the faster ones, which are left to other jobs. Servers that are slow because of what runs there stay behind.
 func (d Demand) leaveFaster(servers []Server) {
 	remaining := d.tasks
 
@@ -69,17 +86,17 @@
 			continue
 		}
 
-		slices.SortStableFunc(servers, func(a, b Server) int {
-			return compareBool(!a.endsWith(slowest), !b.endsWith(slowest))
-		})
+		isAsSlow := func(s Server) bool { return s.slowdown <= 1 && s.end.isSameAs(slowest.end) }
+
+		slices.SortStableFunc(servers, func(a, b Server) int { return compareBool(!isAsSlow(a), !isAsSlow(b)) })
 
 		return
 	}
 }
 
-// endsWith reports whether tasks at the server are expected to end as those at another one.
-func (s Server) endsWith(other Server) bool {
-	return s.rank == other.rank && s.late == other.late && s.step == other.step
+// isSameAs reports whether tasks are expected to end as at another server, apart from the random order.
+func (e expectedEnd) isSameAs(other expectedEnd) bool {
+	return e.rank == other.rank && e.late == other.late && e.step == other.step
 }
 
 func compareBool(a, b bool) int {
--- a/weir/process/jobplacement/uneven_test.go
+++ b/weir/process/jobplacement/uneven_test.go
@@ -189,7 +189,8 @@
 	is.Equal(choose(0, 10, 2), map[uint64]int{})
 }
 
-// Guards against fast servers that are used beside a slow one which decides the end of the job, and against a task that is
+// Guards against fast servers that are used beside a slow one which decides the end of the job, unless that is slow because
+// of what runs there, and against a task that is
 // late at one of several servers with about the same run time.
 func TestFastCapacityAndObjective(t *testing.T) {
 	is := is.New(t)
@@ -198,6 +199,11 @@
 	}, random())
 	is.Equal(requestedTasks(p), map[uint64]int{1: 8})
 
+	p = jobplacement.Choose(newDemand(8, job.Constraints{}), []jobplacement.Server{
+		newServer(1, 10, 0, 1).WithRunRatio(1.2).WithSlowdown(1.3), newServer(2, 5, 0, 1).WithRunRatio(0.5),
+	}, random())
+	is.Equal(requestedTasks(p), map[uint64]int{1: 3, 2: 5})
+
 	for id := range uint64(20) { // the random order is by server
 		servers := make([]jobplacement.Server, 20)
 		for n := range servers {
