Name why a backend server can't run a repeatable job, and export what decides

Cause: an explanation of where a job would go has to use the functions that decide, but these held the conditions as one boolean and the figures as private fields.

Change: the conditions of load and candidates return a reason; the decision on arrival, with the one of a shutdown, and the demand are functions that change no state but the random source that they get. admission and jobplacement have accessors for the figures.

--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -153,11 +153,7 @@
 	run := d.runTimes.estimate(j)
 	load := d.load(j, now)
 
-	if d.shuttingDown && now+j.Policy().Objective(run) > d.finishBy {
-		return nil, d.refuse(j, run, load, "the entry is shutting down", shutdownRetryAfter)
-	}
-
-	switch v := admission.Decide(j, run, load, d.random).(type) {
+	switch v := d.decide(j, run, load, now, d.random).(type) {
 	case admission.Refuse:
 		return nil, d.refuse(j, run, load, v.Reason(), v.RetryAfter())
 	case admission.Admit:
@@ -172,6 +168,17 @@
 	return nil, nil
 }
 
+// decide decides on a job that arrives now. It changes nothing but the state of random.
+func (d *Dispatcher) decide(
+	j job.Job, run time.Duration, load admission.Load, now time.Duration, random *rand.Rand,
+) admission.Decision {
+	if d.shuttingDown && now+j.Policy().Objective(run) > d.finishBy {
+		return admission.NewRefuse("the entry is shutting down", shutdownRetryAfter)
+	}
+
+	return admission.Decide(j, run, load, random)
+}
+
 // refuse logs that a job is refused and returns the refusal.
 func (d *Dispatcher) refuse(
 	j job.Job, run time.Duration, load admission.Load, reason string, retryAfter time.Duration,
@@ -207,7 +214,7 @@
 	for _, s := range d.sidecars {
 		evacuated.add(j, s)
 
-		if !s.canRun(j, now) || d.access(j, s) == quarantine.Forbidden {
+		if d.omission(j, s, now) != "" {
 			continue
 		}
 
@@ -233,12 +240,7 @@
 // requestReservations requests reservations for n more tasks.
 func (d *Dispatcher) requestReservations(a *activeJob, n int, now time.Duration) {
 	servers, limited := d.candidates(a, now)
-
-	p := jobplacement.Choose(
-		jobplacement.NewDemand(n, a.job.Size(), a.job.Constraints(), a.expectedRun).WithOutstanding(a.outstandingCount(now)),
-		servers, d.random,
-	)
-
+	p := jobplacement.Choose(a.demand(n, now), servers, d.random)
 	share := p.NeededShare(n, a.requestedCount())
 
 	for _, r := range p.Requests() {
@@ -314,71 +316,6 @@
 	return o
 }
 
-// Callers returns the number of callers that wait for a job.
-func (d *Dispatcher) Callers(id string) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	if a := d.activeJobsByID[id]; a != nil {
-		return a.callers
-	}
-
-	return 0
-}
-
-// OpenServers returns the number of backend servers of a service that accept tasks.
-func (d *Dispatcher) OpenServers(service string) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	n := 0
-
-	for _, s := range d.sidecars {
-		if s.isOpen() && s.report.GetService() == service && s.Alive() {
-			n++
-		}
-	}
-
-	return n
-}
-
-// State reports whether a job is active at this entry, and whether one of its tasks was launched.
-func (d *Dispatcher) State(id string) (active, started bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	a := d.activeJobsByID[id]
-	if a == nil {
-		return false, false
-	}
-
-	return true, a.phase != phaseWaiting
-}
-
-// WaitingJobs returns the number of active jobs of a kind of which no task was launched.
-func (d *Dispatcher) WaitingJobs(kind string) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	n := 0
-
-	for _, a := range d.activeJobs {
-		if a.phase == phaseWaiting && a.job.Policy().Kind() == kind {
-			n++
-		}
-	}
-
-	return n
-}
-
-// Ready reports whether the entry can serve jobs: it has routes and a sidecar, and is not shutting down.
-func (d *Dispatcher) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	return !d.shuttingDown && d.routes.Table() != nil && len(d.sidecars) > 0
-}
-
 // RefuseNewJobs makes Submit refuse every further job, for the shutdown of the entry.
 func (d *Dispatcher) RefuseNewJobs() { d.FinishBy(0) }
 
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
@@ -82,16 +81,10 @@
 
 // canRun reports whether the sidecar is responsive and its backend server accepts tasks, belongs to the job's service,
 // has the required label and is in a region that the job allows.
-func (s *sidecar) canRun(j job.Job, now time.Duration) bool {
-	return s.canRunInAnyRegion(j, now) && j.Policy().AllowsRegion(s.region)
-}
+func (s *sidecar) canRun(j job.Job, now time.Duration) bool { return s.omission(j, now) == "" }
 
 func (s *sidecar) canRunInAnyRegion(j job.Job, now time.Duration) bool {
-	if !s.isOpen() || s.report.GetService() != j.Policy().Service() || !s.Responsive(now) {
-		return false
-	}
-
-	return j.Constraints().RequiredLabel() == "" || slices.Contains(s.report.GetLabels(), j.Constraints().RequiredLabel())
+	return s.omissionInAnyRegion(j, now) == ""
 }
 
 func (s *sidecar) capacity() job.Size {
--- a/weir/process/admission/admission.go
+++ b/weir/process/admission/admission.go
@@ -118,6 +118,9 @@
 	retryAfter time.Duration
 }
 
+// NewRefuse returns the rejection of a job for a reason, with the delay after which the caller may retry.
+func NewRefuse(reason string, retryAfter time.Duration) Refuse { return Refuse{reason, retryAfter} }
+
 // MaxWait returns how long the job may wait for its reservations.
 func (a Admit) MaxWait() time.Duration { return a.maxWait }
 
@@ -168,9 +171,9 @@
 
 	objective := j.Policy().Objective(runTime)
 	maxWait := max(minMaxWait, time.Duration(float64(objective)*maxWaitShare))
-	expectedWait := l.expectedWait(j.Size().Times(j.Tasks()).Millicores(), runTime)
+	expectedWait := l.ExpectedWait(j, runTime)
 
-	if expectedWait > 0 && float64(expectedWait) > usableSlackShare*float64(slack(j, runTime)) {
+	if expectedWait > 0 && expectedWait > UsableSlack(j, runTime) {
 		return Refuse{Overloaded, RetryAfter(expectedWait, random)}
 	}
 
--- a/weir/process/jobplacement/choose.go
+++ b/weir/process/jobplacement/choose.go
@@ -204,7 +204,7 @@
 func (d Demand) requestFree(servers []Server, requested map[uint64]int, random *rand.Rand) int {
 	for i := range servers {
 		s := &servers[i]
-		s.freeTasks = s.free.CountFitting(d.size, d.maxTasksAt(*s))
+		s.freeTasks = d.FreeTasks(*s)
 		// A random order weighted by free capacity. With the emptiest first, all entries with the same view would choose
 		// the same backend servers. The offsets below rank slow backend servers last and those with the preferred label
 		// first.
