--- a/entry/repeatable/explanation.go
+++ b/entry/repeatable/explanation.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// maxExplained is the largest number of backend servers in each list of an explanation, some 30 kB of JSON.
-	maxExplained = 100
 	// jobRefused is why nothing is requested at the candidates for a job that is refused.
 	jobRefused      = "the job is refused"
 	explanationNote = "Servers with free capacity are drawn at random, weighted by it, and Retry-After has a random part; " +
@@ -23,10 +21,10 @@
 )
 
 // Explain returns what the dispatcher would do now with a job, by the functions that decide on jobs and on the same state.
-// It changes neither the state nor the random numbers of later decisions.
-func (d *Dispatcher) Explain(j job.Job) adminapi.PlacementExplanation {
+// It changes neither the state nor the random numbers of later decisions. Each list has limit backend servers at most.
+func (d *Dispatcher) Explain(j job.Job, limit int) adminapi.PlacementExplanation {
 	e := d.explain(j, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	e.shorten()
+	e.shorten(limit)
 
 	return e.PlacementExplanation
 }
@@ -114,7 +112,8 @@
 			Servers: l.Servers(), Elsewhere: l.Elsewhere(), Free: l.Free(), Queued: l.Queued(), Capacity: l.Capacity(),
 			Running: l.Running(), PriorityCapacity: l.PriorityCapacity(), ReleaseRate: l.ReleaseRate(),
 			LargestCPU: l.LargestServer().Millicores(), LargestMemoryMB: l.LargestServer().MemoryMB(),
-			WarmUpMS: l.WarmUp().Milliseconds(),
+			// Rounded up, as any warm-up decides.
+			WarmUpMS: (l.WarmUp() + time.Millisecond - 1).Milliseconds(),
 		},
 	}
 
@@ -128,8 +127,8 @@
 	return f
 }
 
-// shorten orders the servers and leaves out those beyond the longest lists.
-func (e *explanation) shorten() {
+// shorten orders the servers and leaves out those beyond the limit of each list.
+func (e *explanation) shorten(limit int) {
 	slices.SortFunc(e.Candidates, func(x, y adminapi.PlacementCandidate) int {
 		return cmp.Or(cmp.Compare(y.Requests, x.Requests), cmp.Compare(x.Sidecar, y.Sidecar))
 	})
@@ -137,8 +136,8 @@
 		return cmp.Or(cmp.Compare(leftOutRank(x), leftOutRank(y)), cmp.Compare(x.Sidecar, y.Sidecar))
 	})
 
-	e.CandidatesNotListed = max(0, len(e.Candidates)-maxExplained)
-	e.LeftOutNotListed = max(0, len(e.LeftOut)-maxExplained)
+	e.CandidatesNotListed = max(0, len(e.Candidates)-limit)
+	e.LeftOutNotListed = max(0, len(e.LeftOut)-limit)
 	e.Candidates = e.Candidates[:len(e.Candidates)-e.CandidatesNotListed]
 	e.LeftOut = e.LeftOut[:len(e.LeftOut)-e.LeftOutNotListed]
 }
--- a/entry/repeatable/rawsidecar_test.go
+++ b/entry/repeatable/rawsidecar_test.go
@@ -28,6 +28,12 @@
 func (f *fixture) attachRaw(e *entry, incarnation uint64) *rawSidecar {
 	f.t.Helper()
 
+	return f.attachRawWith(e, wire.Attach_builder{Sidecar: "raw", Incarnation: incarnation}.Build())
+}
+
+func (f *fixture) attachRawWith(e *entry, a *wire.Attach) *rawSidecar {
+	f.t.Helper()
+
 	is := is.New(f.t)
 	r := &rawSidecar{t: f.t, node: &quic.Node{}, frames: make(chan *wire.Frame, 1024)}
 	is.NoErr(r.node.Listen("127.0.0.1:0", f.keys))
@@ -41,7 +47,7 @@
 
 	r.stream, err = c.Open(ctx)
 	is.NoErr(err)
-	r.send(wire.Frame_builder{Attach: wire.Attach_builder{Sidecar: "raw", Incarnation: incarnation}.Build()}.Build())
+	r.send(wire.Frame_builder{Attach: a}.Build())
 
 	go r.run()
 
