weirctl explain-placement: where a repeatable job would go now, and why

Cause: operators saw why a job was refused or where it went only in the logs, after it was sent.

Change: GET /v1/explain-placement of an entry answers with the decision on the arrival of a job, the load that decides, the requests at each candidate and the reason for each server without one. The query is checked by the decoder of repeatable jobs.

--- a/entry/caller/repeatable.go
+++ b/entry/caller/repeatable.go
@@ -96,6 +96,21 @@
 	return time.Duration(ms) * time.Millisecond, err
 }
 
+// checkKind returns the kind of the job, or an error if the agreement does not allow the job.
+func (b repeatableBody) checkKind(s *ledger.State) (agreement.Kind, error) {
+	k, found := s.Agreement().Kind(b.kind)
+
+	switch {
+	case !found:
+		return k, invalid("kind", "kind %s is not in the agreement", quote([]byte(b.kind)))
+	case b.cores > k.MaxCores():
+		return k, fault.WithField(
+			fault.New(fault.NeverRunnable, "a task of kind %s may request at most %d cores", b.kind, k.MaxCores()), "cores")
+	}
+
+	return k, nil
+}
+
 // job returns the dispatcher's job. Jobs with the same id are one job.
 func (b repeatableBody) job(id string, k agreement.Kind) job.Job {
 	priority := normalPriority
@@ -130,14 +145,9 @@
 
 	state := j.replica.State()
 
-	k, found := state.Agreement().Kind(b.kind)
-
-	switch {
-	case !found:
-		return Refuse(invalid("kind", "kind %s is not in the agreement", quote([]byte(b.kind))), "")
-	case b.cores > k.MaxCores():
-		return Refuse(fault.WithField(
-			fault.New(fault.NeverRunnable, "a task of kind %s may request at most %d cores", b.kind, k.MaxCores()), "cores"), "")
+	k, err := b.checkKind(state)
+	if err != nil {
+		return Refuse(err, "")
 	}
 
 	used := jobKey{member, key}
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -8,6 +8,8 @@
 //   - GET /v1/status answers with the addresses, the log position, the connected workers and the connected entries.
 //   - GET /v1/show answers with the agreement in force and with the registered workers and entries.
 //   - GET /v1/explain/{id} answers with what the home has recorded about a submission.
+//   - GET /v1/explain-placement answers with where a repeatable job would go now, and why, without sending it. The query has
+//     the fields of the job.
 //   - POST /v1/drain starts the graceful shutdown, as SIGTERM does, and answers 202.
 //
 // Paths under /v1 require the operators' token if the settings name one. Without a token, the admin address must be on
@@ -18,6 +20,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -42,6 +45,11 @@
 	Explain(ctx context.Context, id string) caller.Reply
 }
 
+// PlacementExplainer returns what the entry would do with a repeatable job; *caller.PlacementExplainer implements it.
+type PlacementExplainer interface {
+	ExplainPlacement(query url.Values) caller.Reply
+}
+
 // LogHealth reports whether the log service answers.
 type LogHealth interface {
 	Healthy() bool
@@ -66,6 +74,8 @@
 	start     time.Time
 	// pairs is nil if there are none.
 	pairs Pairs
+	// placements is nil if placements are not explained.
+	placements PlacementExplainer
 }
 
 // NewServer returns a server that calls drain to start the graceful shutdown.
@@ -73,7 +83,7 @@
 	self *wire.Entry, replica *ledger.Replica, workers *fleet.Fleet, peers Peers, explainer Explainer, log LogHealth,
 	registry gometrics.Registry, readiness *Readiness, drain func(),
 ) *Server {
-	return &Server{self, replica, workers, peers, explainer, log, registry, readiness, drain, time.Now(), nil}
+	return &Server{self, replica, workers, peers, explainer, log, registry, readiness, drain, time.Now(), nil, nil}
 }
 
 // WithPairs makes the status contain the pairs of kinds that are kept apart.
@@ -83,6 +93,13 @@
 	return s
 }
 
+// WithPlacements makes the server explain placements of repeatable jobs.
+func (s *Server) WithPlacements(p PlacementExplainer) *Server {
+	s.placements = p
+
+	return s
+}
+
 // Handler returns the handler of the admin endpoints.
 func (s *Server) Handler() http.Handler {
 	m := mux.NewRouter()
@@ -93,6 +110,11 @@
 	m.HandleFunc("/v1/status", s.status).Methods(http.MethodGet)
 	m.HandleFunc("/v1/show", s.show).Methods(http.MethodGet)
 	m.HandleFunc("/v1/explain/{id}", s.explain).Methods(http.MethodGet)
+
+	if s.placements != nil {
+		m.HandleFunc("/v1/explain-placement", s.explainPlacement).Methods(http.MethodGet)
+	}
+
 	m.HandleFunc("/v1/drain", s.startDrain).Methods(http.MethodPost)
 	m.NotFoundHandler = http.HandlerFunc(s.unknown)
 	m.MethodNotAllowedHandler = http.HandlerFunc(s.unknown)
@@ -121,6 +143,14 @@
 	reply := s.explainer.Explain(r.Context(), mux.Vars(r)["id"])
 	defer reply.ReportDelivery(false)
 
+	writeReply(w, reply)
+}
+
+func (s *Server) explainPlacement(w http.ResponseWriter, r *http.Request) {
+	writeReply(w, s.placements.ExplainPlacement(r.URL.Query()))
+}
+
+func writeReply(w http.ResponseWriter, reply caller.Reply) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(reply.Status())
 	w.Write(reply.Body())
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -248,7 +248,8 @@
 func newOperatorServer(
 	self *wire.Entry, replica *ledger.Replica, workers *fleet.Fleet, p *peer.Peers, r *caller.Router,
 	f *logservice.Follower, registry gometrics.Registry, readiness *operator.Readiness, d *repeatable.Dispatcher,
-	s fx.Shutdowner,
+	settings Settings, s fx.Shutdowner,
 ) *operator.Server {
-	return operator.NewServer(self, replica, workers, p, r, f, registry, readiness, func() { _ = s.Shutdown() }).WithPairs(d)
+	return operator.NewServer(self, replica, workers, p, r, f, registry, readiness, func() { _ = s.Shutdown() }).
+		WithPairs(d).WithPlacements(caller.NewPlacementExplainer(d, replica, settings.file.MaxTasks))
 }
--- a/weirctl/command/system_test.go
+++ b/weirctl/command/system_test.go
@@ -103,6 +103,18 @@
 	is.Equal(code, 1)
 	is.True(strings.Contains(errOut, "invalid_request"))
 
+	_, err = c.StartWorker(ctx, "worker-2", cluster.WithSetting("leases", true),
+		cluster.WithSetting("services", []string{"service"}))
+	is.NoErr(err)
+
+	for !strings.Contains(out, "worker-2") || !strings.Contains(out, "decision  admitted") {
+		is.NoErr(ctx.Err()) // backend servers are polled for their incarnations at intervals
+
+		code, out, errOut = weirctl("explain-placement", "--entry", e.AdminURL(), "--kind", "scan", "--tasks", "2")
+		is.Equal(errOut, "")
+		is.Equal(code, 0)
+	}
+
 	code, _, _ = weirctl("drain", "--entry", e.AdminURL())
 	is.Equal(code, 0)
 	is.NoErr(e.Process().Wait(ctx))
