Reject ambiguous questions for a placement, and test the mark of last resort

Cause: of a parameter that was given twice, the last value counted for some and the first for others; pairs that can't be parsed were dropped, so that another job was explained.

Change: both are answered with 400. A test guards the servers of last resort of a suspected kind; reportCrash is split from reportCrashes for it, and sends the report of the closed server with each crash.

--- a/entry/caller/placementexplainer.go
+++ b/entry/caller/placementexplainer.go
@@ -12,7 +12,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
-// maxExplainedServers limits each list of servers in an explanation, to some 30 kB of JSON.
+// maxExplainedServers limits each list of servers in an explanation, to some 45 kB of JSON.
 const maxExplainedServers = 100
 
 // JobExplainer returns what would happen now with a repeatable job; *repeatable.Dispatcher implements it. Each list has
@@ -59,7 +59,11 @@
 	limit := 0
 
 	for name, values := range query {
-		value := values[len(values)-1]
+		if len(values) != 1 {
+			return job.Job{}, invalid(name, "%s is given twice", quote([]byte(name)))
+		}
+
+		value := values[0]
 
 		switch name {
 		case "required_label", "preferred_label":
--- a/entry/caller/placementexplainer_test.go
+++ b/entry/caller/placementexplainer_test.go
@@ -69,7 +69,7 @@
 
 	for _, query := range []string{
 		"", "kind=x", "kind=k&tasks=0", "kind=k&tasks=", "kind=k&tasks=1,%22cores%22:2", "kind=k&wait=true", "kind=k&max_per_server=-1",
-		"kind=k&cores=900",
+		"kind=k&cores=900", "kind=k&required_label=a&required_label=b",
 	} {
 		status := explain(query).Status()
 		is.True(status == 400 || status == 422) // query
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -147,7 +147,14 @@
 }
 
 func (s *Server) explainPlacement(w http.ResponseWriter, r *http.Request) {
-	writeReply(w, s.placements.ExplainPlacement(r.URL.Query()))
+	query, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		writeReply(w, caller.Refuse(fault.New(fault.InvalidRequest, "the query can't be parsed: %v", err), ""))
+
+		return
+	}
+
+	writeReply(w, s.placements.ExplainPlacement(query))
 }
 
 func writeReply(w http.ResponseWriter, reply caller.Reply) {
--- a/entry/repeatable/explanation_test.go
+++ b/entry/repeatable/explanation_test.go
@@ -214,7 +214,23 @@
 	is.Equal(explained.Candidates[0].Requests, 1)
 
 	<-time.After(collectionTime)
-	f.attachRaw(e, 1).reportCrashes("kind")
+
+	crashed := f.attachRaw(e, 1)
+	crashed.reportCrash("kind") // which is suspected, and prefers the zone of one server
+
+	lastResort := 0
+
+	for _, c := range e.Explain(newJob("", "5ms", 1), all).Candidates {
+		is.Equal(c.LastResort, c.Requests == 0)
+
+		if c.LastResort {
+			lastResort++
+		}
+	}
+
+	is.Equal(lastResort, servers-1)
+
+	crashed.reportCrashes("kind")
 
 	explained = e.Explain(newJob("", "5ms", 1), all)
 	is.Equal(len(explained.Candidates), 1)
--- a/entry/repeatable/suspectedjob_test.go
+++ b/entry/repeatable/suspectedjob_test.go
@@ -31,19 +31,21 @@
 
 // reportCrashes reports two crashes of a closed backend server just after starts of a kind, so that the kind is confined.
 func (r *rawSidecar) reportCrashes(kind string) {
-	r.send(wire.Frame_builder{Room: wire.Room_builder{Service: service}.Build()}.Build())
-
-	crash := wire.Frame_builder{BackendCrash: wire.BackendCrash_builder{
-		Exposures: []*wire.CrashExposure{wire.CrashExposure_builder{Kind: kind, AgeUs: 1, StartsPer_1000S: 1000}.Build()},
-	}.Build()}.Build()
-
 	for range crashLimit {
-		r.send(crash)
-		r.roundTrip()
-		<-time.After(crashGap)
+		r.reportCrash(kind)
 	}
 }
 
+// reportCrash reports one of them.
+func (r *rawSidecar) reportCrash(kind string) {
+	r.send(wire.Frame_builder{Room: wire.Room_builder{Service: service}.Build()}.Build())
+	r.send(wire.Frame_builder{BackendCrash: wire.BackendCrash_builder{
+		Exposures: []*wire.CrashExposure{wire.CrashExposure_builder{Kind: kind, AgeUs: 1, StartsPer_1000S: 1000}.Build()},
+	}.Build()}.Build())
+	r.roundTrip()
+	<-time.After(crashGap)
+}
+
 // Guards against a job that crashed a backend server and is started again in the zone of its confined kind, or waits until
 // its deadline for the zone to come back: it takes one more of the few servers from the sound jobs of the kind.
 func TestSuspectedJobOfConfinedKindIsNotStartedAgain(t *testing.T) {
