Test that an explained refusal is not logged

Cause: the fixture of the other tests drops log lines, so an explanation that logs a refusal would pass them. Change: one test with a logger of its own. Result: ok with -race.

--- a/entry/repeatable/explanation_test.go
+++ b/entry/repeatable/explanation_test.go
@@ -1,19 +1,23 @@
 package repeatable_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
+	"github.com/skylarkweir/skylarkweir/entry/repeatable"
 	"github.com/skylarkweir/skylarkweir/weir/connection/adminapi"
 	"github.com/skylarkweir/skylarkweir/weir/connection/session"
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
+	"github.com/skylarkweir/skylarkweir/weir/version/routes"
 )
 
 // all is the limit for the lists of an explanation that names all servers.
@@ -151,6 +155,18 @@
 	check(quick, "the entry is shutting down")
 }
 
+// Guards against explained refusals among the log lines of those that callers got.
+func TestExplanationIsNotLogged(t *testing.T) {
+	is := is.New(t)
+
+	var lines bytes.Buffer
+
+	d := repeatable.NewDispatcher(&routes.Current{}, nil, zerolog.New(&lines))
+	d.FinishBy(0)
+	is.True(!d.Explain(newJob("", "5ms", 1), all).Admission.Admitted)
+	is.Equal(lines.String(), "")
+}
+
 // Guards against a backend server that is left out without its reason, or with that of another one.
 func TestExplanationNamesWhyServersAreLeftOut(t *testing.T) {
 	is := is.New(t)
