--- a/entry/repeatable/rawsidecar_test.go
+++ b/entry/repeatable/rawsidecar_test.go
@@ -28,13 +28,19 @@
 func (f *fixture) attachRaw(e *entry, incarnation uint64) *rawSidecar {
 	f.t.Helper()
 
-	return f.attachRawAs("raw", e, incarnation)
+	return f.attachRawWith(e, wire.Attach_builder{Sidecar: "raw", Incarnation: incarnation}.Build())
 }
 
 // attachRawAs attaches a sidecar of a name.
 func (f *fixture) attachRawAs(name string, e *entry, incarnation uint64) *rawSidecar {
 	f.t.Helper()
 
+	return f.attachRawWith(e, wire.Attach_builder{Sidecar: name, Incarnation: incarnation}.Build())
+}
+
+func (f *fixture) attachRawWith(e *entry, a *wire.Attach) *rawSidecar {
+	f.t.Helper()
+
 	is := is.New(f.t)
 	r := &rawSidecar{t: f.t, node: &quic.Node{}, frames: make(chan *wire.Frame, 1024)}
 	is.NoErr(r.node.Listen("127.0.0.1:0", f.keys))
@@ -48,7 +54,7 @@
 
 	r.stream, err = c.Open(ctx)
 	is.NoErr(err)
-	r.send(wire.Frame_builder{Attach: wire.Attach_builder{Sidecar: name, Incarnation: incarnation}.Build()}.Build())
+	r.send(wire.Frame_builder{Attach: a}.Build())
 
 	go r.run()
 
--- a/weir/process/admission/throttle.go
+++ b/weir/process/admission/throttle.go
@@ -34,22 +34,21 @@
 	newest int64
 }
 
-// Refuses reports whether a job that admission lets in is refused at once, and counts it if it is not. It never is while fewer than
-// minThrottleJobs were let in within the window.
+// Refuses reports whether a job that admission lets in is refused at once. It never is while fewer than minThrottleJobs were let in
+// within the window.
 func (t *Throttle) Refuses(priority int, now time.Duration, random *rand.Rand) bool {
-	w := t.window(priority, now)
-	letIn, started := w.sums()
-
-	if letIn >= minThrottleJobs {
-		share := max(minThrottleShare, throttleFactor*float64(started)/float64(letIn))
-		if random.Float64() >= share {
-			return true
-		}
+	letIn, started := t.window(priority, now).sums()
+	if letIn < minThrottleJobs {
+		return false
 	}
 
-	w.letIn[w.newest%throttleBuckets]++
+	return random.Float64() >= max(minThrottleShare, throttleFactor*float64(started)/float64(letIn))
+}
 
-	return false
+// RecordArrival counts a job that was let in.
+func (t *Throttle) RecordArrival(priority int, now time.Duration) {
+	w := t.window(priority, now)
+	w.letIn[w.newest%throttleBuckets]++
 }
 
 // RecordStart counts a job of which the first task was launched.
--- a/weir/process/admission/throttle_test.go
+++ b/weir/process/admission/throttle_test.go
@@ -32,6 +32,8 @@
 			continue
 		}
 
+		l.throttle.RecordArrival(1, l.now)
+
 		if placeable >= 1 {
 			placeable--
 			started++
@@ -78,10 +80,11 @@
 
 	for range 39 {
 		is.True(!h.Refuses(1, time.Second, random))
+		h.RecordArrival(1, time.Second)
 	}
 
 	for range 1000 {
-		h.Refuses(1, time.Second, random)
+		h.RecordArrival(1, time.Second)
 	}
 
 	is.True(!h.Refuses(0, time.Second, random))
