The throttle counts jobs whose fate is known

Cause: jobs that were let in and still waited counted like those that wait in vain, so a burst of 60 jobs at once was refused in part (TestColdServerTakesFewOfAFlood failed 4 of 4). Change: started jobs against those that ended without a start.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -302,6 +302,10 @@
 		return
 	}
 
+	if a.phase == phaseWaiting {
+		a.dispatcher.throttle.RecordFailure(a.job.Policy().Priority(), uptime.Now())
+	}
+
 	a.stopTimers()
 	a.releaseReservations()
 
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -160,8 +160,6 @@
 	case admission.Refuse:
 		return nil, d.refuse(j, run, load, v.Reason(), v.RetryAfter())
 	case admission.Admit:
-		d.throttle.RecordArrival(j.Policy().Priority(), now)
-
 		a := d.addJob(j, run, now)
 		a.retryTimer = time.AfterFunc(firstRetryDelay, a.retryReservations)
 		a.maxWaitTimer = time.AfterFunc(v.MaxWait(), a.handleMaxWait)
--- a/weir/process/admission/throttle_test.go
+++ b/weir/process/admission/throttle_test.go
@@ -32,14 +32,16 @@
 			continue
 		}
 
-		l.throttle.RecordArrival(1, l.now)
+		if placeable < 1 {
+			l.throttle.RecordFailure(1, l.now)
 
-		if placeable >= 1 {
-			placeable--
-			started++
-
-			l.throttle.RecordStart(1, l.now)
+			continue
 		}
+
+		placeable--
+		started++
+
+		l.throttle.RecordStart(1, l.now)
 	}
 
 	return refused, started
@@ -80,11 +82,11 @@
 
 	for range 39 {
 		is.True(!h.Refuses(1, time.Second, random))
-		h.RecordArrival(1, time.Second)
+		h.RecordFailure(1, time.Second)
 	}
 
 	for range 1000 {
-		h.RecordArrival(1, time.Second)
+		h.RecordFailure(1, time.Second)
 	}
 
 	is.True(!h.Refuses(0, time.Second, random))
