--- a/sidecar/operator/status.go
+++ b/sidecar/operator/status.go
@@ -75,3 +75,6 @@
 }
 
 const headerTimeout = 5 * time.Second
+
+// maxConnections and bodyMemory limit the connections and the memory, in bytes, for bodies, which operators do not send.
+const maxConnections, bodyMemory = 64, 1 << 20
