Callers of our own entry have at most half of the descriptors of the process

Cause: caller_connections has the default 4096, whatever the process may open. Where it may open 4096 or fewer, callers can take all descriptors, and then sessions and calls to the log have none. Change: the entry reads the limit of its process at the start and keeps half of it for others; it warns with caller_connections_lowered if that is less than the setting. Measured: unit test, 512 of 4096 connections at 1,024 descriptors. Not run with a lowered limit of a process, since limits of this machine stay as they are.

--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -119,6 +119,19 @@
 	return callerlimit.NewGate(server, l, m, p.params.Log)
 }
 
+// callerLimits returns the limits of callers. It warns if the process may open too few descriptors for the settings.
+func (p *Process) callerLimits() callerlimit.Limits {
+	descriptors := maxDescriptors()
+	l := p.params.Settings.file.callerLimits(descriptors)
+
+	if wanted := p.params.Settings.file.CallerConns; l.Connections() < wanted {
+		p.params.Log.Warn().Str("event", "caller_connections_lowered").Int("setting", wanted).Int("connections", l.Connections()).
+			Int("descriptors", descriptors).Msg("callers have half of the descriptors that the process may open")
+	}
+
+	return l
+}
+
 // newServer returns the server of a gate.
 func newServer(g *callerlimit.Gate, h http.Handler) *http.Server {
 	s := g.Server(h)
@@ -148,7 +161,7 @@
 	}
 
 	p.callersAddr, p.adminAddr = callerListener.Addr(), adminListener.Addr()
-	p.callersGate = p.newGate("callers", f.callerLimits())
+	p.callersGate = p.newGate("callers", p.callerLimits())
 	p.adminGate = p.newGate("admin", callerlimit.NewLimits(adminConnections, adminMemory))
 	p.callers = newServer(p.callersGate, p.params.Callers.Handler())
 	p.admin = newServer(p.adminGate, guard.Wrap(p.params.Operator.Handler()))
--- a/entry/process/settings.go
+++ b/entry/process/settings.go
@@ -87,9 +87,10 @@
 	return nil
 }
 
-// callerLimits returns the limits of callers.
-func (f *file) callerLimits() callerlimit.Limits {
+// callerLimits returns the limits of callers for a process that may open so many descriptors, zero if that is not known.
+func (f *file) callerLimits(descriptors int) callerlimit.Limits {
 	return callerlimit.NewLimits(f.CallerConns, f.CallerMemory.Value()).
+		WithDescriptors(descriptors).
 		WithBodyBytes(f.MaxBody.Value).
 		WithMultiple(bodyMultiple)
 }
--- a/weir/connection/callerlimit/limits.go
+++ b/weir/connection/callerlimit/limits.go
@@ -85,6 +85,16 @@
 	return l
 }
 
+// WithDescriptors returns limits with connections for at most half of the descriptors that the process may open. The rest is for
+// sessions and the log. Zero means that their number is not known.
+func (l Limits) WithDescriptors(n int) Limits {
+	if n <= 0 {
+		return l
+	}
+
+	return l.WithMaxConnections(max(1, n/2))
+}
+
 // Active reports whether there is a limit of connections or memory.
 func (l Limits) Active() bool { return l.connections > 0 || l.memory > 0 }
 
--- a/weir/connection/callerlimit/progress_internal_test.go
+++ b/weir/connection/callerlimit/progress_internal_test.go
@@ -76,4 +76,6 @@
 
 	is.True(!ForMachine(0, 0, 0.5).Active()) // without limits of the machine nothing is limited
 	is.Equal(ForMachine(0, 100, 0.5).Connections(), 50)
+	is.Equal(NewLimits(4096, 0).WithDescriptors(1024).Connections(), 512) // the usual limit of a login
+	is.Equal(NewLimits(4096, 0).WithDescriptors(0).Connections(), 4096)
 }
