Keep-alives carry the age of the evacuations

Cause: the age at a sidecar grew although the store confirmed the value of its entry, as it learned of confirmations only with a change; and a session that began while the store was down made the value look new on both sides. Change: the age is the time since the store has confirmed the value. The reports of sidecars don't carry it, so that the age of an entry that is cut off from the store grows.

--- a/entry/repeatable/evacuation.go
+++ b/entry/repeatable/evacuation.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
@@ -16,7 +17,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.adoptEvacuations(v, source, nil)
+	d.adoptEvacuations(v, source, nil, uptime.Now())
 }
 
 // ConfirmEvacuations records that the store has answered at the time now, on the clock of package uptime, so that the value
@@ -29,17 +30,20 @@
 }
 
 // receiveEvacuations handles a value that a sidecar has passed on.
-func (d *Dispatcher) receiveEvacuations(from *sidecar, v evacuation.Value, now time.Duration) {
-	d.adoptEvacuations(v, from.name, from)
+func (d *Dispatcher) receiveEvacuations(from *sidecar, m *wire.Evacuations, now time.Duration) {
+	v := evacuation.Decode(m)
+	confirmedAt := evacuation.ConfirmedAt(m.GetAge(), now)
+	d.adoptEvacuations(v, from.name, from, confirmedAt)
 
 	if v.Position() == d.evacuations.Value().Position() {
-		d.evacuations.Confirm(now)
+		d.evacuations.Confirm(confirmedAt)
 	}
 }
 
 // adoptEvacuations passes a value that is newer than the one in force on to all sidecars but the one that has sent it, and
-// gives up what is requested in the evacuated domains.
-func (d *Dispatcher) adoptEvacuations(v evacuation.Value, source string, from *sidecar) {
+// gives up what is requested in the evacuated domains. The store has confirmed the value at the time confirmedAt, zero if
+// that isn't known.
+func (d *Dispatcher) adoptEvacuations(v evacuation.Value, source string, from *sidecar, confirmedAt time.Duration) {
 	now := uptime.Now()
 	age := d.evacuations.Age(now)
 
@@ -48,11 +52,12 @@
 		return
 	}
 
+	d.evacuations.Confirm(confirmedAt)
 	evacuation.LogChange(d.log, changed, v, source, age)
 
 	for _, s := range d.sidecars {
 		if s != from {
-			s.sendEvacuations(v)
+			s.sendEvacuations(&d.evacuations, now)
 		}
 	}
 
@@ -128,9 +133,9 @@
 	return released
 }
 
-// sendEvacuations sends the sidecar a value, unless nothing is known.
-func (s *sidecar) sendEvacuations(v evacuation.Value) {
-	if f := v.Frame(); f != nil {
+// sendEvacuations sends the sidecar the value in force, unless nothing is known.
+func (s *sidecar) sendEvacuations(c *evacuation.Current, now time.Duration) {
+	if f := c.Frame(now); f != nil {
 		s.send(f)
 	}
 }
--- a/entry/repeatable/evacuation_test.go
+++ b/entry/repeatable/evacuation_test.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkweir/skylarkweir/sidecar/repeatable"
 	"github.com/skylarkweir/skylarkweir/standin/leasedbackend"
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
 	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
@@ -126,6 +127,29 @@
 	is.Equal(f.submit(t.Context(), e, newJob("plain", "1ms", 1)).wait(t), job.Completed{})
 }
 
+// Guards against an age of the sidecars' value that goes on although the store confirms that of their entry.
+func TestSidecarsLearnThatTheStoreConfirms(t *testing.T) {
+	is := is.New(t)
+	f := newDomainsFixture(t, 1, "a")
+	e := f.entries[0]
+	age := func() time.Duration {
+		_, age := f.sidecars[0].worker.Evacuations()
+
+		return age
+	}
+
+	e.evacuate(1, "b")
+	f.await("the sidecar knows", func() bool { v, _ := f.sidecars[0].worker.Evacuations(); return v.Len() == 1 })
+
+	const unconfirmed = 3 * time.Second
+
+	time.Sleep(unconfirmed)
+	is.True(age() >= unconfirmed)
+
+	e.ConfirmEvacuations(uptime.Now())
+	f.await("the age is smaller", func() bool { return age() < unconfirmed })
+}
+
 // Guards against an entry that the store rejects, or that was restarted while the store is down, and starts tasks in an
 // evacuated domain: it learns of it from the sidecars, which have it from another entry.
 func TestEvacuationReachesEntriesWithoutTheStore(t *testing.T) {
--- a/entry/repeatable/keepalive.go
+++ b/entry/repeatable/keepalive.go
@@ -5,6 +5,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
+	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 )
 
 // keepSessions marks the sidecars that have work of this entry, ends the sessions of unresponsive sidecars, and sends the
@@ -45,6 +46,7 @@
 
 	s.send(wire.Frame_builder{KeepAlive: wire.KeepAlive_builder{
 		RoutesVersion: s.sentRoutesVersion, Active: s.Active(), Sidecars: uint32(d.sidecarEstimate),
+		EvacuationsAge: d.evacuations.WireAge(uptime.Now()),
 	}.Build()}.Build())
 }
 
--- a/entry/repeatable/sidecar.go
+++ b/entry/repeatable/sidecar.go
@@ -11,7 +11,6 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/jobplacement"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
-	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
 
 // attachTimeout limits each step of the attachment of a sidecar: the opening of a stream and the first frame.
@@ -230,7 +229,7 @@
 		closedSince: uptime.Now(),
 	}
 	s.send(answer)
-	s.sendEvacuations(d.evacuations.Value())
+	s.sendEvacuations(&d.evacuations, uptime.Now())
 	d.sidecars[s.number] = s
 
 	d.log.Info().Str("event", "sidecar_connected").Str("sidecar", s.name).Uint64("incarnation", s.incarnation).
@@ -307,7 +306,7 @@
 	case wire.Frame_Cancellations_case:
 		d.recordCancellations(f.GetCancellations(), uptime.Now())
 	case wire.Frame_Evacuations_case:
-		d.receiveEvacuations(s, evacuation.Decode(f.GetEvacuations()), uptime.Now())
+		d.receiveEvacuations(s, f.GetEvacuations(), uptime.Now())
 	case wire.Frame_Ended_case:
 		m := f.GetEnded()
 		s.report.SetFreeCpu(m.GetFreeCpu())
--- a/sidecar/repeatable/evacuation.go
+++ b/sidecar/repeatable/evacuation.go
@@ -1,6 +1,9 @@
 package repeatable
 
 import (
+	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/process/uptime"
 	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
@@ -32,25 +35,33 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.adoptEvacuations(v, source, nil)
+	w.adoptEvacuations(v, source, nil, uptime.Now())
 }
 
 // receiveEvacuations handles a value that an entry has passed on.
-func (w *Worker) receiveEvacuations(from *entrySession, v evacuation.Value) {
+func (w *Worker) receiveEvacuations(from *entrySession, m *wire.Evacuations) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.adoptEvacuations(v, from.entry, from)
+	v, confirmedAt := evacuation.Decode(m), evacuation.ConfirmedAt(m.GetAge(), uptime.Now())
+	w.adoptEvacuations(v, from.entry, from, confirmedAt)
 
 	if v.Position() == w.evacuations.Value().Position() {
-		w.evacuations.Confirm(uptime.Now())
+		w.evacuations.Confirm(confirmedAt)
 	}
 }
 
+// Evacuations returns the value of the evacuated failure domains that is in force, and the time since the store confirmed it
+// last as far as is known here.
+func (w *Worker) Evacuations() (evacuation.Value, time.Duration) {
+	return w.evacuations.Value(), w.evacuations.Age(uptime.Now())
+}
+
 // adoptEvacuations puts a newer value into force and passes it on to the entries but the one that has sent it. If the
 // failure domain of the backend server is evacuated from now on, it drops all requests and reservations and rejects the
-// launches whose start was not sent. A start that got no answer is not sent again.
-func (w *Worker) adoptEvacuations(v evacuation.Value, source string, from *entrySession) {
+// launches whose start was not sent. A start that got no answer is not sent again. The store has confirmed the value at the
+// time confirmedAt, zero if that isn't known.
+func (w *Worker) adoptEvacuations(v evacuation.Value, source string, from *entrySession, confirmedAt time.Duration) {
 	now := uptime.Now()
 	age := w.evacuations.Age(now)
 	before := w.isEvacuated()
@@ -60,12 +71,13 @@
 		return
 	}
 
+	w.evacuations.Confirm(confirmedAt)
 	evacuation.LogChange(w.log, changed, v, source, age)
 
 	// The entries learn why the backend server is closed first, so that they request capacity elsewhere at once.
 	for _, s := range w.sessions {
 		if s != from {
-			s.sendEvacuations(v)
+			s.sendEvacuations(now)
 		}
 	}
 
@@ -75,9 +87,9 @@
 	}
 }
 
-// sendEvacuations sends the entry a value, unless nothing is known.
-func (s *entrySession) sendEvacuations(v evacuation.Value) {
-	if f := v.Frame(); f != nil {
+// sendEvacuations sends the entry the value in force, unless nothing is known.
+func (s *entrySession) sendEvacuations(now time.Duration) {
+	if f := s.worker.evacuations.Frame(now); f != nil {
 		s.send(f)
 	}
 }
--- a/sidecar/repeatable/evacuation_test.go
+++ b/sidecar/repeatable/evacuation_test.go
@@ -59,6 +59,29 @@
 	fx.await("both tasks run", fx.hasRunning(2))
 }
 
+// Guards against an age of a sidecar's value that goes on although an entry says that the store confirms it, and against one
+// that takes a message for the confirmation.
+func TestKeepAlivesConfirmEvacuations(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, leasedbackend.New("i-1"))
+	age := func() time.Duration {
+		_, age := fx.worker.Evacuations()
+
+		return age
+	}
+
+	fx.evacuate(5, "domain")
+	fx.await("the value is known", func() bool { v, _ := fx.worker.Evacuations(); return v.Position() == 5 })
+	is.Equal(age(), time.Duration(0)) // the message had no age
+
+	for _, want := range []time.Duration{time.Hour, time.Minute} {
+		fx.entry.Send(wire.Frame_builder{KeepAlive: wire.KeepAlive_builder{
+			EvacuationsAge: uint32(want / (100 * time.Millisecond)),
+		}.Build()}.Build())
+		fx.await("the age is known", func() bool { return age() >= want && age() < want+waitTimeout })
+	}
+}
+
 // Guards against a sidecar that uses the domain of its own settings although its backend server has announced another one,
 // and against one that starts tasks before its backend server is known.
 func TestDomainOfTheBackendServerCounts(t *testing.T) {
--- a/sidecar/repeatable/session.go
+++ b/sidecar/repeatable/session.go
@@ -63,7 +63,7 @@
 	w.lastSession++
 	s.number = w.lastSession
 	w.sessions[s.number] = s
-	s.sendEvacuations(w.evacuations.Value())
+	s.sendEvacuations(s.startedAt)
 	s.reportNow()
 	s.sendPastCrashes(s.startedAt)
 	s.sendCancellations(w.cancelled.All(s.startedAt))
@@ -153,6 +153,7 @@
 	switch f.WhichBody() {
 	case wire.Frame_KeepAlive_case:
 		s.sidecars.Store(int64(f.GetKeepAlive().GetSidecars()))
+		s.worker.evacuations.Confirm(evacuation.ConfirmedAt(f.GetKeepAlive().GetEvacuationsAge(), uptime.Now()))
 		s.worker.routes.RecordVersion(s, f.GetKeepAlive().GetRoutesVersion())
 	case wire.Frame_Reserve_case:
 		s.reserve(f.GetReserve())
@@ -165,7 +166,7 @@
 	case wire.Frame_Cancellations_case:
 		s.worker.recordCancellations(s, f.GetCancellations())
 	case wire.Frame_Evacuations_case:
-		s.worker.receiveEvacuations(s, evacuation.Decode(f.GetEvacuations()))
+		s.worker.receiveEvacuations(s, f.GetEvacuations())
 	case wire.Frame_RoutesFetch_case:
 		s.worker.routes.Fetch(s, f.GetRoutesFetch().GetVersion())
 	case wire.Frame_Routes_case:
--- a/weir/version/evacuation/current.go
+++ b/weir/version/evacuation/current.go
@@ -1,14 +1,20 @@
 package evacuation
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 )
 
+// ageUnit is the unit of ages in messages. Ages of up to 12 s, which are those of a store that answers, take one byte.
+const ageUnit = 100 * time.Millisecond
+
 // Current holds the value in force at a process. The zero value has nothing known. It is safe for concurrent use.
 type Current struct {
 	value atomic.Pointer[Value]
-	// confirmedAt is when the store or a message has confirmed the value last, on the clock of package uptime; zero
+	// confirmedAt is when the store has confirmed the value last as far as is known here, on the clock of package uptime; zero
 	// before.
 	confirmedAt atomic.Int64
 }
@@ -43,8 +49,45 @@
 	}
 }
 
-// Confirm records that the store or a message has confirmed at the time now that the value in force is the newest one.
-func (c *Current) Confirm(now time.Duration) { c.confirmedAt.Store(int64(now)) }
+// Confirm records that the store has confirmed at a time that the value in force is the newest one, unless a later time is
+// known. Zero is no time.
+func (c *Current) Confirm(at time.Duration) {
+	if at == 0 {
+		return
+	}
+
+	for {
+		known := c.confirmedAt.Load()
+		if known != 0 && int64(at) <= known || c.confirmedAt.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
+// ConfirmedAt returns when the store has confirmed a value of this age in a message that was received at the time now, zero
+// if the message has no age. It may be before the start of this process and then negative.
+func ConfirmedAt(age uint32, now time.Duration) time.Duration {
+	if age == 0 {
+		return 0
+	}
+
+	return now - time.Duration(age)*ageUnit
+}
+
+// WireAge returns the age at now as messages carry it: in tenths of a second, rounded up, or zero if the value was never
+// confirmed.
+func (c *Current) WireAge(now time.Duration) uint32 {
+	if c.confirmedAt.Load() == 0 {
+		return 0
+	}
+
+	units := (c.Age(now) + ageUnit - 1) / ageUnit
+
+	return uint32(min(max(1, units), math.MaxUint32))
+}
+
+// Frame returns the message that passes the value in force on, or nil if nothing is known.
+func (c *Current) Frame(now time.Duration) *wire.Frame { return c.Value().frame(c.WireAge(now)) }
 
 // Age returns the time at now since the value in force was confirmed last, zero if it never was. An old value stays in
 // force.
--- a/weir/version/evacuation/evacuation_test.go
+++ b/weir/version/evacuation/evacuation_test.go
@@ -60,9 +60,37 @@
 
 	is.Equal(c.Age(time.Hour), time.Duration(0)) // never confirmed
 	c.Confirm(time.Hour)
+	c.Confirm(time.Minute) // known late
 	is.Equal(c.Age(time.Hour+time.Second), time.Second)
 }
 
+// Guards against an age that becomes smaller when it is passed on, and against one that was never confirmed and counts as
+// new.
+func TestAgeInMessages(t *testing.T) {
+	is := is.New(t)
+
+	var c evacuation.Current
+
+	is.Equal(c.WireAge(time.Hour), uint32(0))
+	is.Equal(evacuation.ConfirmedAt(0, time.Hour), time.Duration(0))
+
+	c.Confirm(evacuation.ConfirmedAt(10, time.Millisecond)) // before the start of the process
+	is.Equal(c.WireAge(time.Millisecond), uint32(10))
+
+	c.Confirm(time.Hour)
+	c.Update(evacuation.NewValue(3, []string{"a"}))
+
+	for age, want := range map[time.Duration]uint32{
+		0: 1, 100 * time.Millisecond: 1, 101 * time.Millisecond: 2, 10 * time.Second: 100,
+	} {
+		now := time.Hour + age
+		sent := c.WireAge(now)
+		is.Equal(sent, want)
+		is.True(now-evacuation.ConfirmedAt(sent, now) >= age)
+		is.Equal(c.Frame(now).GetEvacuations().GetAge(), want)
+	}
+}
+
 // Guards against a record that can't be read and gives a domain back, or ends that of another one, and against a state of
 // several positions that counts as one.
 func TestTrackerKeepsWhatItCannotRead(t *testing.T) {
--- a/weir/version/evacuation/value.go
+++ b/weir/version/evacuation/value.go
@@ -54,13 +54,16 @@
 	return v
 }
 
-// Frame returns the message that passes the value on, or nil if nothing is known.
-func (v Value) Frame() *wire.Frame {
+// Frame returns the message that passes the value on without its age, or nil if nothing is known.
+func (v Value) Frame() *wire.Frame { return v.frame(0) }
+
+// frame returns the message that passes the value and its age on, or nil if nothing is known.
+func (v Value) frame(age uint32) *wire.Frame {
 	if v.position <= 0 {
 		return nil
 	}
 
-	m := wire.Evacuations_builder{Position: v.position, Domains: v.domains}.Build()
+	m := wire.Evacuations_builder{Position: v.position, Domains: v.domains, Age: age}.Build()
 
 	return wire.Frame_builder{Evacuations: m}.Build()
 }
