weirctl evacuate evacuates a failure domain of our own deployment

Entries and sidecars put it into force for repeatable jobs; for ticketed tasks an entry places none at workers of evacuated domains, and a sidecar rejects new and queued starts with the reason evacuated. weirctl status shows the domains with position and age, and the workers as evacuated. A record whose append got no answer is not appended again, as that could take back what another operator has done.

--- a/entry/home/admit.go
+++ b/entry/home/admit.go
@@ -88,12 +88,23 @@
 
 	requirements := placement.NewTask(s.Kind(), k.service, s.Cores(), s.MemoryMB(), s.Ticket().Position())
 
+	isEvacuated := false
+
 	for _, w := range t.workers.View().Workers() {
-		if requirements.RunnableOn(w) && !w.Leaving() {
+		switch {
+		case !requirements.RunnableOn(w) || w.Leaving():
+		case w.Evacuated():
+			isEvacuated = true
+		default:
 			return requirements, nil
 		}
 	}
 
+	if isEvacuated {
+		return placement.Task{}, fault.New(fault.NoWorkers,
+			"all workers that can run kind %s are in evacuated failure domains", s.Kind())
+	}
+
 	return placement.Task{}, fault.New(fault.NoWorkers, "no connected worker can run kind %s", s.Kind())
 }
 
--- a/entry/home/dispatch.go
+++ b/entry/home/dispatch.go
@@ -92,6 +92,7 @@
 	if allChanged {
 		if r := t.rules.Load(); r != nil {
 			t.workers.UpdateRegistrations(r.state.Registered)
+			t.workers.UpdateEvacuations(r.state.Evacuations())
 		}
 	}
 
--- a/entry/home/rules.go
+++ b/entry/home/rules.go
@@ -134,7 +134,8 @@
 
 // equal reports whether both lead to the same decisions.
 func (r *rules) equal(o *rules) bool {
-	if o == nil || r.ready != o.ready || r.version != o.version || r.entries != o.entries {
+	if o == nil || r.ready != o.ready || r.version != o.version || r.entries != o.entries ||
+		r.state.Evacuations().Position() != o.state.Evacuations().Position() {
 		return false
 	}
 
@@ -146,6 +147,7 @@
 func (t *Table) applyRules(r *rules) {
 	t.rules.Store(r)
 	t.workers.UpdateRegistrations(r.state.Registered)
+	t.workers.UpdateEvacuations(r.state.Evacuations())
 
 	t.queue.mu.Lock()
 	for name, k := range r.kinds {
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -28,6 +28,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/fleet"
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
@@ -46,26 +47,32 @@
 	Healthy() bool
 }
 
+// Evacuations returns the evacuated failure domains, and the time since the log confirmed them last.
+type Evacuations interface {
+	Evacuations() (evacuation.Value, time.Duration)
+}
+
 // Server serves the admin endpoints for operators.
 type Server struct {
-	self      *wire.Entry
-	replica   *ledger.Replica
-	workers   *fleet.Fleet
-	peers     Peers
-	explainer Explainer
-	log       LogHealth
-	registry  gometrics.Registry
-	readiness *Readiness
-	drain     func()
-	start     time.Time
+	self        *wire.Entry
+	replica     *ledger.Replica
+	workers     *fleet.Fleet
+	peers       Peers
+	explainer   Explainer
+	log         LogHealth
+	registry    gometrics.Registry
+	readiness   *Readiness
+	evacuations Evacuations
+	drain       func()
+	start       time.Time
 }
 
 // NewServer returns a server that calls drain to start the graceful shutdown.
 func NewServer(
 	self *wire.Entry, replica *ledger.Replica, workers *fleet.Fleet, peers Peers, explainer Explainer, log LogHealth,
-	registry gometrics.Registry, readiness *Readiness, drain func(),
+	registry gometrics.Registry, readiness *Readiness, e Evacuations, drain func(),
 ) *Server {
-	return &Server{self, replica, workers, peers, explainer, log, registry, readiness, drain, time.Now()}
+	return &Server{self, replica, workers, peers, explainer, log, registry, readiness, e, drain, time.Now()}
 }
 
 // Handler returns the handler of the admin endpoints.
--- a/entry/operator/status.go
+++ b/entry/operator/status.go
@@ -21,6 +21,11 @@
 		Workers: []adminapi.Worker{}, Peers: []adminapi.Entry{},
 	}
 
+	v, age := s.evacuations.Evacuations()
+	out.Evacuations = adminapi.Evacuations{
+		Domains: append([]string{}, v.Domains()...), Position: v.Position(), AgeMS: age.Milliseconds(),
+	}
+
 	now := time.Now()
 	for _, w := range s.workers.View().Workers() {
 		out.Workers = append(out.Workers, workerOf(w, now))
@@ -44,7 +49,7 @@
 
 	return adminapi.Worker{
 		Name: w.Name(), Incarnation: w.Incarnation(), FailureDomain: w.FailureDomain(), Rack: w.Rack(), Slots: w.Slots(),
-		MemoryMB: w.MemoryMB(), Registered: registered, Leaving: w.Leaving(), Ejected: w.Ejected(),
+		MemoryMB: w.MemoryMB(), Registered: registered, Leaving: w.Leaving(), Ejected: w.Ejected(), Evacuated: w.Evacuated(),
 		Suspect: w.Report().Suspect(), SinceContactMS: now.Sub(w.LastContact()).Milliseconds(), Load: w.Load(),
 		Outstanding: w.Outstanding(), FailurePermille: w.Report().FailurePermille(),
 	}
--- a/entry/process/metrics.go
+++ b/entry/process/metrics.go
@@ -17,6 +17,8 @@
 		"weir_entry_workers_connected":  func() int64 { return int64(len(p.params.Fleet.View().Workers())) },
 		"weir_entry_workers_registered": func() int64 { return int64(len(p.params.Replica.State().Workers())) },
 		"weir_entry_peers_connected":    func() int64 { return int64(len(p.params.Peers.Reached())) },
+		"weir_entry_evacuated_domains":  func() int64 { v, _ := p.params.Dispatcher.Evacuations(); return int64(v.Len()) },
+		"weir_entry_evacuation_age_ms":  func() int64 { _, age := p.params.Dispatcher.Evacuations(); return age.Milliseconds() },
 	} {
 		_ = p.params.Registry.Register(name, gometrics.NewFunctionalGauge(value))
 	}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -83,6 +83,7 @@
 	Binder             *binding.Binder
 	Peers              *peer.Peers
 	Dispatcher         *repeatable.Dispatcher
+	EvacuationFollower *evacuationFollower
 	WorkerLossDetector *peer.WorkerLossDetector
 	EntryLossDetector  *peer.EntryLossDetector
 	Callers            *caller.Server
@@ -141,7 +142,7 @@
 	for _, loop := range []func(context.Context){
 		p.params.Follower.Run, p.params.Appender.Run, p.params.Table.Run, p.params.Peers.Run, p.detectWorkerLoss,
 		p.acceptConnections, p.keepRegistered, p.params.EntryLossDetector.Run, p.params.Readiness.Run,
-		p.params.Dispatcher.Run,
+		p.params.Dispatcher.Run, p.params.EvacuationFollower.run,
 	} {
 		p.group.Go(func() { loop(loopCtx) })
 	}
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -70,8 +70,11 @@
 			},
 			func() *fleet.Fleet { return &fleet.Fleet{} },
 			func() *logservice.Client { return logservice.NewClient(f.LogService) },
-			func(c *logservice.Client, replica *ledger.Replica) *logservice.Follower {
-				return logservice.NewFollower(c, replica, f.LogRetention.Value(), log)
+			func(replica *ledger.Replica, d *repeatable.Dispatcher) *evacuationFollower {
+				return &evacuationFollower{replica, d}
+			},
+			func(c *logservice.Client, replica *ledger.Replica, e *evacuationFollower) *logservice.Follower {
+				return logservice.NewFollower(c, replica, f.LogRetention.Value(), log).WithAnswered(e.confirm)
 			},
 			func(c *logservice.Client, replica *ledger.Replica) *logservice.Appender {
 				return logservice.NewAppender(c, replica, f.AppendBudget)
@@ -242,7 +245,7 @@
 
 func newOperatorServer(
 	self *wire.Entry, replica *ledger.Replica, workers *fleet.Fleet, p *peer.Peers, r *caller.Router,
-	f *logservice.Follower, registry gometrics.Registry, readiness *operator.Readiness, s fx.Shutdowner,
+	f *logservice.Follower, registry gometrics.Registry, readiness *operator.Readiness, d *repeatable.Dispatcher, s fx.Shutdowner,
 ) *operator.Server {
-	return operator.NewServer(self, replica, workers, p, r, f, registry, readiness, func() { _ = s.Shutdown() })
+	return operator.NewServer(self, replica, workers, p, r, f, registry, readiness, d, func() { _ = s.Shutdown() })
 }
--- a/entry/repeatable/evacuation.go
+++ b/entry/repeatable/evacuation.go
@@ -17,7 +17,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.adoptEvacuations(v, source, nil, uptime.Now())
+	d.adoptEvacuations(v, source, nil, 0)
 }
 
 // ConfirmEvacuations records that the store has answered at the time now, on the clock of package uptime, so that the value
--- a/entry/repeatable/evacuation_test.go
+++ b/entry/repeatable/evacuation_test.go
@@ -138,6 +138,7 @@
 		return age
 	}
 
+	e.ConfirmEvacuations(uptime.Now())
 	e.evacuate(1, "b")
 	f.await("the sidecar knows", func() bool { v, _ := f.sidecars[0].worker.Evacuations(); return v.Len() == 1 })
 
--- a/sidecar/process/metrics.go
+++ b/sidecar/process/metrics.go
@@ -20,6 +20,8 @@
 		"weir_sidecar_table_starts":      func() int64 { n, _, _ := table.Usage(); return int64(n) },
 		"weir_sidecar_table_tombstones":  func() int64 { _, n, _ := table.Usage(); return int64(n) },
 		"weir_sidecar_table_bytes":       func() int64 { _, _, n := table.Usage(); return n },
+		"weir_sidecar_evacuated_domains": func() int64 { v, _ := p.params.RepeatableRunner.evacuations(); return int64(v.Len()) },
+		"weir_sidecar_evacuation_age_ms": func() int64 { _, age := p.params.RepeatableRunner.evacuations(); return age.Milliseconds() },
 	} {
 		_ = p.params.Registry.Register(name, gometrics.NewFunctionalGauge(value))
 	}
--- a/sidecar/process/repeatable.go
+++ b/sidecar/process/repeatable.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/connection/quic"
 	"github.com/skylarkweir/skylarkweir/weir/process/sessionset"
 	"github.com/skylarkweir/skylarkweir/weir/request/job"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
@@ -41,6 +42,8 @@
 
 	c := leasedbackend.NewClient(s.Backend())
 	w := repeatable.NewWorker(s.Worker().GetName(), c, repeatable.NewRouteDistributor(log), nil, log)
+	w.SetFailureDomain(s.FailureDomain())
+
 	capacity := job.NewSize(int64(s.Slots())*millicoresPerSlot, int64(s.MemoryMB()))
 
 	return &repeatableRunner{
@@ -63,6 +66,7 @@
 	group.Go(func() { r.worker.Run(ctx) })
 	group.Go(func() { r.announcer.Run(ctx) })
 	group.Go(func() { r.links.Run(ctx) })
+	group.Go(func() { r.followEvacuations(ctx) })
 
 	t := time.NewTicker(entryListInterval)
 	defer t.Stop()
@@ -78,6 +82,33 @@
 	}
 }
 
+// followEvacuations puts the evacuations of the log into force until the context ends. They also come with the sessions of
+// the entries, which is faster, and say when the log has confirmed them.
+func (r *repeatableRunner) followEvacuations(ctx context.Context) {
+	for {
+		changed := r.replica.ConfigChanged()
+
+		if s := r.replica.State(); s.Complete() {
+			r.worker.AdoptEvacuations(s.Evacuations(), "log")
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// evacuations returns the evacuated failure domains in force, and the time since the log confirmed them last.
+func (r *repeatableRunner) evacuations() (evacuation.Value, time.Duration) {
+	if r.worker == nil {
+		return evacuation.Value{}, 0
+	}
+
+	return r.worker.Evacuations()
+}
+
 // addEntries passes the entries of the settings, and the registered ones with their failure domains, to the links.
 func (r *repeatableRunner) addEntries() {
 	registered := r.replica.State().Entries()
--- a/sidecar/repeatable/evacuation.go
+++ b/sidecar/repeatable/evacuation.go
@@ -35,7 +35,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.adoptEvacuations(v, source, nil, uptime.Now())
+	w.adoptEvacuations(v, source, nil, 0)
 }
 
 // receiveEvacuations handles a value that an entry has passed on.
--- a/sidecar/tasks/close.go
+++ b/sidecar/tasks/close.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// SetEvacuated sets whether the operator has evacuated the failure domain. While it is evacuated, new and queued starts are
+// rejected; running tasks finish normally.
+func (t *Table) SetEvacuated(evacuated bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.evacuated = evacuated
+	if !evacuated {
+		return
+	}
+
+	for run := range t.queued {
+		t.scheduler.Withdraw(run.task)
+		t.removeRejected(run, *evacuatedRejection())
+	}
+}
+
 // Drain waits until no task is queued or running, and then for at most outcomeFetchTimeout until every outcome is
 // acknowledged.
 func (t *Table) Drain(ctx context.Context) error {
--- a/sidecar/tasks/rejection.go
+++ b/sidecar/tasks/rejection.go
@@ -18,6 +18,8 @@
 		// Checked before r.rejection: a leaving worker also loses its registration, and an entry handles the reason
 		// LEAVING better than NOT_REGISTERED.
 		return &Rejected{wire.Rejection_REJECTION_LEAVING, "the sidecar is leaving"}
+	case t.evacuated:
+		return evacuatedRejection()
 	case r.rejection != nil:
 		return r.rejection
 	case !r.lease.Valid(r.leaseEpoch, uptime.Now()):
@@ -35,6 +37,10 @@
 	}
 }
 
+func evacuatedRejection() *Rejected {
+	return &Rejected{wire.Rejection_REJECTION_EVACUATED, "the failure domain of the worker is evacuated"}
+}
+
 // meanOutputBytes returns the expected size of an output. Counting it for every queued and running task keeps the held
 // outputs within the limit, because an output cannot be rejected once its task has run.
 func (t *Table) meanOutputBytes() int64 { return int64(t.meanOutput) }
@@ -58,6 +64,8 @@
 // checkQueued returns the rejection of a queued start that must no longer run, or nil.
 func (t *Table) checkQueued(run *Run, now time.Time) *Rejected {
 	switch r := run.request; {
+	case t.evacuated:
+		return evacuatedRejection()
 	case !now.Before(r.deadline):
 		return &Rejected{wire.Rejection_REJECTION_DEADLINE, "the deadline passed in the queue"}
 	case !r.lease.Valid(r.leaseEpoch, uptime.Now()):
--- a/sidecar/tasks/scheduler_config.go
+++ b/sidecar/tasks/scheduler_config.go
@@ -56,6 +56,22 @@
 	return kinds, members
 }
 
+// IsEvacuated reports whether the operator has evacuated the failure domain of a worker. One that is not registered runs no
+// tasks anyway.
+func IsEvacuated(s *ledger.State, worker string) bool {
+	if s.Evacuations().Len() == 0 {
+		return false
+	}
+
+	for _, w := range s.Workers() {
+		if w.Name() == worker {
+			return s.Evacuations().Has(w.FailureDomain())
+		}
+	}
+
+	return false
+}
+
 // Configurator applies each change of the log state to a table.
 type Configurator struct {
 	table    *Table
@@ -88,6 +104,7 @@
 	for {
 		changed := c.replica.ConfigChanged()
 		incarnation := c.worker.Incarnation()
+		c.table.SetEvacuated(IsEvacuated(c.replica.State(), c.worker.Name()))
 		kinds, members := SchedulerConfig(c.replica.State(), c.worker.Name(), incarnation)
 		c.table.Configure(c.capacity, kinds, members)
 
--- a/sidecar/tasks/table.go
+++ b/sidecar/tasks/table.go
@@ -39,6 +39,8 @@
 	// meanOutput is the moving average of output sizes in bytes.
 	meanOutput float64
 	leaving    bool
+	// evacuated is true while the operator has evacuated the failure domain.
+	evacuated bool
 }
 
 // NewTable returns an empty table. It rejects every start until it is configured.
--- a/weir/connection/adminapi/body.go
+++ b/weir/connection/adminapi/body.go
@@ -20,6 +20,17 @@
 	AgreementVersion int64    `json:"agreement_version"`
 	Workers          []Worker `json:"workers"`
 	Peers            []Entry  `json:"peers"`
+	// Evacuations are those in force at the entry.
+	Evacuations Evacuations `json:"evacuations"`
+}
+
+// Evacuations are the evacuated failure domains, as a process knows them.
+type Evacuations struct {
+	Domains []string `json:"domains"`
+	// Position is the offset in the log after the last record of an evacuation, zero if nothing is known.
+	Position int64 `json:"position"`
+	// AgeMS is the time since the log confirmed the domains last, in ms, or zero if it never has.
+	AgeMS int64 `json:"age_ms"`
 }
 
 // Entry is the identity of an entry as the log and its peers hold it.
@@ -32,20 +43,22 @@
 
 // Worker is the state of a worker from the view of one entry.
 type Worker struct {
-	Name            string `json:"name"`
-	Incarnation     uint64 `json:"incarnation,string"`
-	FailureDomain   string `json:"failure_domain"`
-	Rack            string `json:"rack"`
-	Slots           int    `json:"slots"`
-	MemoryMB        int    `json:"memory_mb"`
-	Registered      bool   `json:"registered"`
-	Leaving         bool   `json:"leaving"`
-	Ejected         bool   `json:"ejected"`
-	Suspect         bool   `json:"suspect"`
-	SinceContactMS  int64  `json:"heard_ms_ago"`
-	Load            int    `json:"load"`
-	Outstanding     int    `json:"outstanding"`
-	FailurePermille int    `json:"failure_permille"`
+	Name          string `json:"name"`
+	Incarnation   uint64 `json:"incarnation,string"`
+	FailureDomain string `json:"failure_domain"`
+	Rack          string `json:"rack"`
+	Slots         int    `json:"slots"`
+	MemoryMB      int    `json:"memory_mb"`
+	Registered    bool   `json:"registered"`
+	Leaving       bool   `json:"leaving"`
+	Ejected       bool   `json:"ejected"`
+	// Evacuated reports whether the operator has evacuated the failure domain of the worker.
+	Evacuated       bool  `json:"evacuated"`
+	Suspect         bool  `json:"suspect"`
+	SinceContactMS  int64 `json:"heard_ms_ago"`
+	Load            int   `json:"load"`
+	Outstanding     int   `json:"outstanding"`
+	FailurePermille int   `json:"failure_permille"`
 }
 
 // Show is an entry's response to GET /v1/show.
--- a/weir/connection/logservice/follower.go
+++ b/weir/connection/logservice/follower.go
@@ -47,6 +47,8 @@
 	failures        int
 	reportedSkipped int64
 	snapshot        snapshotTimer
+	// answered is called after each answer that was applied, nil if nobody needs that.
+	answered func()
 }
 
 // NewFollower returns a follower that updates replica. A retention of zero means DefaultRetention.
@@ -58,6 +60,13 @@
 	return &Follower{client: client, replica: replica, retention: retention, log: log, startTime: time.Now()}
 }
 
+// WithAnswered calls a function after each read that was answered and applied to the replica. It must be called before Run.
+func (f *Follower) WithAnswered(answered func()) *Follower {
+	f.answered = answered
+
+	return f
+}
+
 // Healthy reports whether the log answered the latest read and within pollWait plus readTimeoutMargin.
 func (f *Follower) Healthy() bool {
 	lastAnswer := f.lastAnswer.Load()
@@ -110,7 +119,17 @@
 	f.recordAnswer()
 	f.replica.ApplyLog(p.Records(), p.Next())
 	f.reportSkipped()
+	f.endLoad(p)
+
+	if f.answered != nil && len(p.Records()) < pageLimit {
+		f.answered()
+	}
 
+	return nil
+}
+
+// endLoad ends the load of the replica with the first page that reaches the end of the log.
+func (f *Follower) endLoad(p Page) {
 	if len(p.Records()) < pageLimit && !f.caughtUp {
 		f.caughtUp = true
 		f.replica.EndLoad()
@@ -120,8 +139,6 @@
 				Msg("the log holds no snapshot to start from; waiting for the state from another process")
 		}
 	}
-
-	return nil
 }
 
 func (f *Follower) recordAnswer() {
--- a/weir/process/fleet/fleet.go
+++ b/weir/process/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
 
 // ejectionDivisor limits the workers that are ejected at the same time to one in three of those connected.
@@ -177,6 +178,13 @@
 	}
 }
 
+// UpdateEvacuations sets for each connected worker whether the operator has evacuated its failure domain.
+func (f *Fleet) UpdateEvacuations(v evacuation.Value) {
+	for _, w := range f.View().Workers() {
+		w.evacuated.Store(v.Has(w.FailureDomain()))
+	}
+}
+
 func newWorker(identity *wire.Worker) *Worker {
 	w := &Worker{identity: identity}
 	w.report.Store(&Report{})
--- a/weir/process/fleet/worker.go
+++ b/weir/process/fleet/worker.go
@@ -27,7 +27,9 @@
 	outstanding, slotsSinceReport atomic.Int64
 	connected, leaving            atomic.Bool
 	ejected                       atomic.Bool
-	probe                         probeSchedule
+	// evacuated is true while the operator has evacuated the failure domain of the worker.
+	evacuated atomic.Bool
+	probe     probeSchedule
 }
 
 type rejections struct {
@@ -80,6 +82,9 @@
 // Leaving reports whether the worker announced, in a message or a report, that it accepts no new tasks.
 func (w *Worker) Leaving() bool { return w.leaving.Load() || w.Report().Leaving() }
 
+// Evacuated reports whether the operator has evacuated the failure domain, so that no task is to start there.
+func (w *Worker) Evacuated() bool { return w.evacuated.Load() }
+
 // Ejected reports whether the worker receives probes only.
 func (w *Worker) Ejected() bool { return w.ejected.Load() }
 
--- a/weir/process/placement/task.go
+++ b/weir/process/placement/task.go
@@ -65,7 +65,7 @@
 
 // eligible reports whether the worker is a candidate now, apart from ejection.
 func (t Task) eligible(w *fleet.Worker, now time.Time) bool {
-	return w != t.avoided && t.RunnableOn(w) && !w.Leaving() && now.Sub(w.LastContact()) < unresponsiveAfter &&
+	return w != t.avoided && t.RunnableOn(w) && !w.Leaving() && !w.Evacuated() && now.Sub(w.LastContact()) < unresponsiveAfter &&
 		(t.hasAllowance == nil || t.hasAllowance(w.Name()))
 }
 
--- a/weir/version/evacuation/current.go
+++ b/weir/version/evacuation/current.go
@@ -74,10 +74,10 @@
 	return now - time.Duration(age)*ageUnit
 }
 
-// WireAge returns the age at now as messages carry it: in tenths of a second, rounded up, or zero if the value was never
-// confirmed.
+// WireAge returns the age at now as messages carry it: in tenths of a second, rounded up, or zero if nothing is
+// known or it was never confirmed.
 func (c *Current) WireAge(now time.Duration) uint32 {
-	if c.confirmedAt.Load() == 0 {
+	if c.confirmedAt.Load() == 0 || c.value.Load() == nil {
 		return 0
 	}
 
--- a/weir/version/evacuation/evacuation_test.go
+++ b/weir/version/evacuation/evacuation_test.go
@@ -74,11 +74,17 @@
 	is.Equal(c.WireAge(time.Hour), uint32(0))
 	is.Equal(evacuation.ConfirmedAt(0, time.Hour), time.Duration(0))
 
+	c.Confirm(time.Nanosecond)
+	is.Equal(c.WireAge(time.Hour), uint32(0)) // nothing is known
+
+	c = evacuation.Current{}
+	c.Update(evacuation.NewValue(3, []string{"a"}))
+	is.Equal(c.WireAge(time.Hour), uint32(0))
+
 	c.Confirm(evacuation.ConfirmedAt(10, time.Millisecond)) // before the start of the process
 	is.Equal(c.WireAge(time.Millisecond), uint32(10))
 
 	c.Confirm(time.Hour)
-	c.Update(evacuation.NewValue(3, []string{"a"}))
 
 	for age, want := range map[time.Duration]uint32{
 		0: 1, 100 * time.Millisecond: 1, 101 * time.Millisecond: 2, 10 * time.Second: 100,
--- a/weir/version/ledger/body.go
+++ b/weir/version/ledger/body.go
@@ -9,8 +9,8 @@
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger/record"
 )
 
-// Body is the decoded content of a record: Publication, WorkerJoined, WorkerLeft, EntryJoined, EntryLeft, Binding or
-// Snapshot.
+// Body is the decoded content of a record: Publication, WorkerJoined, WorkerLeft, EntryJoined, EntryLeft, Binding,
+// Evacuation or Snapshot.
 type Body interface{ body() }
 
 // Publication proposes a new version of the agreement.
@@ -55,6 +55,21 @@
 // Binding binds a member's idempotency key to a ticket.
 type Binding struct{ member, key, ticket string }
 
+// Evacuation evacuates a failure domain, or ends that.
+type Evacuation struct {
+	domain, operator string
+	ended            bool
+}
+
+// Domain returns the name of the failure domain.
+func (e Evacuation) Domain() string { return e.domain }
+
+// Ended reports whether the evacuation ends.
+func (e Evacuation) Ended() bool { return e.ended }
+
+// Operator returns the name of the operator.
+func (e Evacuation) Operator() string { return e.operator }
+
 // Snapshot holds the complete shared state, which has no bindings.
 type Snapshot struct{ state *sharedState }
 
@@ -64,6 +79,7 @@
 func (EntryJoined) body()  {}
 func (EntryLeft) body()    {}
 func (Binding) body()      {}
+func (Evacuation) body()   {}
 func (Snapshot) body()     {}
 
 // Decode returns the content of a record's data. Every reader skips a record that does not decode.
@@ -77,12 +93,7 @@
 	case record.Record_Publication_case:
 		return decodePublication(r.GetPublication())
 	case record.Record_WorkerJoined_case:
-		w := r.GetWorkerJoined().GetWorker()
-		if w.GetName() == "" || w.GetIncarnation() == 0 {
-			return nil, decodeError("worker without name or incarnation")
-		}
-
-		return WorkerJoined{w}, nil
+		return decodeWorkerJoined(r.GetWorkerJoined())
 	case record.Record_WorkerLeft_case:
 		m := r.GetWorkerLeft()
 
@@ -103,6 +114,8 @@
 		}
 
 		return Binding{m.GetMember(), m.GetKey(), m.GetTicket()}, nil
+	case record.Record_Evacuation_case:
+		return decodeEvacuation(r.GetEvacuation())
 	case record.Record_Snapshot_case:
 		f, err := decodeSnapshot(r.GetSnapshot())
 		if err != nil {
@@ -128,6 +141,23 @@
 	return Publication{m.GetBase(), m.GetVersion(), string(m.GetNonce()), m.GetOperator(), a}, nil
 }
 
+func decodeWorkerJoined(m *record.WorkerJoined) (Body, error) {
+	w := m.GetWorker()
+	if w.GetName() == "" || w.GetIncarnation() == 0 {
+		return nil, decodeError("worker without name or incarnation")
+	}
+
+	return WorkerJoined{w}, nil
+}
+
+func decodeEvacuation(m *record.Evacuation) (Body, error) {
+	if m.GetDomain() == "" {
+		return nil, decodeError("evacuation without a failure domain")
+	}
+
+	return Evacuation{m.GetDomain(), m.GetOperator(), m.GetEnded()}, nil
+}
+
 func decodeEntryLeft(m *record.EntryLeft) (Body, error) {
 	if m.GetEntry().GetName() == "" || m.GetEntry().GetIncarnation() == 0 {
 		return nil, decodeError("entry without name or incarnation")
@@ -146,7 +176,7 @@
 }
 
 // IsIdempotent reports whether appending the record twice has the same effect as appending it once. It returns false
-// for snapshots, which a newer snapshot replaces, and for records that do not decode, whose effect is unknown.
+// for snapshots, which a newer snapshot replaces, for evacuations, which another operator may have ended meanwhile, and for records that do not decode, whose effect is unknown.
 func IsIdempotent(data []byte) bool {
 	b, err := Decode(data)
 	if err != nil {
--- a/weir/version/ledger/convergence_test.go
+++ b/weir/version/ledger/convergence_test.go
@@ -62,10 +62,12 @@
 	snapshotPositions []int64
 	// version is the expected version, counted independently of the ledger.
 	version int64
+	// evacuated are the expected evacuated failure domains, counted independently of the ledger.
+	evacuated map[string]bool
 }
 
 func newModel(t *rapid.T) *logModel {
-	m := &logModel{}
+	m := &logModel{evacuated: map[string]bool{}}
 	s := &ledger.State{}
 	prefixes := []*ledger.State{s}
 	m.snapshots = append(m.snapshots, ledger.SnapshotRecord(s))
@@ -88,6 +90,16 @@
 		prefixes = append(prefixes, s)
 		m.snapshots = append(m.snapshots, ledger.SnapshotRecord(s))
 
+		for _, d := range s.Evacuations().Domains() {
+			if !m.evacuated[d] {
+				t.Fatalf("%s is evacuated at position %d, want %v", d, s.Position(), m.evacuated)
+			}
+		}
+
+		if s.Evacuations().Len() != len(m.evacuated) {
+			t.Fatalf("evacuated at position %d: %v, want %v", s.Position(), s.Evacuations().Domains(), m.evacuated)
+		}
+
 		if s.Version() != m.version {
 			t.Fatalf("version %d at position %d, want %d", s.Version(), s.Position(), m.version)
 		}
@@ -101,7 +113,7 @@
 	name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))
 	incarnation := uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))
 
-	switch rapid.IntRange(0, 6).Draw(t, "type") {
+	switch rapid.IntRange(0, 7).Draw(t, "type") {
 	case 0:
 		return ledger.WorkerJoinedRecord(worker(name, incarnation))
 	case 1:
@@ -114,6 +126,13 @@
 		return ledger.BindingRecord("m", name, fmt.Sprint(i), nil)
 	case 5:
 		return []byte("not a record")
+	case 6:
+		ended := rapid.Bool().Draw(t, "ended")
+		if m.evacuated[name] = true; ended {
+			delete(m.evacuated, name)
+		}
+
+		return ledger.EvacuationRecord(name, ended, []byte{byte(i)}, "operator")
 	default:
 		base := max(0, m.version+int64(rapid.IntRange(-1, 1).Draw(t, "base")))
 		if base == m.version {
@@ -175,6 +194,10 @@
 		t.Fatalf("state moved back from position %d to %d", before.Position(), after.Position())
 	}
 
+	if after.Evacuations().Position() < before.Evacuations().Position() {
+		t.Fatalf("evacuations moved back from position %d", before.Evacuations().Position())
+	}
+
 	if got := ledger.SnapshotRecord(after); !bytes.Equal(got, m.snapshots[after.Position()]) {
 		t.Fatalf("state at position %d differs from that of a reader of the whole log", after.Position())
 	}
--- a/weir/version/ledger/record.go
+++ b/weir/version/ledger/record.go
@@ -116,6 +116,21 @@
 	return encode(r)
 }
 
+// EvacuationRecord returns a record that evacuates a failure domain, or ends that. The nonce is random and makes the record
+// unique.
+func EvacuationRecord(domain string, ended bool, nonce []byte, operator string) []byte {
+	m := &record.Evacuation{}
+	m.SetDomain(domain)
+	m.SetEnded(ended)
+	m.SetNonce(nonce)
+	m.SetOperator(operator)
+
+	r := &record.Record{}
+	r.SetEvacuation(m)
+
+	return encode(r)
+}
+
 // SnapshotRecord returns a record with the state except its bindings, from which a new reader can start.
 func SnapshotRecord(s *State) []byte {
 	r := &record.Record{}
--- a/weir/version/ledger/replica.go
+++ b/weir/version/ledger/replica.go
@@ -35,7 +35,8 @@
 	// snapshot is encoded at most once for each view.
 	snapshot func() []byte
 	changed  chan struct{}
-	// configChanged is shared with later views until the agreement, the workers, the entries or the completeness differ.
+	// configChanged is shared with later views until the agreement, the workers, the entries, the evacuations or the
+	// completeness differ.
 	configChanged chan struct{}
 }
 
@@ -62,8 +63,8 @@
 // Changed returns a channel that is closed when the state changes next.
 func (r *Replica) Changed() <-chan struct{} { return r.loadView().changed }
 
-// ConfigChanged returns a channel that is closed when the agreement, the workers, the entries or the completeness of
-// the state change next. Bindings, which may arrive hundreds of times per second, and new positions do not close it.
+// ConfigChanged returns a channel that is closed when the agreement, the workers, the entries, the evacuations or the
+// completeness of the state change next. Bindings, which may arrive hundreds of times per second, and new positions do not close it.
 func (r *Replica) ConfigChanged() <-chan struct{} { return r.loadView().configChanged }
 
 // ApplyLog applies records that were read from the log; through is the offset up to which the log was read. The records
--- a/weir/version/ledger/shared_state.go
+++ b/weir/version/ledger/shared_state.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger/record"
 )
 
@@ -37,6 +38,7 @@
 	publicationOutcomes []publicationOutcome
 	workers             *registry[*wire.Worker]
 	entries             *registry[*wire.Entry]
+	evacuations         evacuation.Value
 }
 
 type publicationOutcome struct {
@@ -94,6 +96,8 @@
 		d.mutableWorkers().join(x.worker, r.offset, d.timeMS)
 	case WorkerLeft:
 		d.mutableWorkers().leave(x.name, x.incarnation, r.offset, d.timeMS, nil)
+	case Evacuation:
+		d.applyEvacuation(x, r.offset+1)
 	case EntryJoined:
 		d.mutableEntries().join(x.entry, r.offset, d.timeMS)
 	case EntryLeft:
@@ -118,6 +122,17 @@
 	)
 }
 
+func (d *draft) applyEvacuation(e Evacuation, position int64) {
+	domains := d.evacuations.Domains()
+	if e.ended {
+		domains = slices.DeleteFunc(domains, func(x string) bool { return x == e.domain })
+	} else {
+		domains = append(domains, e.domain)
+	}
+
+	d.evacuations = evacuation.NewValue(position, domains)
+}
+
 func (d *draft) removeExpired() {
 	beforeMS := d.timeMS - DepartedRetention.Milliseconds()
 	if d.workers.hasExpired(beforeMS) {
@@ -138,6 +153,9 @@
 	m.SetOperator(f.operator)
 	m.SetPublishedMs(f.publishedMS)
 
+	m.SetEvacuatedDomains(f.evacuations.Domains())
+	m.SetEvacuationsPosition(f.evacuations.Position())
+
 	if f.agreement != nil {
 		m.SetAgreement(f.agreement.Marshal())
 	}
@@ -185,10 +203,10 @@
 	f := &sharedState{
 		position: m.GetPosition(), version: m.GetVersion(), workersKnownFrom: m.GetCompleteFrom(), timeMS: m.GetTimeMs(),
 		operator: m.GetOperator(), publishedMS: m.GetPublishedMs(),
+		evacuations: evacuation.NewValue(m.GetEvacuationsPosition(), m.GetEvacuatedDomains()),
 	}
-	if f.position < 0 || f.version < 0 || f.version > f.position ||
-		f.workersKnownFrom < 0 || f.workersKnownFrom > f.position {
-		return nil, decodeError("snapshot with inconsistent position, version or complete-from position")
+	if !f.isConsistent() {
+		return nil, decodeError("snapshot with inconsistent position, version, complete-from position or evacuations")
 	}
 
 	if f.version > 0 {
@@ -234,6 +252,15 @@
 	return f, nil
 }
 
+// isConsistent reports whether the positions and the version of a snapshot are possible.
+func (f *sharedState) isConsistent() bool {
+	isWithin := func(n int64) bool { return n >= 0 && n <= f.position }
+	p := f.evacuations.Position()
+
+	return f.position >= 0 && isWithin(f.version) && isWithin(f.workersKnownFrom) && isWithin(p) &&
+		(p > 0 || f.evacuations.Len() == 0)
+}
+
 // registrationMessage has the common methods of record.WorkerSpan and record.EntrySpan.
 type registrationMessage interface {
 	GetJoined() int64
--- a/weir/version/ledger/state.go
+++ b/weir/version/ledger/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarkweir/skylarkweir/weir/connection/wire"
 	"github.com/skylarkweir/skylarkweir/weir/version/agreement"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 )
 
 var (
@@ -65,12 +66,13 @@
 
 func (s *State) hasGap() bool { return s.gapEnd > s.Position() }
 
-// sameConfig reports whether the agreement, the workers, the entries and the completeness are the same. Registries are
+// sameConfig reports whether the agreement, the workers, the entries, the evacuations and the completeness are the same. Registries are
 // copied before a change, so equal pointers mean equal content.
 func (s *State) sameConfig(o *State) bool {
 	a, b := s.shared(), o.shared()
 
-	return a.version == b.version && a.workers == b.workers && a.entries == b.entries && s.Complete() == o.Complete()
+	return a.version == b.version && a.workers == b.workers && a.entries == b.entries &&
+		a.evacuations.Position() == b.evacuations.Position() && s.Complete() == o.Complete()
 }
 
 // Agreement returns the agreement in force; it is empty if there is none.
@@ -100,6 +102,10 @@
 	return inForce, known
 }
 
+// Evacuations returns the evacuated failure domains, with the offset after the last record of an evacuation as the position.
+// Other records don't change the position, so that each process passes a value on only after a change.
+func (s *State) Evacuations() evacuation.Value { return s.shared().evacuations }
+
 // Workers returns the registered workers in the order of their names.
 func (s *State) Workers() []Worker {
 	all := make([]Worker, 0, len(s.shared().workers.all()))
--- a/weirctl/command/command_test.go
+++ b/weirctl/command/command_test.go
@@ -145,6 +145,49 @@
 	is.Equal(out, "accepted: version 1\n")
 }
 
+// Guards against an evacuation that is not in the log although the command says so, against an end that ends another one,
+// and against a repeated command that fails.
+func TestEvacuate(t *testing.T) {
+	is := is.New(t)
+	log := logServer(t)
+
+	for n, step := range []struct {
+		args    []string
+		domains []string
+	}{
+		{[]string{"a"}, []string{"a"}}, {[]string{"b"}, []string{"a", "b"}}, {[]string{"b"}, []string{"a", "b"}},
+		{[]string{"--end", "a"}, []string{"b"}}, {[]string{"--end", "a"}, []string{"b"}}, {[]string{"--end", "b"}, []string{}},
+	} {
+		code, out, errOut := weirctl(append([]string{"--json", "evacuate", "--log", log.URL}, step.args...)...)
+		is.Equal(errOut, "")
+		is.Equal(code, 0)
+
+		var b struct {
+			Domains  []string
+			Position int64
+		}
+		is.NoErr(json.Unmarshal([]byte(out), &b))
+		is.Equal(b.Domains, step.domains)
+		is.Equal(b.Position, int64(n+1))
+	}
+
+	code, out, _ := weirctl("evacuate", "a", "--log", log.URL)
+	is.Equal(code, 0)
+	is.Equal(out, "failure domain a, which has 0 registered processes, is evacuated, position 7\n")
+
+	setFaults(t, log, `{"lose_answers": true}`)
+
+	code, out, _ = weirctl("evacuate", "--end", "a", "--log", log.URL)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "is not evacuated any more"))
+
+	setFaults(t, log, `{"down": true}`)
+
+	code, _, errOut := weirctl("evacuate", "a", "--log", log.URL, "--timeout", "300ms")
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "nothing was changed"))
+}
+
 // Guards against a publication that is reported as accepted although its record was not read back, because the log is
 // down or rejects appends.
 func TestPublishWhileLogIsDown(t *testing.T) {
--- a/weirctl/command/run.go
+++ b/weirctl/command/run.go
@@ -34,7 +34,7 @@
 func commands(options *globalOptions) []console.Command {
 	return []console.Command{
 		newCheck(options), newPublish(options), newShow(options), newStatus(options), newExplain(options),
-		newDrain(options), newKeys(options), newSettings(options), newCompletion(options),
+		newDrain(options), newEvacuate(options), newKeys(options), newSettings(options), newCompletion(options),
 	}
 }
 
--- a/weirctl/command/status.go
+++ b/weirctl/command/status.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/skylarkweir/skylarkweir/daemon/console"
 	"github.com/skylarkweir/skylarkweir/weir/connection/adminapi"
@@ -193,15 +194,37 @@
 	}
 
 	printTable(w, []string{"process", "queue of", "waiting"}, rows)
+	b.printEvacuations(w)
 }
 
-// workerState returns the first that applies of leaving, not registered, ejected and suspect, or else up.
+// printEvacuations prints the evacuated failure domains as each entry knows them, unless no log record ever evacuated one.
+func (b statusOutput) printEvacuations(w io.Writer) {
+	var rows [][]string
+
+	for _, e := range b.Entries {
+		if v := e.Evacuations; v.Position > 0 {
+			rows = append(rows, []string{
+				e.Entry.Name, cmp.Or(strings.Join(v.Domains, ","), "none"), strconv.FormatInt(v.Position, 10),
+				strconv.FormatInt(v.AgeMS, 10) + "ms",
+			})
+		}
+	}
+
+	if len(rows) > 0 {
+		fmt.Fprintln(w)
+		printTable(w, []string{"entry", "evacuated failure domains", "position", "age"}, rows)
+	}
+}
+
+// workerState returns the first that applies of leaving, not registered, evacuated, ejected and suspect, or else up.
 func workerState(w adminapi.Worker) string {
 	switch {
 	case w.Leaving:
 		return "leaving"
 	case !w.Registered:
 		return "not registered"
+	case w.Evacuated:
+		return "evacuated"
 	case w.Ejected:
 		return "ejected"
 	case w.Suspect:
