--- a/standin/capacity/benchmark.go
+++ b/standin/capacity/benchmark.go
@@ -40,20 +40,21 @@
 // Measurements returns the measurements by the names that the capacity command accepts.
 func Measurements() map[string]Measurement {
 	return map[string]Measurement{
-		"call":            (*Benchmark).Call,
-		"entry-workers":   (*Benchmark).EntryWorkers,
-		"entry-starts":    (*Benchmark).EntryStarts,
-		"entry-members":   (*Benchmark).EntryMembers,
-		"entry-held":      (*Benchmark).EntryHeld,
-		"entry-peers":     (*Benchmark).EntryPeers,
-		"entry-change":    (*Benchmark).EntryChange,
-		"entry-loss":      (*Benchmark).EntryLoss,
-		"session-entry":   (*Benchmark).SessionEntry,
-		"sidecar-entries": (*Benchmark).SidecarEntries,
-		"sidecar-starts":  (*Benchmark).SidecarStarts,
-		"sidecar-members": (*Benchmark).SidecarMembers,
-		"sidecar-change":  (*Benchmark).SidecarChange,
-		"fleet-change":    (*Benchmark).FleetChange,
+		"call":                (*Benchmark).Call,
+		"entry-workers":       (*Benchmark).EntryWorkers,
+		"entry-starts":        (*Benchmark).EntryStarts,
+		"entry-members":       (*Benchmark).EntryMembers,
+		"entry-held":          (*Benchmark).EntryHeld,
+		"entry-peers":         (*Benchmark).EntryPeers,
+		"entry-change":        (*Benchmark).EntryChange,
+		"entry-loss":          (*Benchmark).EntryLoss,
+		"session-entry":       (*Benchmark).SessionEntry,
+		"session-evacuations": (*Benchmark).SessionEvacuations,
+		"sidecar-entries":     (*Benchmark).SidecarEntries,
+		"sidecar-starts":      (*Benchmark).SidecarStarts,
+		"sidecar-members":     (*Benchmark).SidecarMembers,
+		"sidecar-change":      (*Benchmark).SidecarChange,
+		"fleet-change":        (*Benchmark).FleetChange,
 	}
 }
 
--- a/standin/capacity/capacity_test.go
+++ b/standin/capacity/capacity_test.go
@@ -49,7 +49,7 @@
 	points := map[string][]int{
 		"entry-workers": {2, 4}, "entry-starts": {40}, "entry-members": {3}, "entry-held": {5}, "entry-peers": {1, 2},
 		"entry-change": {2}, "sidecar-entries": {1, 2}, "sidecar-starts": {40}, "sidecar-members": {3},
-		"sidecar-change": {2}, "fleet-change": {2}, "session-entry": {2, 12},
+		"sidecar-change": {2}, "fleet-change": {2}, "session-entry": {2, 12}, "session-evacuations": {0, 2, 1},
 		"call": {0, 20},
 	}
 
--- a/standin/capacity/sessions.go
+++ b/standin/capacity/sessions.go
@@ -46,8 +46,8 @@
 	}
 	defer s.close()
 
-	f := &sessionFleet{entry: s.entry.AdvertisedAddress(), entries: max(1, int(float64(sidecars)/sidecarsOfEntry))}
-	if err := f.node.Listen("127.0.0.1:0", s.keys); err != nil {
+	f, err := s.openSessions(sidecars)
+	if err != nil {
 		return err
 	}
 
@@ -61,6 +61,13 @@
 	return s.measureEntry(ctx, t, sidecars)
 }
 
+// openSessions returns a fleet of a number of sidecars, none of which runs yet.
+func (s *setup) openSessions(sidecars int) (*sessionFleet, error) {
+	f := &sessionFleet{entry: s.entry.AdvertisedAddress(), entries: max(1, int(float64(sidecars)/sidecarsOfEntry))}
+
+	return f, f.node.Listen("127.0.0.1:0", s.keys)
+}
+
 // sessionFleet is a fleet of sidecars without load of which those run that have a session with one entry.
 type sessionFleet struct {
 	node quic.Node
