--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -32,6 +32,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/interference"
 	"github.com/skylarkweir/skylarkweir/weir/process/metrics"
 	"github.com/skylarkweir/skylarkweir/weir/request/fault"
+	"github.com/skylarkweir/skylarkweir/weir/version/evacuation"
 	"github.com/skylarkweir/skylarkweir/weir/version/ledger"
 )
 
@@ -60,18 +61,24 @@
 	InterferingPairs() []interference.Pair
 }
 
+// Evacuations returns the evacuated failure domains, and the time since the log confirmed them last.
+type Evacuations interface {
+	Evacuations() (evacuation.Value, time.Duration)
+}
+
 // Server serves the admin endpoints for operators.
 type Server struct {
-	self      *wire.Entry
-	replica   *ledger.Replica
-	workers   *fleet.Fleet
-	peers     Peers
-	explainer Explainer
-	log       LogHealth
-	registry  gometrics.Registry
-	readiness *Readiness
-	drain     func()
-	start     time.Time
+	self        *wire.Entry
+	replica     *ledger.Replica
+	workers     *fleet.Fleet
+	peers       Peers
+	explainer   Explainer
+	log         LogHealth
+	registry    gometrics.Registry
+	readiness   *Readiness
+	evacuations Evacuations
+	drain       func()
+	start       time.Time
 	// pairs is nil if there are none.
 	pairs Pairs
 	// placements is nil if placements are not explained.
@@ -81,9 +88,9 @@
 // NewServer returns a server that calls drain to start the graceful shutdown.
 func NewServer(
 	self *wire.Entry, replica *ledger.Replica, workers *fleet.Fleet, peers Peers, explainer Explainer, log LogHealth,
-	registry gometrics.Registry, readiness *Readiness, drain func(),
+	registry gometrics.Registry, readiness *Readiness, e Evacuations, drain func(),
 ) *Server {
-	return &Server{self, replica, workers, peers, explainer, log, registry, readiness, drain, time.Now(), nil, nil}
+	return &Server{self, replica, workers, peers, explainer, log, registry, readiness, e, drain, time.Now(), nil, nil}
 }
 
 // WithPairs makes the status contain the pairs of kinds that are kept apart.
--- a/entry/process/metrics.go
+++ b/entry/process/metrics.go
@@ -19,6 +19,8 @@
 		"weir_entry_interference_pairs": func() int64 { return int64(len(p.params.Dispatcher.InterferingPairs())) },
 		"weir_entry_interference_kinds": func() int64 { return int64(p.params.Dispatcher.ModelledKinds()) },
 		"weir_entry_peers_connected":    func() int64 { return int64(len(p.params.Peers.Reached())) },
+		"weir_entry_evacuated_domains":  func() int64 { v, _ := p.params.Dispatcher.Evacuations(); return int64(v.Len()) },
+		"weir_entry_evacuation_age_ms":  func() int64 { _, age := p.params.Dispatcher.Evacuations(); return age.Milliseconds() },
 	} {
 		_ = p.params.Registry.Register(name, gometrics.NewFunctionalGauge(value))
 	}
--- a/entry/process/wiring.go
+++ b/entry/process/wiring.go
@@ -75,8 +75,11 @@
 			},
 			func() *fleet.Fleet { return &fleet.Fleet{} },
 			func() *logservice.Client { return logservice.NewClient(f.LogService) },
-			func(c *logservice.Client, replica *ledger.Replica) *logservice.Follower {
-				return logservice.NewFollower(c, replica, f.LogRetention.Value(), log)
+			func(replica *ledger.Replica, d *repeatable.Dispatcher) *evacuationFollower {
+				return &evacuationFollower{replica, d}
+			},
+			func(c *logservice.Client, replica *ledger.Replica, e *evacuationFollower) *logservice.Follower {
+				return logservice.NewFollower(c, replica, f.LogRetention.Value(), log).WithAnswered(e.confirm)
 			},
 			func(c *logservice.Client, replica *ledger.Replica) *logservice.Appender {
 				return logservice.NewAppender(c, replica, f.AppendBudget)
@@ -250,6 +253,6 @@
 	f *logservice.Follower, registry gometrics.Registry, readiness *operator.Readiness, d *repeatable.Dispatcher,
 	settings Settings, s fx.Shutdowner,
 ) *operator.Server {
-	return operator.NewServer(self, replica, workers, p, r, f, registry, readiness, func() { _ = s.Shutdown() }).
+	return operator.NewServer(self, replica, workers, p, r, f, registry, readiness, d, func() { _ = s.Shutdown() }).
 		WithPairs(d).WithPlacements(caller.NewPlacementExplainer(d, replica, settings.file.MaxTasks))
 }
