--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -104,25 +104,6 @@
 	return n
 }
 
-// requestedCount returns the number of reservations that are requested and not granted.
-func (a *activeJob) requestedCount() int {
-	n := 0
-	for _, r := range a.requested {
-		n += r
-	}
-
-	return n
-}
-
-func (a *activeJob) grantedCount() int {
-	n := 0
-	for _, g := range a.granted {
-		n += g
-	}
-
-	return n
-}
-
 // handleReserved handles n reservations that a sidecar has granted.
 func (a *activeJob) handleReserved(s *sidecar, n int) {
 	a.granted[s.number] += n
--- a/entry/repeatable/outstanding.go
+++ b/entry/repeatable/requests.go
@@ -15,3 +15,22 @@
 
 	return n
 }
+
+// requestedCount returns the number of reservations that are requested and not granted.
+func (a *activeJob) requestedCount() int {
+	n := 0
+	for _, r := range a.requested {
+		n += r
+	}
+
+	return n
+}
+
+func (a *activeJob) grantedCount() int {
+	n := 0
+	for _, g := range a.granted {
+		n += g
+	}
+
+	return n
+}
