The test of command pages finds names with a hyphen

weirctl explain-placement was not found in the code, so its page counted as one of a command that does not exist. The check now compares that command's options, too.

--- a/standin/pages/commands_test.go
+++ b/standin/pages/commands_test.go
@@ -18,7 +18,7 @@
 	helpOption = regexp.MustCompile(`(?m)^\s+(?:-\w, )?\s*(--[a-z-]+)`)
 	pageOption = regexp.MustCompile("(?m)^\\| `(?:-\\w, )?(--[a-z-]+)")
 	// commandRegistration matches the registration of a command in the source of a program.
-	commandRegistration = regexp.MustCompile(`console\.NewCommand\(\s*"(\w+)"`)
+	commandRegistration = regexp.MustCompile(`console\.NewCommand\(\s*"([\w-]+)"`)
 )
 
 // Guards against commands and options that have no documentation, and against documentation of commands and options
