The throttle counts kinds of job, not urgencies

Cause: an entry serves several services, whose kinds may have the same urgency; one that waits in vain would have throttled the others. Up to 256 kinds are counted, the oldest give way. Measured: unit tests; deployments with one service have one kind for each urgency, so their decisions are the same.

--- a/entry/repeatable/activejob.go
+++ b/entry/repeatable/activejob.go
@@ -133,7 +133,7 @@
 		a.phase = phaseRunning
 		a.firstLaunch = uptime.Now()
 		a.maxWaitTimer.Stop()
-		a.dispatcher.throttle.RecordStart(a.job.Policy().Priority(), a.firstLaunch)
+		a.dispatcher.throttle.RecordStart(a.job.Policy().Kind(), a.firstLaunch)
 
 		a.dispatcher.log.Info().Str("event", "job_placed").Str("job", a.job.ID()).Str("kind", a.job.Policy().Kind()).
 			Int("tasks", a.job.Tasks()).Int("granted", a.grantedCount()).Dur("waited", a.firstLaunch-a.arrived).
@@ -284,7 +284,7 @@
 	}
 
 	if a.phase == phaseWaiting {
-		a.dispatcher.throttle.RecordFailure(a.job.Policy().Priority(), uptime.Now())
+		a.dispatcher.throttle.RecordFailure(a.job.Policy().Kind(), uptime.Now())
 	}
 
 	a.stopTimers()
--- a/entry/repeatable/dispatcher.go
+++ b/entry/repeatable/dispatcher.go
@@ -181,7 +181,7 @@
 
 	decision := admission.Decide(j, run, load, random)
 
-	if v, ok := decision.(admission.Admit); ok && d.throttle.Refuses(j.Policy().Priority(), now, random) {
+	if v, ok := decision.(admission.Admit); ok && d.throttle.Refuses(j.Policy().Kind(), now, random) {
 		return admission.NewRefuse(admission.Throttled, admission.RetryAfter(v.ExpectedWait(), random))
 	}
 
--- a/weir/process/admission/admission.go
+++ b/weir/process/admission/admission.go
@@ -144,7 +144,7 @@
 	NoServersInRegions  = "no backend server in the regions that the route allows accepts tasks of the service"
 	TooLarge            = "a task needs more CPU or memory than any backend server has"
 	Overloaded          = "waiting for free capacity would make the job miss its objective"
-	Throttled           = "most jobs of this urgency wait in vain at this entry"
+	Throttled           = "most jobs of this kind wait in vain at this entry"
 	DeadlineUnreachable = "the caller's deadline leaves less than a quarter of the expected run time"
 	LimitUnreachable    = "the job's limit on one backend server makes its tasks run in turns beyond the caller's deadline"
 )
--- a/weir/process/admission/throttle_test.go
+++ b/weir/process/admission/throttle_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,7 +11,7 @@
 	"github.com/skylarkweir/skylarkweir/weir/process/admission"
 )
 
-// entryLoad is a load of one urgency at an entry that can place a number of jobs each second.
+// entryLoad is a load of one kind at an entry that can place a number of jobs each second.
 type entryLoad struct {
 	throttle admission.Throttle
 	random   *rand.Rand
@@ -26,14 +27,14 @@
 	for end := l.now + duration; l.now < end; l.now += step {
 		placeable = min(placeable+placedPerSecond*step.Seconds(), 2)
 
-		if l.throttle.Refuses(1, l.now, l.random) {
+		if l.throttle.Refuses("kind", l.now, l.random) {
 			refused++
 
 			continue
 		}
 
 		if placeable < 1 {
-			l.throttle.RecordFailure(1, l.now)
+			l.throttle.RecordFailure("kind", l.now)
 
 			continue
 		}
@@ -41,7 +42,7 @@
 		placeable--
 		started++
 
-		l.throttle.RecordStart(1, l.now)
+		l.throttle.RecordStart("kind", l.now)
 	}
 
 	return refused, started
@@ -72,8 +73,8 @@
 	}
 }
 
-// Guards against decisions on a few jobs, and against an urgency that pays for another.
-func TestThrottleNeedsEvidenceOfTheUrgency(t *testing.T) {
+// Guards against decisions on a few jobs, against a kind that pays for another, and against memory that grows with the names of kinds.
+func TestThrottleNeedsEvidenceOfTheKind(t *testing.T) {
 	is := is.New(t)
 
 	var h admission.Throttle
@@ -81,13 +82,21 @@
 	random := rand.New(rand.NewPCG(1, 1))
 
 	for range 39 {
-		is.True(!h.Refuses(1, time.Second, random))
-		h.RecordFailure(1, time.Second)
+		is.True(!h.Refuses("kind", time.Second, random))
+		h.RecordFailure("kind", time.Second)
 	}
 
 	for range 1000 {
-		h.RecordFailure(1, time.Second)
+		h.RecordFailure("kind", time.Second)
 	}
 
-	is.True(!h.Refuses(0, time.Second, random))
+	is.True(!h.Refuses("other", time.Second, random))
+
+	for n := range 10_000 {
+		h.RecordFailure(fmt.Sprint(n), time.Second)
+	}
+
+	is.True(h.Kinds() <= 256)
+	h.RecordFailure("new", time.Minute) // the others are old
+	is.Equal(h.Kinds(), 1)
 }
