--- a/weirctl/command/settingspage.go
+++ b/weirctl/command/settingspage.go
@@ -23,20 +23,22 @@
 const fixedCallerLimits = `
 ## Limits of callers without a key
 
-These limits hold at every HTTP server of an entry whose callers are limited, in addition to the keys above.
+These limits hold at every HTTP server of an entry or a sidecar, in addition to the keys above.
 [design/callers-budget.md](design/callers-budget.md) gives the reasons, and the limits on the users' platform, which are
 fractions of the machine's.
 
 | limit | default |
 | --- | --- |
 | header of a request | 16 KiB |
+| fields of a header without Host | 256 |
 | time without progress, 1 KiB, of a body or of the reading of an answer | 15 s |
 | time of a whole body | 30 s |
 | wait of a body for memory | 1 s, for a quarter of the connections at once |
 | memory for the first 4 KiB of bodies | a quarter of ` + "`caller_memory`" + ` |
 | time without progress after which a connection may be closed for another, while ` + "`caller_connections`" + ` is reached | 100 ms |
-| connections to ` + "`admin`" + ` | 64 |
-| memory for bodies at ` + "`admin`" + ` | 1 MiB |
+| connections to ` + "`callers`" + `, besides ` + "`caller_connections`" + ` | half of the descriptors that the process may open |
+| connections to ` + "`admin`" + `, also of a sidecar | 64 |
+| memory for bodies at ` + "`admin`" + `, also of a sidecar | 1 MiB |
 `
 
 // writeSettingsPage writes docs/settings.md.
