--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -27,6 +27,8 @@
 	storeAddress                     string
 	front, ready, control, transport int
 	store                            *store
+	// isUnguarded is true if the configuration says that the backend servers don't guard their capacity.
+	isUnguarded bool
 	// reserved keeps other runs from using the same addresses.
 	reserved  net.Listener
 	mu        sync.Mutex
@@ -102,7 +104,9 @@
 // configure writes a version of the operator's configuration.
 func (d *deployment) configure(version int) {
 	d.store.put(names["operatorTopic"]+"/0", names["configurationKey"],
-		[]byte(fill(configurationText, map[string]string{"VERSION": strconv.Itoa(version)})))
+		[]byte(fill(configurationText, map[string]string{
+			"VERSION": strconv.Itoa(version), "GUARDED": strconv.FormatBool(!d.isUnguarded),
+		})))
 	d.record.add("configuration %d is acknowledged", version)
 }
 
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -22,7 +22,7 @@
 
 // cases are the cases by their names. Each returns whether the rule held.
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
-	"outage": outage, "crash": crash, "drain": drain, "loss": loss, "retry": retry, "memory": memory, "malformed": malformed, "zones": zones,
+	"outage": outage, "crash": crash, "drain": drain, "loss": loss, "retry": retry, "memory": memory, "malformed": malformed, "zones": zones, "forgotten": forgotten, "shrink": shrink, "holders": holders,
 }
 
 func main() {
--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -40,6 +40,10 @@
 	tasksHaveNoSize bool
 	// isQuiet is true if there are too many runs to record each of them.
 	isQuiet bool
+	// capacity is what it says, and doesn't guard it if isUnguarded. overCapacity counts the starts that were beyond it.
+	capacity     int
+	isUnguarded  bool
+	overCapacity int
 	// beats is the number of heartbeats that the server itself has sent.
 	beats int
 	// muteUntil is the time up to which starts are neither carried out nor answered.
@@ -62,7 +66,7 @@
 func newServer(r *record, id, address, control string, labels ...string) *server {
 	return &server{
 		record: r, id: id, address: address, control: control, labels: labels, born: time.Now(),
-		runs: map[string]*taskRun{}, highest: map[string]int64{}, changed: make(chan struct{}),
+		capacity: serverCPU, runs: map[string]*taskRun{}, highest: map[string]int64{}, changed: make(chan struct{}),
 	}
 }
 
@@ -82,6 +86,7 @@
 
 	return []byte(fill(heartbeatText, map[string]string{
 		"ADDRESS": s.address, "STATE": state, "GPU": gpu, "LABELS": strings.Join(quoted, ", "),
+		"CPU":      strconv.Itoa(s.capacity),
 		"CLOCK":    strconv.FormatInt(s.clock().Milliseconds(), 10),
 		"SEQUENCE": strconv.FormatInt(s.sequence, 10), "STARTED": strconv.FormatInt(s.born.UnixMilli(), 10),
 	}))
@@ -192,6 +197,22 @@
 	s.muteUntil = until
 }
 
+// shrinkTo lowers the capacity of the server, which does not guard it.
+func (s *server) shrinkTo(capacity int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.capacity, s.isUnguarded = capacity, true
+}
+
+// startsOverCapacity returns how many starts have brought the server over its capacity.
+func (s *server) startsOverCapacity() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.overCapacity
+}
+
 // startsSoFar returns the tasks that have begun.
 func (s *server) startsSoFar() []start {
 	s.mu.Lock()
@@ -310,7 +331,7 @@
 		s.reply(w, http.StatusConflict, "old")
 
 		return
-	case !s.tasksHaveNoSize && (len(s.runs)+1)*taskCPU > serverCPU:
+	case !s.tasksHaveNoSize && !s.isUnguarded && (len(s.runs)+1)*taskCPU > s.capacity:
 		s.renew(q)
 		s.reply(w, http.StatusConflict, "room")
 
@@ -324,6 +345,11 @@
 		ms = 1
 	}
 
+	if (len(s.runs)+1)*taskCPU > s.capacity && !s.tasksHaveNoSize {
+		s.overCapacity++
+		s.record.add("%s starts %s beside %d others, beyond its capacity of %d", s.id, task, len(s.runs), s.capacity)
+	}
+
 	t := &taskRun{number: number}
 	t.timer = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() { s.finish(task, t) })
 	s.runs[task] = t
