--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -43,8 +43,8 @@
 	sidecars     []*process
 	backends     []*backend
 	// relay is before the transport of the entry that may be cut off.
-	relay        *relay
-	closed       chan struct{}
+	relay  *relay
+	closed chan struct{}
 
 	mu sync.Mutex
 	// millicores has the processor time of the tasks of each job.
